--- /dev/null
+++ b/app/relay/chat.go
@@ -0,0 +1,290 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"mimosarelay/app/programs"
+	"mimosarelay/core/config"
+	"mimosarelay/core/model"
+	"mimosarelay/io/target"
+)
+
+// chatCall is one chat completion on its way.
+type chatCall struct {
+	request *Request
+	chat    *target.ChatRequest
+	body    []byte
+	print   model.Fingerprint
+	run     *programs.Run // nil outside programs
+	exclude []model.TargetID
+	place   Place
+	alone   bool
+	ran     model.Ran
+}
+
+func (s *Service) runChat(ctx context.Context, r *Request) (*Answer, error) {
+	c, err := s.newChatCall(r)
+	if err != nil {
+		return nil, err
+	}
+	if c.alone, err = s.Suspects.Check(c.print); err != nil {
+		return nil, err
+	}
+	if r.Program == "" {
+		return s.attemptChat(ctx, c)
+	}
+	decision, err := s.Programs.Begin(ctx, c.spec())
+	if err != nil {
+		return nil, err
+	}
+	switch d := decision.(type) {
+	case *programs.Replay:
+		return replay(d), nil
+	case *programs.Run:
+		c.run = d
+		return s.attemptChat(ctx, c)
+	}
+	return nil, fmt.Errorf("unexpected decision %T", decision)
+}
+
+func (s *Service) newChatCall(r *Request) (*chatCall, error) {
+	chat, err := target.ParseChatRequest(r.Body)
+	if err != nil {
+		return nil, model.NewRefusal(model.ErrBadRequest, model.RanNo, "%v", err)
+	}
+	workspace, ok := s.Contracts.Current().Workspace(r.Workspace)
+	if !ok {
+		return nil, model.NewRefusal(model.ErrUnauthorized, model.RanNo, "workspace %q has no contract", r.Workspace)
+	}
+	if len(workspace.Models) > 0 && !contains(workspace.Models, chat.Model) {
+		return nil, model.NewRefusal(model.ErrForbidden, model.RanNo, "the contract does not grant model %q", chat.Model)
+	}
+	body, err := chat.Body()
+	if err != nil {
+		return nil, model.NewRefusal(model.ErrBadRequest, model.RanNo, "%v", err)
+	}
+	return &chatCall{request: r, chat: chat, body: body, print: fingerprint(body), ran: model.RanNo}, nil
+}
+
+func (c *chatCall) spec() programs.CallSpec {
+	messages, _ := json.Marshal(c.chat.Messages) // raw messages were parsed before
+	return programs.CallSpec{
+		Key:         c.request.key(),
+		Parent:      c.request.Parent,
+		Call:        c.request.Call,
+		Fingerprint: c.print,
+		Reserve:     c.chat.PromptBound() + c.chat.MaxTokens,
+		Idempotent:  true,
+		Messages:    messages,
+	}
+}
+
+func replay(d *programs.Replay) *Answer {
+	headers := []Header{{Name: "Content-Type", Value: d.Result.ContentType}, {Name: "Mimosarelay-Replayed", Value: "true"}}
+	return &Answer{Status: d.Result.Status, Headers: headers, Body: newBytesBody(d.Result.Answer), Length: len(d.Result.Answer)}
+}
+
+// attemptChat tries targets until one starts to answer.
+func (s *Service) attemptChat(ctx context.Context, c *chatCall) (*Answer, error) {
+	var err error
+	for i := 0; i < maxAttempts; i++ {
+		var answer *Answer
+		answer, err = s.attemptOnce(ctx, c, i > 0)
+		if err == nil {
+			return answer, nil
+		}
+		if !errors.Is(err, errTryNext) || c.alone || ctx.Err() != nil {
+			break
+		}
+		s.metrics.retries.Inc(1)
+	}
+	return nil, s.abortChat(ctx, c, err)
+}
+
+// errTryNext marks failures that another target may not have.
+var errTryNext = errors.New("try another target")
+
+func (s *Service) abortChat(ctx context.Context, c *chatCall, cause error) error {
+	if c.run != nil {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
+		defer cancel()
+		if err := c.run.Abort(ctx, c.ran); err != nil {
+			s.Log.Warn("abort not recorded", "request", c.request.ID, "error", err)
+		}
+	}
+	if reason := context.Cause(ctx); errors.Is(reason, model.ErrUnauthorized) {
+		return model.NewRefusal(model.ErrUnauthorized, c.ran, "the key was withdrawn")
+	}
+	refusal := *asRefusal(cause, c.ran)
+	refusal.Ran = c.ran
+	return &refusal
+}
+
+// attemptOnce sends the call to one target and returns when the response
+// header has arrived.
+func (s *Service) attemptOnce(ctx context.Context, c *chatCall, fresh bool) (*Answer, error) {
+	place, err := s.Placer.Acquire(ctx, c.placeRequest())
+	if err != nil {
+		return nil, err
+	}
+	c.place = place
+	resp, err := s.send(ctx, c, fresh)
+	if err != nil {
+		place.Release(Usage{Failed: true})
+		c.exclude = append(c.exclude, place.Target().Name)
+		return nil, s.sendFailed(ctx, c, err)
+	}
+	if status := resp.Status(); status >= fasthttp.StatusInternalServerError || status == fasthttp.StatusTooManyRequests {
+		_ = resp.Close()
+		place.Release(Usage{Failed: true})
+		c.exclude = append(c.exclude, place.Target().Name)
+		return nil, errors.Join(errTryNext, model.NewRefusal(model.ErrTargetFailed, c.ran, "target %q answered %d", place.Target().Name, status))
+	}
+	if c.chat.Stream && resp.Status() == fasthttp.StatusOK {
+		return s.streamAnswer(ctx, c, resp), nil
+	}
+	return s.wholeAnswer(ctx, c, resp)
+}
+
+func (c *chatCall) placeRequest() PlaceRequest {
+	return PlaceRequest{
+		Workspace:   c.request.Workspace,
+		Program:     c.request.Program,
+		Model:       c.chat.Model,
+		Exclude:     c.exclude,
+		Prompt:      c.chat.PromptBound(),
+		MaxTokens:   c.chat.MaxTokens,
+		Prefixes:    prefixes(c.chat.Messages),
+		Fingerprint: c.print,
+	}
+}
+
+// prefixes hashes the leading messages of a prompt, one hash per message.
+func prefixes(messages []json.RawMessage) []uint64 {
+	list := make([]uint64, 0, len(messages))
+	h := xxhash.New()
+	for _, m := range messages {
+		_, _ = h.Write(m)
+		list = append(list, h.Sum64())
+	}
+	return list
+}
+
+func (s *Service) send(ctx context.Context, c *chatCall, fresh bool) (*target.Response, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("/v1/chat/completions")
+	req.Header.SetHost(c.place.Target().Address)
+	for _, h := range c.request.Headers {
+		req.Header.Set(h.Name, h.Value)
+	}
+	req.Header.SetContentType("application/json")
+	req.Header.Set("X-Request-Id", c.streamID())
+	if c.request.Program != "" {
+		req.Header.Set("X-Program", c.programName())
+	}
+	req.SetBodyRaw(c.body)
+	return s.Targets.Do(ctx, c.place.Target().Address, req, target.CallOptions{
+		Fresh:      fresh,
+		Idle:       s.StreamIdle,
+		BeforeSend: s.checkRight,
+	})
+}
+
+// checkRight runs immediately before a request is sent, because the process
+// may have been paused since the call was admitted.
+func (s *Service) checkRight() error {
+	if !s.Owners.MayAct() {
+		return model.NewRefusal(model.ErrNoRight, model.RanNo, "this host may not act now").Retry(forwardRetry)
+	}
+	return nil
+}
+
+// streamID names the stream at the engine, so that it can be resumed.
+func (c *chatCall) streamID() string {
+	return fmt.Sprintf("%s-%d", c.request.ID, len(c.exclude))
+}
+
+// programName identifies the program to engines for cache accounting.
+func (c *chatCall) programName() string {
+	return string(c.request.Workspace) + "/" + string(c.request.Program)
+}
+
+func (s *Service) sendFailed(ctx context.Context, c *chatCall, err error) error {
+	name := c.place.Target().Name
+	if errors.Is(err, model.ErrNoRight) {
+		return err
+	}
+	if errors.Is(err, target.ErrNotSent) {
+		return errors.Join(errTryNext, model.NewRefusal(model.ErrTargetFailed, c.ran, "target %q cannot be reached: %v", name, err))
+	}
+	c.ran = model.RanUnknown
+	s.Targets.DropIdle(c.place.Target().Address)
+	if !errors.Is(err, target.ErrIdle) && ctx.Err() == nil {
+		s.reportCrash(ctx, c)
+	}
+	return errors.Join(errTryNext, model.NewRefusal(model.ErrTargetFailed, c.ran, "target %q: %v", name, err))
+}
+
+// reportCrash marks the request as suspect if its target is gone. A target
+// that still accepts connections lost only this one.
+func (s *Service) reportCrash(ctx context.Context, c *chatCall) {
+	t := c.place.Target()
+	if s.Targets.Reachable(ctx, t.Address) {
+		return
+	}
+	s.Log.Warn("target crashed", "request", c.request.ID, "target", t.Name, "fingerprint", c.print)
+	s.Suspects.Crashed(ctx, c.print, t.Name)
+	if alone, err := s.Suspects.Check(c.print); err != nil || alone {
+		c.alone = true
+	}
+}
+
+// wholeAnswer reads a response that is not a stream and commits it before it
+// is returned.
+func (s *Service) wholeAnswer(ctx context.Context, c *chatCall, resp *target.Response) (*Answer, error) {
+	c.ran = model.RanUnknown
+	body, err := resp.ReadAll(maxAnswer)
+	_ = resp.Close()
+	if err != nil {
+		c.place.Release(Usage{Failed: true})
+		c.exclude = append(c.exclude, c.place.Target().Name)
+		return nil, s.sendFailed(ctx, c, err)
+	}
+	c.ran = model.RanYes
+	usage, _ := target.ParseUsage(body)
+	c.place.Release(placeUsage(usage))
+	if err := s.finish(ctx, c, programs.Result{Answer: body, ContentType: resp.ContentType(), Status: resp.Status(), Used: used(usage)}); err != nil {
+		return nil, err
+	}
+	headers := []Header{{Name: "Content-Type", Value: resp.ContentType()}}
+	return &Answer{Status: resp.Status(), Headers: headers, Body: newBytesBody(body), Length: len(body)}, nil
+}
+
+func placeUsage(u target.Usage) Usage {
+	return Usage{Prompt: u.PromptTokens, Cached: u.Details.CachedTokens, Completion: u.CompletionTokens}
+}
+
+func used(u target.Usage) model.Tokens { return u.PromptTokens + u.CompletionTokens }
+
+// finish commits the end of a call, even if its caller is gone.
+func (s *Service) finish(ctx context.Context, c *chatCall, result programs.Result) error {
+	if c.run == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
+	defer cancel()
+	return c.run.Finish(ctx, result)
+}
+
+// targetOf looks a target up at the time of use, so that changes count at once.
+func (s *Service) targetOf(id model.TargetID) (config.Target, bool) {
+	return s.Contracts.Current().Target(id)
+}
--- /dev/null
+++ b/app/relay/ports.go
@@ -0,0 +1,89 @@
+package relay
+
+import (
+	"context"
+
+	"mimosarelay/app/programs"
+	"mimosarelay/core/config"
+	"mimosarelay/core/model"
+	"mimosarelay/io/peer/peerpb"
+)
+
+// Contracts gives the current configuration.
+type Contracts interface {
+	Current() *config.Snapshot
+}
+
+// Limiter admits requests against the rate and burst of a workspace.
+type Limiter interface {
+	Admit(ctx context.Context, workspace model.WorkspaceID) error
+}
+
+// Programs orders, deduplicates, budgets and records calls.
+type Programs interface {
+	Begin(ctx context.Context, spec programs.CallSpec) (programs.Decision, error)
+}
+
+// Owners finds the host that runs the calls of a shard.
+type Owners interface {
+	// Owner returns the peer address of the owner, and whether it is this
+	// host. It fails with model.ErrUnavailable if there is none.
+	Owner(shard model.Shard) (address string, self bool, err error)
+	// Changed is closed when the membership changes.
+	Changed() <-chan struct{}
+	// MayAct says whether this host holds the right to act now.
+	MayAct() bool
+}
+
+// Peers forwards calls to other hosts.
+type Peers interface {
+	Call(ctx context.Context, address string, request *peerpb.CallRequest) (peerpb.DRPCPeer_CallClient, error)
+}
+
+// PlaceRequest asks for a place at a target.
+type PlaceRequest struct {
+	Workspace model.WorkspaceID
+	Program   model.ProgramID
+	Model     model.ModelID
+	// Candidates are the targets of a route; empty for engines.
+	Candidates []model.TargetID
+	// Exclude lists targets that failed during this call.
+	Exclude []model.TargetID
+	// Prompt and MaxTokens bound the work of the call.
+	Prompt    model.Tokens
+	MaxTokens model.Tokens
+	// Prefixes identifies the leading parts of the prompt, shortest first.
+	Prefixes []uint64
+	// Fingerprint identifies the content of the call.
+	Fingerprint model.Fingerprint
+}
+
+// Usage tells a placer what a call took.
+type Usage struct {
+	Prompt     model.Tokens
+	Cached     model.Tokens
+	Completion model.Tokens
+	Failed     bool
+}
+
+// Place is one call's right to run at a target.
+type Place interface {
+	Target() config.Target
+	// Release ends the call's use of the target. It is called exactly once.
+	Release(u Usage)
+}
+
+// Placer bounds the calls in flight per target and chooses targets.
+type Placer interface {
+	// Acquire waits for a place. It fails with a *model.Refusal.
+	Acquire(ctx context.Context, r PlaceRequest) (Place, error)
+}
+
+// Suspects knows requests that crash targets.
+type Suspects interface {
+	// Check fails with model.ErrSuspect if the request may not run. alone
+	// means that it may run once more, without a second attempt.
+	Check(f model.Fingerprint) (alone bool, err error)
+	// Crashed records a crash and tells all peers before it returns.
+	Crashed(ctx context.Context, f model.Fingerprint, target model.TargetID)
+}
--- /dev/null
+++ b/app/relay/routing.go
@@ -0,0 +1,148 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"mimosarelay/app/programs"
+	"mimosarelay/core/model"
+	"mimosarelay/io/peer"
+	"mimosarelay/io/peer/peerpb"
+)
+
+// forwardRetry is the pause before a call asks for its owner again.
+const forwardRetry = 200 * time.Millisecond
+
+// route carries a call out at the owner of its program. A call that reached
+// an owner may be sent again, also to a later owner, because owners recognize
+// repeated calls by their number or idempotency key.
+func (s *Service) route(ctx context.Context, r *Request) (*Answer, error) {
+	shard := programs.ShardOf(r.key(), r.Parent)
+	deadline := s.Clock.Now().Add(s.ForwardWait)
+	ran := model.RanNo
+	for {
+		changed := s.Owners.Changed()
+		answer, err := s.routeOnce(ctx, r, shard)
+		if err == nil {
+			return answer, nil
+		}
+		if !again(err) {
+			return nil, withEarlier(err, ran)
+		}
+		if asRefusal(err, model.RanNo).Ran != model.RanNo {
+			ran = model.RanUnknown
+		}
+		if !s.Clock.Now().Before(deadline) || !s.pause(ctx, changed) {
+			return nil, model.NewRefusal(model.ErrUnavailable, ran, "owner of the program cannot be reached: %v", err).Retry(time.Second)
+		}
+		s.metrics.retries.Inc(1)
+	}
+}
+
+// withEarlier corrects a refusal as not run if an earlier owner may have run
+// the call.
+func withEarlier(err error, earlier model.Ran) error {
+	refusal := asRefusal(err, model.RanUnknown)
+	if refusal.Ran == model.RanNo && earlier != model.RanNo {
+		corrected := *refusal
+		corrected.Ran = earlier
+		return &corrected
+	}
+	return refusal
+}
+
+// key identifies the call's program; a call outside a program is filed under
+// its idempotency key.
+func (r *Request) key() model.ProgramKey {
+	if r.Program != "" {
+		return model.ProgramKey{Workspace: r.Workspace, Program: r.Program}
+	}
+	return programs.KeyOfIdempotent(r.Workspace, r.IdempotencyKey)
+}
+
+// errOwner marks failures to reach an owner, which another try may solve.
+var errOwner = errors.New("owner not reached")
+
+func again(err error) bool {
+	return errors.Is(err, errOwner) || errors.Is(err, model.ErrNoRight)
+}
+
+func (s *Service) routeOnce(ctx context.Context, r *Request, shard model.Shard) (*Answer, error) {
+	address, self, err := s.Owners.Owner(shard)
+	if err != nil {
+		return nil, errors.Join(errOwner, err)
+	}
+	if self {
+		return s.Run(ctx, r)
+	}
+	s.metrics.forwards.Inc(1)
+	return s.forward(ctx, address, r)
+}
+
+func (s *Service) pause(ctx context.Context, changed <-chan struct{}) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+		return true
+	case <-s.Clock.After(forwardRetry):
+		return true
+	}
+}
+
+func (s *Service) forward(ctx context.Context, address string, r *Request) (*Answer, error) {
+	stream, err := s.Peers.Call(ctx, address, encodeRequest(r))
+	if err != nil {
+		return nil, errors.Join(errOwner, forwardError(err))
+	}
+	first, err := stream.Recv()
+	if err != nil {
+		_ = stream.Close()
+		return nil, errors.Join(errOwner, forwardError(err))
+	}
+	if first.ErrorKind != "" {
+		_ = stream.Close()
+		return nil, decodeRefusal(first)
+	}
+	return decodeAnswer(stream, first), nil
+}
+
+func forwardError(err error) *model.Refusal {
+	ran := model.RanUnknown
+	if errors.Is(err, peer.ErrNotSent) {
+		ran = model.RanNo
+	}
+	return model.NewRefusal(model.ErrUnavailable, ran, "forward to the owner: %v", err)
+}
+
+// forwardedBody reads an answer that comes from another host.
+type forwardedBody struct {
+	stream  peerpb.DRPCPeer_CallClient
+	pending []byte
+	end     bool
+}
+
+// Read implements io.Reader.
+func (b *forwardedBody) Read(p []byte) (int, error) {
+	for len(b.pending) == 0 {
+		if b.end {
+			return 0, io.EOF
+		}
+		m, err := b.stream.Recv()
+		if err != nil {
+			return 0, errors.Join(io.ErrUnexpectedEOF, err)
+		}
+		if m.ErrorKind != "" {
+			return 0, decodeRefusal(m)
+		}
+		b.pending, b.end = m.Body, m.End
+	}
+	n := copy(p, b.pending)
+	b.pending = b.pending[n:]
+	return n, nil
+}
+
+// Close implements io.Closer. Closing before the end cancels the call.
+func (b *forwardedBody) Close() error { return b.stream.Close() }
--- /dev/null
+++ b/app/relay/service_call.go
@@ -0,0 +1,227 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"mimosarelay/app/programs"
+	"mimosarelay/core/config"
+	"mimosarelay/core/model"
+	"mimosarelay/io/target"
+)
+
+const defaultRouteTimeout = 30 * time.Second
+
+// serviceCall is one call to a plain service on its way.
+type serviceCall struct {
+	request *Request
+	route   config.Route
+	run     *programs.Run // nil if nothing needs to be recorded
+	exclude []model.TargetID
+	ran     model.Ran
+}
+
+func (s *Service) runService(ctx context.Context, r *Request) (*Answer, error) {
+	route, ok := s.Contracts.Current().Route(r.Route)
+	if !ok {
+		return nil, model.NewRefusal(model.ErrNotFound, model.RanNo, "route %q does not exist", r.Route)
+	}
+	if err := checkMethod(route, r.Method); err != nil {
+		return nil, err
+	}
+	c := &serviceCall{request: r, route: route, ran: model.RanNo}
+	timeout := route.Timeout
+	if timeout == 0 {
+		timeout = defaultRouteTimeout
+	}
+	if r.Program == "" && r.IdempotencyKey == "" {
+		return s.attemptService(ctx, c, timeout)
+	}
+	decision, err := s.Programs.Begin(ctx, c.spec())
+	if err != nil {
+		return nil, err
+	}
+	switch d := decision.(type) {
+	case *programs.Replay:
+		return replay(d), nil
+	case *programs.Run:
+		c.run = d
+		return s.attemptService(ctx, c, timeout)
+	}
+	return nil, fmt.Errorf("unexpected decision %T", decision)
+}
+
+func checkMethod(route config.Route, method string) error {
+	allowed := route.Methods
+	if len(allowed) == 0 {
+		allowed = []string{http.MethodPost}
+	}
+	if contains(allowed, method) {
+		return nil
+	}
+	return model.NewRefusal(model.ErrBadRequest, model.RanNo, "route %q allows %s", route.Name, strings.Join(allowed, ", "))
+}
+
+func (c *serviceCall) spec() programs.CallSpec {
+	r := c.request
+	return programs.CallSpec{
+		Key:            r.key(),
+		Parent:         r.Parent,
+		Call:           r.Call,
+		IdempotencyKey: r.IdempotencyKey,
+		Fingerprint:    fingerprint([]byte(r.Route), []byte(r.Method), []byte(r.Path), r.Body),
+		Idempotent:     c.route.Repeatable,
+		Messages:       r.Body,
+	}
+}
+
+func (s *Service) attemptService(ctx context.Context, c *serviceCall, timeout time.Duration) (*Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var err error
+	for i := 0; i < maxAttempts; i++ {
+		var answer *Answer
+		answer, err = s.serviceOnce(ctx, c, timeout)
+		if err == nil {
+			return answer, nil
+		}
+		if !errors.Is(err, errTryNext) || ctx.Err() != nil {
+			break
+		}
+		s.metrics.retries.Inc(1)
+	}
+	return nil, s.abortService(ctx, c, err)
+}
+
+func (s *Service) abortService(ctx context.Context, c *serviceCall, cause error) error {
+	if c.run != nil {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
+		defer cancel()
+		if err := c.run.Abort(ctx, c.ran); err != nil {
+			s.Log.Warn("abort not recorded", "request", c.request.ID, "error", err)
+		}
+	}
+	refusal := *asRefusal(cause, c.ran)
+	refusal.Ran = c.ran
+	if c.ran == model.RanUnknown && !c.route.Repeatable {
+		refusal.Kind = model.ErrOutcomeUnknown
+	}
+	return &refusal
+}
+
+func (s *Service) serviceOnce(ctx context.Context, c *serviceCall, timeout time.Duration) (*Answer, error) {
+	place, err := s.Placer.Acquire(ctx, PlaceRequest{
+		Workspace: c.request.Workspace, Program: c.request.Program, Candidates: c.route.Targets, Exclude: c.exclude,
+	})
+	if err != nil {
+		return nil, err
+	}
+	answer, err := s.exchange(ctx, c, place, timeout)
+	place.Release(Usage{Failed: err != nil})
+	if err != nil {
+		c.exclude = append(c.exclude, place.Target().Name)
+	}
+	return answer, err
+}
+
+// exchange sends the call to one target and reads the whole response, so that
+// a cut response is never passed on.
+func (s *Service) exchange(ctx context.Context, c *serviceCall, place Place, timeout time.Duration) (*Answer, error) {
+	t := place.Target()
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	c.fill(req, t.Address)
+	resp, err := s.Targets.Do(ctx, t.Address, req, target.CallOptions{
+		// A reused connection may be closed already, which a write does not
+		// tell; a non-idempotent call could then not be tried elsewhere.
+		Fresh:      !c.route.Repeatable || len(c.exclude) > 0,
+		Idle:       timeout,
+		BeforeSend: func() error { return s.beforeService(ctx, c) },
+	})
+	if err != nil {
+		return nil, s.serviceFailed(c, t, err)
+	}
+	c.ran = model.RanUnknown
+	body, err := resp.ReadAll(maxAnswer)
+	headers := passedHeaders(resp)
+	status, contentType := resp.Status(), resp.ContentType()
+	_ = resp.Close()
+	if err != nil {
+		return nil, s.serviceFailed(c, t, err)
+	}
+	if status >= fasthttp.StatusInternalServerError && c.route.Repeatable {
+		return nil, errors.Join(errTryNext, model.NewRefusal(model.ErrTargetFailed, c.ran, "target %q answered %d", t.Name, status))
+	}
+	c.ran = model.RanYes
+	if err := s.finishService(ctx, c, programs.Result{Answer: body, ContentType: contentType, Status: status}); err != nil {
+		return nil, err
+	}
+	return &Answer{Status: status, Headers: headers, Body: newBytesBody(body), Length: len(body)}, nil
+}
+
+func (c *serviceCall) fill(req *fasthttp.Request, address string) {
+	req.Header.SetMethod(c.request.Method)
+	req.SetRequestURI("/" + strings.TrimPrefix(c.request.Path, "/"))
+	req.Header.SetHost(address)
+	for _, h := range c.request.Headers {
+		req.Header.Set(h.Name, h.Value)
+	}
+	req.Header.Set("X-Request-Id", string(c.request.ID))
+	if c.request.IdempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", c.request.IdempotencyKey)
+	}
+	req.SetBodyRaw(c.request.Body)
+}
+
+// beforeService commits that a non-idempotent call is about to be sent. The
+// first byte leaves immediately afterwards.
+func (s *Service) beforeService(ctx context.Context, c *serviceCall) error {
+	if c.run != nil && !c.route.Repeatable {
+		if err := c.run.Started(ctx); err != nil {
+			return err
+		}
+	}
+	return s.checkRight()
+}
+
+func (s *Service) serviceFailed(c *serviceCall, t config.Target, err error) error {
+	var refusal *model.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	if errors.Is(err, target.ErrNotSent) {
+		return errors.Join(errTryNext, model.NewRefusal(model.ErrTargetFailed, c.ran, "target %q cannot be reached: %v", t.Name, err))
+	}
+	c.ran = model.RanUnknown
+	s.Targets.DropIdle(t.Address)
+	failed := model.NewRefusal(model.ErrTargetFailed, c.ran, "target %q: %v", t.Name, err)
+	if !c.route.Repeatable {
+		return failed
+	}
+	return errors.Join(errTryNext, failed)
+}
+
+func (s *Service) finishService(ctx context.Context, c *serviceCall, result programs.Result) error {
+	if c.run == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
+	defer cancel()
+	return c.run.Finish(ctx, result)
+}
+
+func passedHeaders(resp *target.Response) []Header {
+	var headers []Header
+	for name, value := range resp.Headers() {
+		if PassResponseHeader(string(name)) {
+			headers = append(headers, Header{Name: string(name), Value: string(value)})
+		}
+	}
+	return headers
+}
--- /dev/null
+++ b/app/relay/stream.go
@@ -0,0 +1,268 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"mimosarelay/app/programs"
+	"mimosarelay/core/model"
+	"mimosarelay/io/target"
+)
+
+// maxResumes bounds how often one stream is resumed after a broken connection.
+const maxResumes = 2
+
+// streamAnswer returns the events of a response as they arrive.
+func (s *Service) streamAnswer(ctx context.Context, c *chatCall, resp *target.Response) *Answer {
+	c.ran = model.RanUnknown
+	b := &streamBody{service: s, ctx: ctx, call: c, resp: resp, events: target.NewEventReader(resp)}
+	headers := []Header{{Name: "Content-Type", Value: resp.ContentType()}, {Name: "Cache-Control", Value: "no-store"}}
+	return &Answer{Status: resp.Status(), Headers: headers, Body: b, Length: -1}
+}
+
+// streamBody passes server-sent events on. It holds the closing [DONE] event
+// back until the call's record is committed, so that a caller never takes an
+// answer for whole that is not recorded.
+type streamBody struct {
+	service *Service
+	ctx     context.Context // the call's context; the body outlives the function that made it
+	call    *chatCall
+	resp    *target.Response
+	events  *target.EventReader
+	pending []byte
+	record  []byte // whole answer of a program's call
+	passed  int    // events handed on over all resumes
+	resumes int
+	end     error
+	settled bool
+}
+
+// Read implements io.Reader. It returns io.EOF only after [DONE].
+func (b *streamBody) Read(p []byte) (int, error) {
+	for len(b.pending) == 0 {
+		if b.end != nil {
+			return 0, b.end
+		}
+		b.advance()
+	}
+	n := copy(p, b.pending)
+	b.pending = b.pending[n:]
+	return n, nil
+}
+
+// advance reads the next event into pending, or sets end.
+func (b *streamBody) advance() {
+	event, err := b.events.Next()
+	switch {
+	case err != nil:
+		b.broken(err)
+	case b.events.Done():
+		b.finish(event)
+	default:
+		b.pass(event)
+	}
+}
+
+func (b *streamBody) pass(event []byte) {
+	b.passed++
+	if b.call.run != nil {
+		b.record = append(b.record, event...)
+	}
+	b.pending = event
+}
+
+func (b *streamBody) finish(event []byte) {
+	b.call.ran = model.RanYes
+	event = bytes.Clone(event) // reading on overwrites it
+	usage, _ := target.ParseUsage(b.events.Usage())
+	b.drainEnd()
+	b.settled = true
+	b.call.place.Release(placeUsage(usage))
+	b.record = append(b.record, event...)
+	err := b.service.finish(b.ctx, b.call, programs.Result{
+		Answer:      b.record,
+		ContentType: "text/event-stream",
+		Status:      fasthttp.StatusOK,
+		Used:        used(usage),
+	})
+	if err != nil {
+		b.fail(asRefusal(err, model.RanYes))
+		return
+	}
+	b.pending, b.end = event, io.EOF
+}
+
+// drainEnd reads the end of the response after [DONE], so that its connection
+// can be used again.
+func (b *streamBody) drainEnd() {
+	if _, err := b.events.Next(); errors.Is(err, io.EOF) {
+		_ = b.resp.Close()
+	}
+}
+
+// broken handles a stream that ended without [DONE].
+func (b *streamBody) broken(err error) {
+	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		err = fmt.Errorf("%w: stream ended without [DONE]", target.ErrBroken)
+	}
+	b.service.metrics.broken.Inc(1)
+	if reason := context.Cause(b.ctx); reason != nil {
+		b.fail(b.refusalFor(reason))
+		return
+	}
+	if b.resume() || b.restart() {
+		return
+	}
+	b.service.reportIfCrashed(b.ctx, b.call, err)
+	b.fail(model.NewRefusal(model.ErrTargetFailed, model.RanUnknown, "answer of target %q broke off: %v", b.call.place.Target().Name, err))
+}
+
+func (b *streamBody) refusalFor(reason error) *model.Refusal {
+	if errors.Is(reason, model.ErrUnauthorized) {
+		return model.NewRefusal(model.ErrUnauthorized, model.RanUnknown, "the key was withdrawn")
+	}
+	return model.NewRefusal(model.ErrUnavailable, model.RanUnknown, "call cancelled: %v", reason)
+}
+
+// resume continues the stream on a new connection to the same engine.
+func (b *streamBody) resume() bool {
+	if b.resumes >= maxResumes {
+		return false
+	}
+	b.resumes++
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	t := b.call.place.Target()
+	req.SetRequestURI("/v1/streams/" + b.call.streamID() + "?from=" + strconv.Itoa(b.passed))
+	req.Header.SetHost(t.Address)
+	resp, err := b.service.Targets.Do(b.ctx, t.Address, req, target.CallOptions{Fresh: true, Idle: b.service.StreamIdle})
+	if err != nil {
+		return false
+	}
+	if resp.Status() != fasthttp.StatusOK {
+		_ = resp.Close()
+		return false
+	}
+	b.service.metrics.resumes.Inc(1)
+	b.replace(resp)
+	return true
+}
+
+// restart sends the call to another target if the caller has seen nothing yet.
+func (b *streamBody) restart() bool {
+	c := b.call
+	if b.passed > 0 || len(c.exclude) >= maxAttempts-1 {
+		return false
+	}
+	b.service.reportIfCrashed(b.ctx, c, target.ErrBroken)
+	if c.alone {
+		return false
+	}
+	c.place.Release(Usage{Failed: true})
+	c.exclude = append(c.exclude, c.place.Target().Name)
+	place, err := b.service.Placer.Acquire(b.ctx, c.placeRequest())
+	if err != nil {
+		b.settled = true
+		return false
+	}
+	c.place = place
+	resp, err := b.service.send(b.ctx, c, true)
+	if err != nil || resp.Status() != fasthttp.StatusOK {
+		if err == nil {
+			_ = resp.Close()
+		}
+		return false
+	}
+	b.service.metrics.retries.Inc(1)
+	b.replace(resp)
+	return true
+}
+
+func (b *streamBody) replace(resp *target.Response) {
+	_ = b.resp.Close()
+	b.events.Release()
+	b.resp = resp
+	b.events = target.NewEventReader(resp)
+}
+
+// fail ends the answer with an error event and without [DONE].
+func (b *streamBody) fail(refusal *model.Refusal) {
+	b.abort(refusal.Ran)
+	b.pending = errorEvent(b.call.request.ID, refusal)
+	b.end = refusal
+}
+
+func errorEvent(id model.RequestID, refusal *model.Refusal) []byte {
+	data, err := json.Marshal(map[string]any{"error": map[string]any{
+		"message": refusal.Error(), "type": kindName(refusal.Kind), "Ran": refusal.Ran, "RequestID": id,
+	}})
+	if err != nil {
+		data = []byte(`{"error":{}}`)
+	}
+	var event bytes.Buffer
+	fmt.Fprintf(&event, "event: error\ndata: %s\n\n", data)
+	return event.Bytes()
+}
+
+func (b *streamBody) abort(ran model.Ran) {
+	_ = b.resp.Close()
+	if !b.settled {
+		b.settled = true
+		b.call.place.Release(Usage{Failed: true})
+	}
+	if b.call.run == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(b.ctx), finishTimeout)
+	defer cancel()
+	if err := b.call.run.Abort(ctx, ran); err != nil {
+		b.service.Log.Warn("abort not recorded", "request", b.call.request.ID, "error", err)
+	}
+	b.call.run = nil
+}
+
+// Close implements io.Closer. Closing before the end cancels the stream at the
+// engine.
+func (b *streamBody) Close() error {
+	if b.end == nil {
+		b.end = io.ErrClosedPipe
+		b.service.cancelStream(b.ctx, b.call)
+		b.abort(model.RanUnknown)
+	}
+	b.events.Release()
+	return b.resp.Close()
+}
+
+func (s *Service) reportIfCrashed(ctx context.Context, c *chatCall, err error) {
+	if !errors.Is(err, target.ErrIdle) && ctx.Err() == nil {
+		s.reportCrash(ctx, c)
+	}
+}
+
+// cancelStream tells the engine to stop a stream whose caller is gone. Engines
+// that support resuming do not stop when the connection closes.
+func (s *Service) cancelStream(ctx context.Context, c *chatCall) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
+	address, id := c.place.Target().Address, c.streamID()
+	go func() {
+		defer cancel()
+		req := fasthttp.AcquireRequest()
+		defer fasthttp.ReleaseRequest(req)
+		req.Header.SetMethod(fasthttp.MethodDelete)
+		req.SetRequestURI("/v1/streams/" + id)
+		req.Header.SetHost(address)
+		resp, err := s.Targets.Do(ctx, address, req, target.CallOptions{Fresh: true, Idle: finishTimeout})
+		if err != nil {
+			s.Log.Warn("stream not cancelled", "request", c.request.ID, "error", err)
+			return
+		}
+		_ = resp.Close()
+	}()
+}
--- /dev/null
+++ b/app/relay/streams.go
@@ -0,0 +1,70 @@
+package relay
+
+import (
+	"context"
+	"sync"
+
+	"mimosarelay/core/config"
+	"mimosarelay/core/model"
+)
+
+// Streams knows the running calls of each key, so that they end when the key
+// is withdrawn.
+type Streams struct {
+	mu   sync.Mutex // guards open and next
+	next uint64
+	open map[streamID]openStream
+}
+
+type streamID uint64
+
+type openStream struct {
+	workspace model.WorkspaceID
+	key       model.KeyID
+	cancel    context.CancelCauseFunc
+}
+
+// NewStreams returns an empty registry.
+func NewStreams() *Streams {
+	return &Streams{open: map[streamID]openStream{}}
+}
+
+// Add returns a context that ends when the key is withdrawn, and a function
+// that removes the call.
+func (s *Streams) Add(ctx context.Context, workspace model.WorkspaceID, key model.KeyID) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	s.mu.Lock()
+	s.next++
+	id := streamID(s.next)
+	s.open[id] = openStream{workspace: workspace, key: key, cancel: cancel}
+	s.mu.Unlock()
+	return ctx, func() {
+		s.mu.Lock()
+		delete(s.open, id)
+		s.mu.Unlock()
+		cancel(context.Canceled)
+	}
+}
+
+// Enforce ends the calls of keys that are not valid in the snapshot.
+func (s *Streams) Enforce(current *config.Snapshot) int {
+	s.mu.Lock()
+	var ended []openStream
+	for _, o := range s.open {
+		if o.key != "" && !current.KeyValid(o.workspace, o.key) {
+			ended = append(ended, o)
+		}
+	}
+	s.mu.Unlock()
+	for _, o := range ended {
+		o.cancel(model.ErrUnauthorized)
+	}
+	return len(ended)
+}
+
+// Count is the number of running calls.
+func (s *Streams) Count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
--- /dev/null
+++ b/io/caller/identify.go
@@ -0,0 +1,185 @@
+package caller
+
+import (
+	"bytes"
+	"net/url"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"mimosarelay/app/relay"
+	"mimosarelay/core/model"
+)
+
+// Header fields of the callers' interface.
+const (
+	headerProgram     = "Mimosarelay-Program"
+	headerCall        = "Mimosarelay-Call"
+	headerParent      = "Mimosarelay-Parent"
+	headerIdempotency = "Idempotency-Key"
+)
+
+// namePattern is what program ids and idempotency keys look like. No slash,
+// because ids are parts of paths.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9._:~-]{1,128}$`)
+
+// identify authenticates a request. On open routes the key may be missing.
+func (s *Server) identify(ctx *fasthttp.RequestCtx, id model.RequestID, open bool) (*relay.Request, error) {
+	r := &relay.Request{ID: id}
+	key, present, err := bearer(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if !present {
+		if open {
+			return r, nil
+		}
+		return nil, model.NewRefusal(model.ErrUnauthorized, model.RanNo, "header Authorization: Bearer KEY is missing")
+	}
+	workspace, keyID, ok := s.options.Snapshot().Authenticate(string(key))
+	if !ok {
+		return nil, model.NewRefusal(model.ErrUnauthorized, model.RanNo, "the key is unknown or was withdrawn")
+	}
+	if err := checkKeyPlaces(ctx, key); err != nil {
+		return nil, err
+	}
+	r.Workspace, r.Key = workspace, keyID
+	return r, nil
+}
+
+func bearer(ctx *fasthttp.RequestCtx) (key []byte, present bool, err error) {
+	values := ctx.Request.Header.PeekAll(fasthttp.HeaderAuthorization)
+	if len(values) == 0 {
+		return nil, false, nil
+	}
+	if len(values) > 1 {
+		return nil, true, model.NewRefusal(model.ErrUnauthorized, model.RanNo, "header Authorization occurs more than once")
+	}
+	scheme, key, ok := bytes.Cut(values[0], []byte(" "))
+	key = bytes.TrimSpace(key)
+	if !ok || !bytes.EqualFold(scheme, []byte("Bearer")) || len(key) == 0 {
+		return nil, true, model.NewRefusal(model.ErrUnauthorized, model.RanNo, "header Authorization must be: Bearer KEY")
+	}
+	return key, true, nil
+}
+
+// checkKeyPlaces refuses requests that repeat the caller's key where it would
+// be passed on to a target.
+func checkKeyPlaces(ctx *fasthttp.RequestCtx, key []byte) error {
+	uri := ctx.RequestURI()
+	decoded, err := url.PathUnescape(string(uri))
+	if err != nil {
+		return model.NewRefusal(model.ErrBadRequest, model.RanNo, "the request path is not well formed")
+	}
+	parts := [][]byte{uri, []byte(decoded), ctx.PostBody()}
+	for name, value := range ctx.Request.Header.All() {
+		if relay.PassRequestHeader(string(name)) {
+			parts = append(parts, value)
+		}
+	}
+	if containsKey(key, parts...) {
+		return model.NewRefusal(model.ErrBadRequest, model.RanNo, "the key may only be sent in the header Authorization")
+	}
+	if len(ctx.Request.Header.PeekTrailerKeys()) > 0 {
+		return model.NewRefusal(model.ErrBadRequest, model.RanNo, "trailers are not accepted")
+	}
+	return nil
+}
+
+// complete reads body and header fields of a call.
+func (s *Server) complete(ctx *fasthttp.RequestCtx, r *relay.Request) error {
+	r.Body = bytes.Clone(ctx.PostBody())
+	for name, value := range ctx.Request.Header.All() {
+		if relay.PassRequestHeader(string(name)) {
+			r.Headers = append(r.Headers, relay.Header{Name: string(name), Value: string(value)})
+		}
+	}
+	return readProgramHeaders(ctx, r)
+}
+
+func readProgramHeaders(ctx *fasthttp.RequestCtx, r *relay.Request) error {
+	program, err := nameHeader(ctx, headerProgram)
+	if err != nil {
+		return err
+	}
+	parent, err := nameHeader(ctx, headerParent)
+	if err != nil {
+		return err
+	}
+	idempotency, err := nameHeader(ctx, headerIdempotency)
+	if err != nil {
+		return err
+	}
+	call, err := callNumber(ctx)
+	if err != nil {
+		return err
+	}
+	switch {
+	case program == "" && (call != 0 || parent != ""):
+		return model.NewRefusal(model.ErrBadRequest, model.RanNo, "headers %s and %s need header %s", headerCall, headerParent, headerProgram)
+	case program != "" && call == 0:
+		return model.NewRefusal(model.ErrBadRequest, model.RanNo, "header %s needs header %s", headerProgram, headerCall)
+	case program != "" && program == parent:
+		return model.NewRefusal(model.ErrBadRequest, model.RanNo, "a program cannot be its own parent")
+	case program != "" && r.Workspace == "":
+		return model.NewRefusal(model.ErrUnauthorized, model.RanNo, "calls of programs need a key")
+	}
+	r.Program, r.Parent, r.Call = model.ProgramID(program), model.ProgramID(parent), call
+	if program == "" {
+		r.IdempotencyKey = idempotency
+	}
+	return nil
+}
+
+func nameHeader(ctx *fasthttp.RequestCtx, name string) (string, error) {
+	value := string(ctx.Request.Header.Peek(name))
+	if value != "" && !namePattern.MatchString(value) {
+		return "", model.NewRefusal(model.ErrBadRequest, model.RanNo, "header %s must match %s", name, namePattern)
+	}
+	return value, nil
+}
+
+func callNumber(ctx *fasthttp.RequestCtx) (model.CallNumber, error) {
+	value := string(ctx.Request.Header.Peek(headerCall))
+	if value == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(value, 10, 32)
+	if err != nil || n == 0 {
+		return 0, model.NewRefusal(model.ErrBadRequest, model.RanNo, "header %s must be a number from 1 on", headerCall)
+	}
+	return model.CallNumber(n), nil
+}
+
+// parseProgramPath reads {id}, {id}/history or {id}/calls/{n}.
+func parseProgramPath(r *relay.Request, method, rest string) error {
+	parts := strings.Split(rest, "/")
+	if !namePattern.MatchString(parts[0]) {
+		return model.NewRefusal(model.ErrNotFound, model.RanNo, "program id must match %s", namePattern)
+	}
+	r.Program, r.Method = model.ProgramID(parts[0]), method
+	switch {
+	case len(parts) == 1 && method == fasthttp.MethodGet:
+		r.Query = relay.QueryState
+	case len(parts) == 1 && method == fasthttp.MethodDelete:
+		r.Query = relay.QueryEnd
+	case len(parts) == 2 && parts[1] == "history" && method == fasthttp.MethodGet:
+		r.Query = relay.QueryHistory
+	case len(parts) == 3 && parts[1] == "calls" && method == fasthttp.MethodGet:
+		return parseOutcomePath(r, parts[2])
+	default:
+		return model.NewRefusal(model.ErrNotFound, model.RanNo, "%s /v1/programs/%s does not exist", method, rest)
+	}
+	return nil
+}
+
+func parseOutcomePath(r *relay.Request, number string) error {
+	n, err := strconv.ParseUint(number, 10, 32)
+	if err != nil || n == 0 {
+		return model.NewRefusal(model.ErrNotFound, model.RanNo, "call number %q must be a number from 1 on", number)
+	}
+	r.Query, r.Call = relay.QueryOutcome, model.CallNumber(n)
+	return nil
+}
--- /dev/null
+++ b/io/caller/problem.go
@@ -0,0 +1,98 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net"
+	"strconv"
+
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"mimosarelay/core/model"
+)
+
+// problem is a refusal as RFC 9457 problem JSON.
+type problem struct {
+	Type      string          `json:"type"`
+	Title     string          `json:"title"`
+	Status    int             `json:"status"`
+	Detail    string          `json:"detail"`
+	Ran       model.Ran       `json:"Ran"`
+	RequestID model.RequestID `json:"RequestID"`
+}
+
+// kinds maps sentinel errors to problem types and status codes.
+var kinds = []struct {
+	err    error
+	name   string
+	status int
+}{
+	{model.ErrUnauthorized, "unauthorized", fasthttp.StatusUnauthorized},
+	{model.ErrForbidden, "forbidden", fasthttp.StatusForbidden},
+	{model.ErrNotFound, "not-found", fasthttp.StatusNotFound},
+	{model.ErrBadRequest, "bad-request", fasthttp.StatusBadRequest},
+	{model.ErrTooLarge, "too-large", fasthttp.StatusRequestEntityTooLarge},
+	{model.ErrRateLimited, "rate-limited", fasthttp.StatusTooManyRequests},
+	{model.ErrBudget, "budget-exhausted", fasthttp.StatusForbidden},
+	{model.ErrOrder, "out-of-order", fasthttp.StatusConflict},
+	{model.ErrConflict, "conflict", fasthttp.StatusConflict},
+	{model.ErrProgramEnded, "program-ended", fasthttp.StatusGone},
+	{model.ErrNoRight, "unavailable", fasthttp.StatusServiceUnavailable},
+	{model.ErrTargetFailed, "target-failed", fasthttp.StatusBadGateway},
+	{model.ErrOutcomeUnknown, "outcome-unknown", fasthttp.StatusBadGateway},
+	{model.ErrSuspect, "suspect-request", fasthttp.StatusUnprocessableEntity},
+	{model.ErrDraining, "draining", fasthttp.StatusServiceUnavailable},
+	{errMethod, "method-not-allowed", fasthttp.StatusMethodNotAllowed},
+	{model.ErrUnavailable, "unavailable", fasthttp.StatusServiceUnavailable},
+}
+
+var errMethod = errors.New("method not allowed")
+
+func (s *Server) refuse(ctx *fasthttp.RequestCtx, id model.RequestID, err error) {
+	refusal := &model.Refusal{Kind: model.ErrUnavailable, Ran: model.RanUnknown, Detail: "internal error"}
+	if !errors.As(err, &refusal) {
+		s.options.Log.Error("call failed", "request", id, "error", err)
+	}
+	p := problem{Type: "about:blank", Title: "unavailable", Status: fasthttp.StatusServiceUnavailable, Detail: refusal.Detail, Ran: refusal.Ran, RequestID: id}
+	for _, k := range kinds {
+		if errors.Is(refusal.Kind, k.err) {
+			p.Type, p.Title, p.Status = "urn:mimosarelay:"+k.name, k.err.Error(), k.status
+			break
+		}
+	}
+	body, err := json.Marshal(p)
+	if err != nil {
+		body = []byte(`{"status":500}`)
+	}
+	ctx.Response.Reset()
+	ctx.SetStatusCode(p.Status)
+	ctx.SetContentType("application/problem+json")
+	ctx.Response.Header.Set("X-Request-Id", string(id))
+	if refusal.RetryAfter > 0 {
+		ctx.Response.Header.Set("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
+	}
+	if p.Status == fasthttp.StatusUnauthorized {
+		ctx.Response.Header.Set("WWW-Authenticate", "Bearer")
+		ctx.SetConnectionClose()
+	}
+	ctx.SetBody(body)
+	s.options.Log.Info("call refused", "request", id, "status", p.Status, "type", p.Type, "ran", p.Ran, "detail", p.Detail)
+}
+
+func classifyMalformed(err error) (kind error, detail string) {
+	var small *fasthttp.ErrSmallBuffer
+	var timeout net.Error
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return model.ErrTooLarge, "request body is too large"
+	case errors.As(err, &small):
+		return model.ErrTooLarge, "request header is larger than " + strconv.Itoa(headerBuffer) + " bytes"
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return model.ErrBadRequest, "request was not sent in time"
+	}
+	return model.ErrBadRequest, "request is not valid HTTP"
+}
+
+func newRequestID() model.RequestID { return model.RequestID(uuid.NewString()) }
--- /dev/null
+++ b/io/caller/server.go
@@ -0,0 +1,148 @@
+// Package caller serves callers over HTTP/1.1: chat completions, routes to
+// services, the list of hosts and questions about programs.
+package caller
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"mimosarelay/app/relay"
+	"mimosarelay/core/config"
+	"mimosarelay/core/model"
+)
+
+// Relay carries out calls.
+type Relay interface {
+	Handle(ctx context.Context, r *relay.Request) (*relay.Answer, error)
+}
+
+// Hosts lists the hosts that callers may use.
+type Hosts interface {
+	// Addresses returns the callers' addresses of live hosts that are not
+	// leaving, in the order to try them.
+	Addresses() []string
+}
+
+// Options configures a Server. All fields but TLS, MaxBody and WriteTimeout
+// are required.
+type Options struct {
+	Relay    Relay
+	Streams  *relay.Streams
+	Hosts    Hosts
+	Snapshot func() *config.Snapshot
+	// Ready says whether the host serves, and why not.
+	Ready func() (bool, string)
+	Log   *slog.Logger
+	TLS   *tls.Config
+	// MaxBody is the largest request body, in bytes; 0 means 8 MiB.
+	MaxBody int
+	// WriteTimeout ends a response whose caller stops reading; 0 means 20 s.
+	WriteTimeout time.Duration
+}
+
+const (
+	defaultMaxBody      = 8 << 20
+	defaultWriteTimeout = 20 * time.Second
+	// headerReadTimeout bounds the time to send a request.
+	requestReadTimeout = 30 * time.Second
+	keepAliveTimeout   = 75 * time.Second
+	// headerBuffer bounds the size of a request's header, in bytes.
+	headerBuffer = 16 << 10
+)
+
+// Server serves callers.
+type Server struct {
+	options Options
+	http    *fasthttp.Server
+}
+
+// New returns a Server.
+func New(o Options) *Server {
+	if o.MaxBody == 0 {
+		o.MaxBody = defaultMaxBody
+	}
+	if o.WriteTimeout == 0 {
+		o.WriteTimeout = defaultWriteTimeout
+	}
+	s := &Server{options: o}
+	s.http = &fasthttp.Server{
+		Handler:               s.handle,
+		ErrorHandler:          s.malformed,
+		Name:                  "mimosarelay",
+		ReadBufferSize:        headerBuffer,
+		ReadTimeout:           requestReadTimeout,
+		IdleTimeout:           keepAliveTimeout,
+		MaxRequestBodySize:    o.MaxBody,
+		CloseOnShutdown:       true,
+		NoDefaultDate:         true,
+		SecureErrorLogMessage: true,
+		Logger:                serverLog{o.Log},
+	}
+	return s
+}
+
+// Serve accepts connections until Shutdown.
+func (s *Server) Serve(listener net.Listener) error {
+	listener = &deadlineListener{Listener: listener, timeout: s.options.WriteTimeout}
+	if s.options.TLS != nil {
+		listener = tls.NewListener(listener, s.options.TLS)
+	}
+	return s.http.Serve(listener)
+}
+
+// Shutdown stops accepting connections and waits until all running calls have
+// ended or ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return s.http.ShutdownWithContext(ctx)
+}
+
+// serverLog passes the library's messages on as debug events: they concern
+// broken connections of callers, and must not hold request content.
+type serverLog struct{ log *slog.Logger }
+
+// Printf implements fasthttp.Logger.
+func (l serverLog) Printf(format string, args ...any) {
+	l.log.Debug("caller connection", "detail", fmt.Sprintf(format, args...))
+}
+
+// deadlineListener bounds each write instead of a whole response, so that long
+// streams go on while their caller reads.
+type deadlineListener struct {
+	net.Listener
+	timeout time.Duration
+}
+
+// Accept implements net.Listener.
+func (l *deadlineListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &deadlineConn{Conn: conn, timeout: l.timeout}, nil
+}
+
+type deadlineConn struct {
+	net.Conn
+	timeout time.Duration
+}
+
+// Write implements net.Conn.
+func (c *deadlineConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// malformed answers requests that the library could not parse.
+func (s *Server) malformed(ctx *fasthttp.RequestCtx, err error) {
+	kind, detail := classifyMalformed(err)
+	s.refuse(ctx, newRequestID(), model.NewRefusal(kind, model.RanNo, "%s", detail))
+	ctx.SetConnectionClose()
+}
--- /dev/null
+++ b/io/target/client.go
@@ -0,0 +1,252 @@
+// Package target talks HTTP/1.1 to targets. It owns its connections instead of
+// using a library client, because a call that may not be repeated needs to
+// know whether any byte of it left, and no layer may send it again.
+package target
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Sentinel errors, tested with errors.Is.
+var (
+	// ErrNotSent reports a failure before any byte of the request left.
+	ErrNotSent = errors.New("target: request not sent")
+	// ErrBroken reports a failure after bytes of the request may have left.
+	ErrBroken = errors.New("target: exchange broken")
+	// ErrIdle reports a target that made no progress within the idle limit.
+	ErrIdle = errors.New("target: no progress")
+)
+
+const (
+	// readBufferSize bounds a response header, in bytes.
+	readBufferSize  = 16 << 10
+	writeBufferSize = 4 << 10
+	// maxIdlePerTarget bounds the idle connections kept per address.
+	maxIdlePerTarget = 64
+	// maxIdleTime is shorter than the keep-alive time of common servers, so
+	// that reused connections are seldom already closed on the other side.
+	maxIdleTime = 4 * time.Second
+)
+
+// Options configures a Client.
+type Options struct {
+	// DialTimeout bounds a connection attempt; 0 means 1 s.
+	DialTimeout time.Duration
+	// LocalAddress is the source IP address; empty means any.
+	LocalAddress string
+}
+
+// Client sends requests to targets. It never repeats a request.
+type Client struct {
+	dialer net.Dialer
+	mu     sync.Mutex // guards idle and closed
+	idle   map[string][]*conn
+	closed bool
+}
+
+// NewClient returns a Client.
+func NewClient(o Options) *Client {
+	if o.DialTimeout == 0 {
+		o.DialTimeout = time.Second
+	}
+	c := &Client{dialer: net.Dialer{Timeout: o.DialTimeout}, idle: map[string][]*conn{}}
+	if ip := net.ParseIP(o.LocalAddress); ip != nil {
+		c.dialer.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	return c
+}
+
+// CallOptions configures one exchange.
+type CallOptions struct {
+	// Fresh asks for a new connection. A reused connection may already be
+	// closed by the target, and a write to it does not tell.
+	Fresh bool
+	// Idle ends the exchange when the target makes no progress for so long;
+	// 0 means 20 s.
+	Idle time.Duration
+	// BeforeSend runs immediately before the first byte is written. An error
+	// stops the exchange with nothing sent.
+	BeforeSend func() error
+}
+
+const defaultIdle = 20 * time.Second
+
+// Do sends a request and returns after the response header was read. The
+// caller must Close the response. Errors wrap ErrNotSent, ErrBroken or
+// ErrIdle. The end of ctx closes the connection.
+func (c *Client) Do(ctx context.Context, address string, req *fasthttp.Request, o CallOptions) (*Response, error) {
+	if o.Idle == 0 {
+		o.Idle = defaultIdle
+	}
+	cn, err := c.connect(ctx, address, o.Fresh)
+	if err != nil {
+		return nil, fmt.Errorf("%w: connect to %s: %w", ErrNotSent, address, err)
+	}
+	if o.BeforeSend != nil {
+		if err := o.BeforeSend(); err != nil {
+			c.release(address, cn)
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	resp, err := cn.exchange(req, o.Idle)
+	if err != nil {
+		stop()
+		_ = cn.Close()
+		return nil, cn.classify(ctx, err)
+	}
+	resp.client, resp.address, resp.stop, resp.ctx = c, address, stop, ctx
+	return resp, nil
+}
+
+// Close closes all idle connections.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for _, cns := range c.idle {
+		for _, cn := range cns {
+			_ = cn.Close()
+		}
+	}
+	clear(c.idle)
+	return nil
+}
+
+// DropIdle closes the idle connections to one address, for example after one
+// connection to it went silent.
+func (c *Client) DropIdle(address string) {
+	c.mu.Lock()
+	cns := c.idle[address]
+	delete(c.idle, address)
+	c.mu.Unlock()
+	for _, cn := range cns {
+		_ = cn.Close()
+	}
+}
+
+func (c *Client) connect(ctx context.Context, address string, fresh bool) (*conn, error) {
+	if !fresh {
+		if cn := c.takeIdle(address); cn != nil {
+			return cn, nil
+		}
+	}
+	nc, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	cn := &conn{Conn: nc}
+	cn.reader = bufio.NewReaderSize(cn, readBufferSize)
+	cn.writer = bufio.NewWriterSize(cn, writeBufferSize)
+	return cn, nil
+}
+
+func (c *Client) takeIdle(address string) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cns := c.idle[address]
+	for len(cns) > 0 {
+		cn := cns[len(cns)-1]
+		cns = cns[:len(cns)-1]
+		c.idle[address] = cns
+		if time.Since(cn.idleSince) < maxIdleTime {
+			return cn
+		}
+		_ = cn.Close()
+	}
+	return nil
+}
+
+func (c *Client) release(address string, cn *conn) {
+	cn.idleSince = time.Now()
+	cn.written = 0
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || len(c.idle[address]) >= maxIdlePerTarget {
+		_ = cn.Close()
+		return
+	}
+	c.idle[address] = append(c.idle[address], cn)
+}
+
+// conn counts the bytes written, so that a failure can prove that nothing
+// left.
+type conn struct {
+	net.Conn
+	reader    *bufio.Reader
+	writer    *bufio.Writer
+	written   int64
+	idle      time.Duration
+	idleSince time.Time
+}
+
+func (cn *conn) Write(p []byte) (int, error) {
+	if err := cn.SetWriteDeadline(time.Now().Add(cn.idle)); err != nil {
+		return 0, err
+	}
+	n, err := cn.Conn.Write(p)
+	cn.written += int64(n)
+	return n, err
+}
+
+func (cn *conn) Read(p []byte) (int, error) {
+	if err := cn.SetReadDeadline(time.Now().Add(cn.idle)); err != nil {
+		return 0, err
+	}
+	return cn.Conn.Read(p)
+}
+
+func (cn *conn) exchange(req *fasthttp.Request, idle time.Duration) (*Response, error) {
+	cn.idle = idle
+	cn.written = 0
+	if err := req.Write(cn.writer); err != nil {
+		return nil, err
+	}
+	if err := cn.writer.Flush(); err != nil {
+		return nil, err
+	}
+	resp := &Response{conn: cn, message: fasthttp.AcquireResponse()}
+	resp.message.StreamBody = true
+	if err := resp.message.ReadLimitBody(cn.reader, 0); err != nil {
+		fasthttp.ReleaseResponse(resp.message)
+		return nil, err
+	}
+	resp.body = resp.message.BodyStream()
+	return resp, nil
+}
+
+func (cn *conn) classify(ctx context.Context, err error) error {
+	if cn.written == 0 {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	if ctx.Err() != nil {
+		return fmt.Errorf("%w: %w", ErrBroken, ctx.Err())
+	}
+	var ne net.Error
+	if errors.As(err, &ne) && ne.Timeout() {
+		return fmt.Errorf("%w: %w: %w", ErrBroken, ErrIdle, err)
+	}
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return fmt.Errorf("%w: %w", ErrBroken, err)
+}
+
+// Reachable says whether the target accepts a new connection.
+func (c *Client) Reachable(ctx context.Context, address string) bool {
+	nc, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = nc.Close()
+	return true
+}
--- /dev/null
+++ b/io/target/events.go
@@ -0,0 +1,123 @@
+package target
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+)
+
+// ErrEventTooLarge reports a server-sent event larger than maxEvent.
+var ErrEventTooLarge = errors.New("target: event too large")
+
+const (
+	// maxEvent bounds one server-sent event, in bytes.
+	maxEvent = 1 << 20
+	// eventReadSize is the size of the pooled read buffer, in bytes.
+	eventReadSize = 8 << 10
+)
+
+var (
+	doneEvent  = []byte("data: [DONE]")
+	usageField = []byte(`"usage":{`)
+)
+
+var eventReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, eventReadSize) }}
+
+// EventReader splits a body of server-sent events. It allocates nothing per
+// event once its buffers have grown.
+type EventReader struct {
+	reader *bufio.Reader
+	event  []byte
+	usage  []byte
+	count  int
+	done   bool
+}
+
+// NewEventReader returns a reader of the events in body.
+func NewEventReader(body io.Reader) *EventReader {
+	br, _ := eventReaders.Get().(*bufio.Reader)
+	br.Reset(body)
+	return &EventReader{reader: br}
+}
+
+// Next returns the next event including its closing blank line. The slice is
+// valid until the next call. It returns io.EOF at the end of the body.
+func (e *EventReader) Next() ([]byte, error) {
+	e.event = e.event[:0]
+	for {
+		line, err := e.reader.ReadSlice('\n')
+		e.event = append(e.event, line...)
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			return nil, e.endError(err)
+		}
+		if len(e.event) > maxEvent {
+			return nil, fmt.Errorf("%w: more than %d bytes", ErrEventTooLarge, maxEvent)
+		}
+		if err == nil && isBlank(line) && len(e.event) > len(line) {
+			break
+		}
+	}
+	e.count++
+	e.inspect()
+	return e.event, nil
+}
+
+func (e *EventReader) endError(err error) error {
+	if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.event)) > 0 {
+		return fmt.Errorf("%w: event cut off: %w", ErrBroken, io.ErrUnexpectedEOF)
+	}
+	return err
+}
+
+func isBlank(line []byte) bool {
+	return len(line) == 1 || len(line) == 2 && line[0] == '\r'
+}
+
+func (e *EventReader) inspect() {
+	if bytes.HasPrefix(e.event, doneEvent) {
+		e.done = true
+		return
+	}
+	if bytes.Contains(e.event, usageField) {
+		e.usage = append(e.usage[:0], e.event...)
+	}
+}
+
+// Buffered says whether another event may be read without waiting.
+func (e *EventReader) Buffered() bool {
+	b, err := e.reader.Peek(e.reader.Buffered())
+	return err == nil && (bytes.Contains(b, []byte("\n\n")) || bytes.Contains(b, []byte("\n\r\n")))
+}
+
+// Done says whether the closing [DONE] event was read.
+func (e *EventReader) Done() bool { return e.done }
+
+// Count is the number of events read.
+func (e *EventReader) Count() int { return e.count }
+
+// Usage returns the payload of the last event that reports token usage, or
+// nil.
+func (e *EventReader) Usage() []byte { return Payload(e.usage) }
+
+// Release returns the read buffer to the pool. The reader must not be used
+// afterwards.
+func (e *EventReader) Release() {
+	if e.reader == nil {
+		return
+	}
+	e.reader.Reset(nil)
+	eventReaders.Put(e.reader)
+	e.reader = nil
+}
+
+// Payload returns the data of a single-line event.
+func Payload(event []byte) []byte {
+	data, ok := bytes.CutPrefix(event, []byte("data:"))
+	if !ok {
+		return nil
+	}
+	return bytes.TrimSpace(data)
+}
--- /dev/null
+++ b/io/target/response.go
@@ -0,0 +1,103 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"iter"
+
+	"github.com/valyala/fasthttp"
+)
+
+// ErrUnbounded reports a response whose end cannot be verified, because it has
+// neither a length nor chunks.
+var ErrUnbounded = errors.New("target: response without length")
+
+// Response is one response of a target. Read returns io.EOF only after the
+// whole body arrived.
+type Response struct {
+	client  *Client
+	ctx     context.Context // the response outlives Do
+	address string
+	conn    *conn
+	message *fasthttp.Response
+	body    io.Reader
+	stop    func() bool
+	whole   bool
+	closed  bool
+}
+
+// Status is the HTTP status code.
+func (r *Response) Status() int { return r.message.StatusCode() }
+
+// ContentType is the value of the header Content-Type.
+func (r *Response) ContentType() string { return string(r.message.Header.ContentType()) }
+
+// Headers iterates over the response headers. The slices are valid until Close.
+func (r *Response) Headers() iter.Seq2[[]byte, []byte] { return r.message.Header.All() }
+
+// Verifiable says whether the end of the body can be told from a cut.
+func (r *Response) Verifiable() bool {
+	return r.message.Header.ContentLength() != identityLength
+}
+
+// identityLength is fasthttp's content length of a body that ends with the
+// connection.
+const identityLength = -2
+
+// Read implements io.Reader.
+func (r *Response) Read(p []byte) (int, error) {
+	if r.body == nil {
+		r.whole = true
+		return 0, io.EOF
+	}
+	n, err := r.body.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		if !r.Verifiable() {
+			return n, fmt.Errorf("%w: %w", ErrBroken, ErrUnbounded)
+		}
+		r.whole = true
+		return n, io.EOF
+	}
+	return n, r.conn.classify(r.ctx, err)
+}
+
+// ReadAll reads the whole body, up to limit bytes.
+func (r *Response) ReadAll(limit int) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > limit {
+		return nil, fmt.Errorf("%w: response larger than %d bytes", ErrBroken, limit)
+	}
+	return body, nil
+}
+
+// Close ends the exchange. The connection is kept for reuse only if the whole
+// response was read; otherwise it is closed, which cancels the request at the
+// target.
+func (r *Response) Close() error {
+	if r.closed {
+		return nil
+	}
+	r.closed = true
+	stopped := r.stop()
+	reusable := r.whole && stopped && !r.message.ConnectionClose() && r.conn.reader.Buffered() == 0
+	if r.body != nil && r.whole {
+		_ = r.message.CloseBodyStream()
+	}
+	if !reusable {
+		// The stream of an incomplete body is left to the garbage collector:
+		// closing it would read on from a connection that may be silent.
+		_ = r.conn.Close()
+		return nil
+	}
+	fasthttp.ReleaseResponse(r.message)
+	r.client.release(r.address, r.conn)
+	return nil
+}
