--- a/core/config/document.go
+++ b/core/config/document.go
@@ -12,7 +12,7 @@
 // names below.
 type Document struct {
 	// Revision is set by the system on each accepted change.
-	Revision   model.Revision `yaml:"Revision"`
+	Revision   model.Revision `yaml:"Revision,omitempty"`
 	Workspaces []Workspace    `yaml:"Workspaces"`
 	Targets    []Target       `yaml:"Targets"`
 	Routes     []Route        `yaml:"Routes,omitempty"`
@@ -26,7 +26,8 @@
 	Rate float64 `yaml:"Rate"`
 	// Burst is the number of requests admitted at once, fleet-wide.
 	Burst float64 `yaml:"Burst"`
-	// Weight is the share of busy targets relative to other workspaces.
+	// Weight is the share of busy targets relative to other workspaces; 0
+	// means 1.
 	Weight float64 `yaml:"Weight,omitempty"`
 	Budget Budget  `yaml:"Budget"`
 	// Models lists the models the workspace may use; empty means all.
@@ -50,9 +51,24 @@
 type Key struct {
 	ID model.KeyID `yaml:"ID"`
 	// Hash is "sha256:<salt hex>:<digest hex>".
-	Hash string `yaml:"Hash"`
+	Hash Hash `yaml:"Hash"`
 }
 
+// Hash is the salted hash of a key. It appears in the YAML of a document, but
+// neither in logs nor in JSON.
+type Hash string
+
+const hiddenHash = "(hidden)"
+
+// String implements fmt.Stringer without the value.
+func (Hash) String() string { return hiddenHash }
+
+// GoString implements fmt.GoStringer without the value.
+func (Hash) GoString() string { return hiddenHash }
+
+// MarshalJSON implements json.Marshaler without the value.
+func (Hash) MarshalJSON() ([]byte, error) { return []byte(`"` + hiddenHash + `"`), nil }
+
 // TargetKind tells what protocol a target speaks.
 type TargetKind string
 
--- /dev/null
+++ b/core/config/validate.go
@@ -0,0 +1,259 @@
+package config
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"mimosarelay/core/model"
+)
+
+// Bounds of numbers in the document. They keep products with the units of
+// shares (2^-30) and micro-tokens inside 64 bits.
+const (
+	maxRate        = 1e6 // requests per second
+	maxBurst       = 1e6 // requests
+	maxWeight      = 1e6
+	maxInFlight    = 1_000_000            // calls
+	maxTokens      = model.Tokens(1e12)   // tokens of one program
+	maxLifetime    = 366 * 24 * time.Hour // of one program
+	maxTimeout     = time.Hour            // of one call
+	minRate        = 1e-6                 // one request in 11 days
+	allowedMethods = "GET HEAD POST PUT PATCH DELETE OPTIONS"
+)
+
+var (
+	namePattern  = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+	modelPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:/-]{0,127}$`)
+)
+
+const (
+	nameRule  = "1 to 64 letters, digits, dots, underscores or hyphens, starting with a letter or digit"
+	modelRule = "1 to 128 letters, digits or characters of ._:/-, starting with a letter or digit"
+)
+
+// CheckAddress reports whether the text is IP:port with a port above 0.
+func CheckAddress(s string) error {
+	a, err := netip.ParseAddrPort(s)
+	if err != nil || a.Port() == 0 {
+		return fmt.Errorf("%q is not IP:port; allowed is an address such as 10.0.0.1:8000 or [fd00::1]:8000", s)
+	}
+	return nil
+}
+
+// CheckName reports whether the text is a valid name of a workspace, key,
+// target, route, zone or host.
+func CheckName(s string) error {
+	if !namePattern.MatchString(s) {
+		return fmt.Errorf("%q is not a name; allowed are %s", s, nameRule)
+	}
+	return nil
+}
+
+func (d *Document) validate(r *Report) {
+	d.validateTargets(r)
+	d.validateRoutes(r)
+	keys := map[string]string{}
+	names := map[string]string{}
+	for i := range d.Workspaces {
+		p := fmt.Sprintf("Workspaces[%d]", i)
+		w := &d.Workspaces[i]
+		checkName(r, p+".Name", string(w.Name), names)
+		w.validateLimits(r, p)
+		w.validateKeys(r, p, keys)
+		d.validateGrants(r, p, w)
+	}
+}
+
+// validateLimits checks the numbers of a contract.
+func (w *Workspace) validateLimits(r *Report, path string) {
+	if !within(w.Rate, minRate, maxRate) {
+		r.Addf(path+".Rate", "%v is not allowed; it must be from %v to %v requests per second", w.Rate, minRate, maxRate)
+	}
+	if !within(w.Burst, 1, maxBurst) {
+		r.Addf(path+".Burst", "%v is not allowed; it must be from 1 to %v requests", w.Burst, maxBurst)
+	}
+	if !within(w.Weight, 0, maxWeight) {
+		r.Addf(path+".Weight", "%v is not allowed; it must be from 0 (which means 1) to %v", w.Weight, maxWeight)
+	}
+	b := w.Budget
+	if b.Tokens < 1 || b.Tokens > maxTokens {
+		r.Addf(path+".Budget.Tokens", "%d is not allowed; it must be from 1 to %d tokens", b.Tokens, maxTokens)
+	}
+	if b.Calls < 1 {
+		r.Addf(path+".Budget.Calls", "0 is not allowed; it must be at least 1 call")
+	}
+	if b.Lifetime < time.Second || b.Lifetime > maxLifetime {
+		r.Addf(path+".Budget.Lifetime", "%v is not allowed; it must be from 1s to %v", b.Lifetime, maxLifetime)
+	}
+}
+
+// validateKeys checks the keys of a contract. Key ids are unique across all
+// workspaces because the text of a key names only the id.
+func (w *Workspace) validateKeys(r *Report, path string, seen map[string]string) {
+	for i, k := range w.Keys {
+		p := fmt.Sprintf("%s.Keys[%d]", path, i)
+		checkName(r, p+".ID", string(k.ID), seen)
+		if _, err := parseHash(k.Hash); err != nil {
+			r.Addf(p+".Hash", "%v", err)
+		}
+	}
+}
+
+// validateGrants checks that granted models and routes exist.
+func (d *Document) validateGrants(r *Report, path string, w *Workspace) {
+	models := map[string]string{}
+	for i, m := range w.Models {
+		p := fmt.Sprintf("%s.Models[%d]", path, i)
+		checkModel(r, p, m, models)
+		if !r.Broken("Targets") && !d.serves(m) {
+			r.Addf(p, "no engine among the targets serves model %q", m)
+		}
+	}
+	routes := map[string]string{}
+	for i, id := range w.Routes {
+		p := fmt.Sprintf("%s.Routes[%d]", path, i)
+		checkName(r, p, string(id), routes)
+		known := slices.ContainsFunc(d.Routes, func(t Route) bool { return t.Name == id })
+		if !r.Broken("Routes") && !known {
+			r.Addf(p, "route %q does not exist", id)
+		}
+	}
+}
+
+func (d *Document) serves(m model.ModelID) bool {
+	return slices.ContainsFunc(d.Targets, func(t Target) bool {
+		return t.Kind == Engine && slices.Contains(t.Models, m)
+	})
+}
+
+func (d *Document) validateTargets(r *Report) {
+	names := map[string]string{}
+	addresses := map[string]string{}
+	for i := range d.Targets {
+		p := fmt.Sprintf("Targets[%d]", i)
+		t := &d.Targets[i]
+		checkName(r, p+".Name", string(t.Name), names)
+		if err := CheckName(string(t.Zone)); err != nil {
+			r.Addf(p+".Zone", "%v", err)
+		}
+		t.validateAddress(r, p+".Address", addresses)
+		t.validateKind(r, p)
+		if t.MaxInFlight < 1 || t.MaxInFlight > maxInFlight {
+			r.Addf(p+".MaxInFlight", "%d is not allowed; it must be from 1 to %d calls", t.MaxInFlight, maxInFlight)
+		}
+	}
+}
+
+// validateAddress rejects an address that two targets share, because each
+// target would be sent MaxInFlight calls.
+func (t *Target) validateAddress(r *Report, field string, seen map[string]string) {
+	if err := CheckAddress(t.Address); err != nil {
+		r.Addf(field, "%v", err)
+		return
+	}
+	a := netip.MustParseAddrPort(t.Address)
+	if a.Addr().IsUnspecified() {
+		r.Addf(field, "%q is not the address of a machine", t.Address)
+		return
+	}
+	unique(r, field, a.String(), seen)
+}
+
+func (t *Target) validateKind(r *Report, path string) {
+	switch t.Kind {
+	case Engine:
+		if len(t.Models) == 0 {
+			r.Addf(path+".Models", "an engine must serve at least one model")
+		}
+	case Service:
+		if len(t.Models) > 0 {
+			r.Addf(path+".Models", "only targets of kind Engine serve models")
+		}
+		if t.ChecksFencing {
+			r.Addf(path+".ChecksFencing", "only targets of kind Engine get orders with fencing tokens")
+		}
+	default:
+		r.Addf(path+".Kind", "%q is not allowed; it must be %s or %s", t.Kind, Engine, Service)
+	}
+	seen := map[string]string{}
+	for i, m := range t.Models {
+		checkModel(r, fmt.Sprintf("%s.Models[%d]", path, i), m, seen)
+	}
+}
+
+func (d *Document) validateRoutes(r *Report) {
+	names := map[string]string{}
+	for i := range d.Routes {
+		p := fmt.Sprintf("Routes[%d]", i)
+		t := &d.Routes[i]
+		checkName(r, p+".Name", string(t.Name), names)
+		d.validateRouteTargets(r, p, t)
+		methods := map[string]string{}
+		for j, m := range t.Methods {
+			f := fmt.Sprintf("%s.Methods[%d]", p, j)
+			if !slices.Contains(strings.Fields(allowedMethods), m) {
+				r.Addf(f, "%q is not allowed; it must be one of %s", m, allowedMethods)
+			}
+			unique(r, f, m, methods)
+		}
+		if t.Timeout < 0 || t.Timeout > maxTimeout {
+			r.Addf(p+".Timeout", "%v is not allowed; it must be from 0s (which means %v) to %v", t.Timeout, DefaultRouteTimeout, maxTimeout)
+		}
+	}
+}
+
+func (d *Document) validateRouteTargets(r *Report, path string, t *Route) {
+	if len(t.Targets) == 0 {
+		r.Addf(path+".Targets", "a route needs at least one target of kind Service")
+	}
+	seen := map[string]string{}
+	for i, id := range t.Targets {
+		p := fmt.Sprintf("%s.Targets[%d]", path, i)
+		unique(r, p, string(id), seen)
+		at := slices.IndexFunc(d.Targets, func(t Target) bool { return t.Name == id })
+		switch {
+		case r.Broken("Targets"):
+			// The target may be missing only because of the other fault.
+		case at < 0:
+			r.Addf(p, "target %q does not exist", id)
+		case d.Targets[at].Kind != Service:
+			r.Addf(p, "target %q is of kind %s; a route needs targets of kind Service", id, d.Targets[at].Kind)
+		}
+	}
+}
+
+func within(v, low, high float64) bool {
+	return !math.IsNaN(v) && v >= low && v <= high
+}
+
+// checkName checks a name and that it occurs once among those seen.
+func checkName(r *Report, field, name string, seen map[string]string) {
+	if err := CheckName(name); err != nil {
+		r.Addf(field, "%v", err)
+		return
+	}
+	unique(r, field, name, seen)
+}
+
+func checkModel(r *Report, field string, m model.ModelID, seen map[string]string) {
+	if !modelPattern.MatchString(string(m)) {
+		r.Addf(field, "%q is not a model; allowed are %s", m, modelRule)
+		return
+	}
+	unique(r, field, string(m), seen)
+}
+
+// unique reports a value that an earlier field has. seen maps values to the
+// fields that have them.
+func unique(r *Report, field, value string, seen map[string]string) {
+	if first, ok := seen[value]; ok {
+		r.Addf(field, "%q is already used by %s in line %d; it must be unique", value, first, r.line(first))
+		return
+	}
+	seen[value] = field
+}
