--- a/app/settings/data.go
+++ b/app/settings/data.go
@@ -1,5 +1,13 @@
 package settings
 
+import (
+	"errors"
+	"log/slog"
+	"os"
+
+	"mimosarelay/core/config"
+)
+
 // Data configures the folder for bulk data. Hosts without one leave it out.
 type Data struct {
 	// Folder holds history segments; empty means that this host has no disk.
@@ -11,3 +19,41 @@
 	// Level is debug, info, warn or error; empty means info.
 	Level string `yaml:"Level,omitempty"`
 }
+
+var levels = map[string]slog.Level{
+	"debug": slog.LevelDebug,
+	"info":  slog.LevelInfo,
+	"warn":  slog.LevelWarn,
+	"error": slog.LevelError,
+}
+
+// SlogLevel returns the level for log/slog.
+func (l Log) SlogLevel() slog.Level { return levels[l.Level] }
+
+func (l *Log) complete(r *config.Report) {
+	if l.Level == "" {
+		l.Level = "info"
+	}
+	if _, ok := levels[l.Level]; !ok {
+		r.Addf("Log.Level", "%q is not allowed; it must be debug, info, warn or error", l.Level)
+	}
+}
+
+func (d *Data) complete(folder string, r *config.Report) {
+	if d.Folder == "" {
+		return
+	}
+	d.Folder = resolve(folder, d.Folder)
+	if err := writable(d.Folder); err != nil {
+		r.Addf("Data.Folder", "%v; it must be an existing folder that this process may write to", err)
+	}
+}
+
+// writable creates and removes a file in the folder.
+func writable(folder string) error {
+	f, err := os.CreateTemp(folder, ".writable-*")
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Close(), os.Remove(f.Name()))
+}
--- a/app/settings/limits.go
+++ b/app/settings/limits.go
@@ -1,6 +1,10 @@
 package settings
 
-import "time"
+import (
+	"time"
+
+	"mimosarelay/core/config"
+)
 
 // Limits holds the times of the protocols between hosts. Zero values mean the
 // defaults.
@@ -16,3 +20,23 @@
 	// StreamIdle ends a target stream without progress; 0 means 20 s.
 	StreamIdle time.Duration `yaml:"StreamIdle,omitempty"`
 }
+
+func (l *Limits) complete(r *config.Report) {
+	// A lease is renewed every second and loses 500 ms to the margin, so a
+	// shorter one would expire between two renewals.
+	duration(r, "Limits.LeaseTTL", &l.LeaseTTL, 3*time.Second, 2*time.Second, time.Minute)
+	duration(r, "Limits.LimitWait", &l.LimitWait, time.Second, time.Millisecond, time.Minute)
+	duration(r, "Limits.OrderWait", &l.OrderWait, 10*time.Second, time.Millisecond, 10*time.Minute)
+	duration(r, "Limits.QueueWait", &l.QueueWait, 30*time.Second, time.Millisecond, 10*time.Minute)
+	duration(r, "Limits.StreamIdle", &l.StreamIdle, 20*time.Second, 100*time.Millisecond, 10*time.Minute)
+}
+
+// duration replaces 0 by the default and checks the range.
+func duration(r *config.Report, field string, d *time.Duration, standard, low, high time.Duration) {
+	if *d == 0 {
+		*d = standard
+	}
+	if *d < low || *d > high {
+		r.Addf(field, "%v is not allowed; it must be from %v to %v, or 0s for the default of %v", *d, low, high, standard)
+	}
+}
--- a/app/settings/listen.go
+++ b/app/settings/listen.go
@@ -1,6 +1,13 @@
 package settings
 
-import "time"
+import (
+	"bytes"
+	"net/netip"
+	"os"
+	"time"
+
+	"mimosarelay/core/config"
+)
 
 // Caller configures the port for callers.
 type Caller struct {
@@ -39,3 +46,100 @@
 	// CAFile verifies the other side's certificate.
 	CAFile string `yaml:"CAFile,omitempty"`
 }
+
+const (
+	defaultMaxBody = 8 << 20   // bytes
+	lowestMaxBody  = 1 << 10   // bytes
+	highestMaxBody = 256 << 20 // bytes; a body is held in memory
+
+	lowestCredential = 16 // characters
+)
+
+func (c *Caller) complete(folder string, r *config.Report) {
+	listen(r, "Caller", c.Address, &c.Advertise)
+	if c.MaxBody == 0 {
+		c.MaxBody = defaultMaxBody
+	}
+	if c.MaxBody < lowestMaxBody || c.MaxBody > highestMaxBody {
+		r.Addf("Caller.MaxBody", "%d is not allowed; it must be from %d to %d bytes, or 0 for the default of %d",
+			c.MaxBody, lowestMaxBody, highestMaxBody, defaultMaxBody)
+	}
+	duration(r, "Caller.WriteTimeout", &c.WriteTimeout, 20*time.Second, 100*time.Millisecond, 10*time.Minute)
+	duration(r, "Caller.DrainTimeout", &c.DrainTimeout, 120*time.Second, time.Second, time.Hour)
+	c.TLS.complete(folder, "Caller.TLS", r)
+}
+
+func (o *Operator) complete(folder string, r *config.Report) {
+	address(r, "Operator.Address", o.Address)
+	o.CredentialFile = resolve(folder, o.CredentialFile)
+	if text := secretFile(r, "Operator.CredentialFile", o.CredentialFile); len(text) < lowestCredential {
+		r.Addf("Operator.CredentialFile", "file %s holds %d characters; a credential needs at least %d", o.CredentialFile, len(text), lowestCredential)
+	}
+	o.TLS.complete(folder, "Operator.TLS", r)
+}
+
+func (p *Peer) complete(folder string, r *config.Report) {
+	listen(r, "Peer", p.Address, &p.Advertise)
+	p.TLS.complete(folder, "Peer.TLS", r)
+}
+
+// Enabled reports whether TLS is configured.
+func (t TLS) Enabled() bool { return t != TLS{} }
+
+func (t *TLS) complete(folder, path string, r *config.Report) {
+	if !t.Enabled() {
+		return
+	}
+	for _, f := range []struct {
+		field    string
+		file     *string
+		required bool
+	}{
+		{path + ".CertFile", &t.CertFile, true},
+		{path + ".KeyFile", &t.KeyFile, true},
+		{path + ".CAFile", &t.CAFile, false},
+	} {
+		switch {
+		case *f.file != "":
+			*f.file = resolve(folder, *f.file)
+			secretFile(r, f.field, *f.file)
+		case f.required:
+			r.Addf(f.field, "missing; TLS needs both CertFile and KeyFile")
+		}
+	}
+}
+
+// listen checks an address to listen on and fills in the advertised one.
+func listen(r *config.Report, section, listen string, advertise *string) {
+	if !address(r, section+".Address", listen) {
+		return
+	}
+	if *advertise == "" {
+		*advertise = listen
+	}
+	if address(r, section+".Advertise", *advertise) && netip.MustParseAddrPort(*advertise).Addr().IsUnspecified() {
+		r.Addf(section+".Advertise", "%q cannot be connected to; it must be IP:port of this machine", *advertise)
+	}
+}
+
+func address(r *config.Report, field, s string) bool {
+	err := config.CheckAddress(s)
+	if err != nil {
+		r.Addf(field, "%v", err)
+	}
+	return err == nil
+}
+
+// secretFile checks that a file is readable and not empty, and returns its
+// text without surrounding space.
+func secretFile(r *config.Report, field, file string) []byte {
+	data, err := os.ReadFile(file)
+	data = bytes.TrimSpace(data)
+	switch {
+	case err != nil:
+		r.Addf(field, "%v; it must be a readable file", err)
+	case len(data) == 0:
+		r.Addf(field, "file %s is empty", file)
+	}
+	return data
+}
--- a/app/settings/platform.go
+++ b/app/settings/platform.go
@@ -1,6 +1,11 @@
 package settings
 
-import "time"
+import (
+	"strings"
+	"time"
+
+	"mimosarelay/core/config"
+)
 
 // Platform configures access to the store and the host list.
 type Platform struct {
@@ -13,3 +18,33 @@
 	// TokenFile holds the access token of the store, if it wants one.
 	TokenFile string `yaml:"TokenFile,omitempty"`
 }
+
+const defaultPrefix = "mimosarelay/"
+
+func (p *Platform) complete(folder string, r *config.Report) {
+	address(r, "Platform.Address", p.Address)
+	if p.Prefix == "" {
+		p.Prefix = defaultPrefix
+	}
+	if !validPrefix(p.Prefix) {
+		r.Addf("Platform.Prefix", `%q is not allowed; it must be names that each end with a slash, such as "mimosarelay/"`, p.Prefix)
+	}
+	duration(r, "Platform.Timeout", &p.Timeout, time.Second, 10*time.Millisecond, 10*time.Second)
+	if p.TokenFile != "" {
+		p.TokenFile = resolve(folder, p.TokenFile)
+		secretFile(r, "Platform.TokenFile", p.TokenFile)
+	}
+}
+
+func validPrefix(s string) bool {
+	names, ok := strings.CutSuffix(s, "/")
+	if !ok {
+		return false
+	}
+	for n := range strings.SplitSeq(names, "/") {
+		if config.CheckName(n) != nil {
+			return false
+		}
+	}
+	return true
+}
--- a/app/settings/settings.go
+++ b/app/settings/settings.go
@@ -2,6 +2,14 @@
 // section.
 package settings
 
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"mimosarelay/core/config"
+)
+
 // Settings configures one entry host.
 type Settings struct {
 	Host     Host     `yaml:"Host"`
@@ -13,3 +21,54 @@
 	Data     Data     `yaml:"Data,omitempty"`
 	Log      Log      `yaml:"Log,omitempty"`
 }
+
+// Load reads a settings file, checks it and fills in the defaults. Relative
+// paths in the file start at its folder. An error about the content is of
+// type config.Faults and lists every fault with file, line and field.
+func Load(file string) (*Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("reading settings: %w", err)
+	}
+	s := &Settings{}
+	r := config.Decode(data, file, s)
+	s.complete(filepath.Dir(file), r)
+	if err := r.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Settings) complete(folder string, r *config.Report) {
+	s.Host.complete(r)
+	s.Caller.complete(folder, r)
+	s.Operator.complete(folder, r)
+	s.Peer.complete(folder, r)
+	s.Platform.complete(folder, r)
+	s.Limits.complete(r)
+	s.Data.complete(folder, r)
+	s.Log.complete(r)
+	s.distinct(r)
+}
+
+// distinct rejects two ports with the same address.
+func (s *Settings) distinct(r *config.Report) {
+	seen := map[string]string{}
+	for _, p := range []struct{ field, address string }{
+		{"Caller.Address", s.Caller.Address},
+		{"Operator.Address", s.Operator.Address},
+		{"Peer.Address", s.Peer.Address},
+	} {
+		if first, ok := seen[p.address]; ok {
+			r.Addf(p.field, "%q is already used by %s; every port needs its own address", p.address, first)
+		}
+		seen[p.address] = p.field
+	}
+}
+
+func resolve(folder, path string) string {
+	if filepath.IsAbs(path) {
+		return path
+	}
+	return filepath.Join(folder, path)
+}
