Add the transport between hosts

Hosts exchange heartbeats, shares, records and calls over drpc, which carries one RPC at a time per connection. The client pools connections per peer and class of use, closes a connection after any RPC that did not end cleanly, and marks failed dials with ErrNotSent. Writes and unary RPCs are bounded, so a silent peer cannot block its sender.

--- /dev/null
+++ b/io/peer/client.go
@@ -0,0 +1,243 @@
+// Package peer is the transport between entry hosts: drpc over TCP or mutual
+// TLS, with the messages of package peerpb.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcwire"
+
+	"mimosarelay/io/peer/peerpb"
+)
+
+// Sentinel errors, tested with errors.Is.
+var (
+	// ErrNotSent reports an RPC of which no byte left this host, because no
+	// connection could be opened.
+	ErrNotSent = errors.New("peer: request not sent")
+	// ErrClosed reports the use of a closed Client.
+	ErrClosed = errors.New("peer: client is closed")
+)
+
+// Defaults of Options.
+const (
+	defaultDialTimeout  = 500 * time.Millisecond
+	defaultCallTimeout  = 5 * time.Second
+	defaultWriteTimeout = 5 * time.Second
+	defaultIdle         = 30 * time.Second
+	defaultIdlePerPeer  = 32 // connections
+)
+
+// maxMessage is the largest message accepted from a peer, in bytes. Batches of
+// records exceed the 4 MiB that drpc allows by default.
+const maxMessage = 16 << 20
+
+// Options configures a Client. Zero values mean the defaults.
+type Options struct {
+	// TLS holds the client certificate and the roots of the peers; nil means
+	// plain TCP. An empty ServerName means the IP address dialled.
+	TLS *tls.Config
+	// DialTimeout bounds opening a connection with its TLS handshake; 0 means
+	// 500 ms.
+	DialTimeout time.Duration
+	// CallTimeout bounds a unary RPC in addition to its context; 0 means 5 s.
+	CallTimeout time.Duration
+	// WriteTimeout bounds each write to a connection; 0 means 5 s.
+	WriteTimeout time.Duration
+	// StreamIdle ends a stream on which no message arrives for this long; 0
+	// means no bound.
+	StreamIdle time.Duration
+	// Idle closes an unused connection after this long; 0 means 30 s.
+	Idle time.Duration
+	// IdlePerPeer is the number of unused connections kept per peer; 0 means
+	// 32.
+	IdlePerPeer int
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.DialTimeout, defaultDialTimeout)
+	setDefault(&o.CallTimeout, defaultCallTimeout)
+	setDefault(&o.WriteTimeout, defaultWriteTimeout)
+	setDefault(&o.Idle, defaultIdle)
+	setDefault(&o.IdlePerPeer, defaultIdlePerPeer)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// class separates connections by use. Heartbeats have connections of their
+// own, so that a large message never delays one.
+type class uint8
+
+const (
+	general class = iota
+	heartbeat
+)
+
+type poolKey struct {
+	address string
+	class   class
+}
+
+// Client sends RPCs to peers. A connection carries one RPC at a time and is
+// reused only after an RPC that ended without error. It is safe for concurrent
+// use.
+type Client struct {
+	options Options
+	dialer  net.Dialer
+	pool    *drpcpool.Pool[poolKey, *drpcconn.Conn]
+	closed  atomic.Bool
+}
+
+// NewClient returns a Client without open connections.
+func NewClient(options Options) *Client {
+	options = options.withDefaults()
+	return &Client{
+		options: options,
+		pool: drpcpool.New[poolKey, *drpcconn.Conn](drpcpool.Options{
+			Expiration:  options.Idle,
+			KeyCapacity: options.IdlePerPeer,
+		}),
+	}
+}
+
+// Close closes the unused connections. Connections in use are closed when
+// their RPC ends.
+func (c *Client) Close() error {
+	c.closed.Store(true)
+	return c.pool.Close()
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.DialTimeout)
+	defer cancel()
+	raw, err := c.dialTransport(ctx, address)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	bounded := &deadlineConn{Conn: raw, timeout: c.options.WriteTimeout}
+	return drpcconn.NewWithOptions(bounded, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+func (c *Client) dialTransport(ctx context.Context, address string) (net.Conn, error) {
+	if c.options.TLS == nil {
+		return c.dialer.DialContext(ctx, "tcp", address)
+	}
+	d := tls.Dialer{NetDialer: &c.dialer, Config: c.options.TLS}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// take returns an unused connection or opens one.
+func (c *Client) take(ctx context.Context, k poolKey) (*drpcconn.Conn, error) {
+	if c.closed.Load() {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrClosed)
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	if conn, ok := c.pool.Take(k); ok {
+		return conn, nil
+	}
+	return c.dial(ctx, k.address)
+}
+
+// giveBack keeps the connection for reuse.
+func (c *Client) giveBack(k poolKey, conn *drpcconn.Conn) {
+	c.pool.Put(k, conn)
+	if c.closed.Load() {
+		// Close may have emptied the pool before the Put above.
+		_ = c.pool.Close()
+	}
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage}}
+}
+
+// deadlineConn bounds each write, so that a peer that stopped reading cannot
+// block its sender.
+type deadlineConn struct {
+	net.Conn
+	timeout time.Duration
+}
+
+func (c *deadlineConn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
+// unary runs one RPC on a connection of its class.
+func unary[Request, Response any](
+	ctx context.Context, c *Client, k poolKey, request Request,
+	rpc func(peerpb.DRPCPeerClient, context.Context, Request) (Response, error),
+) (Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	defer cancel()
+	var none Response
+	conn, err := c.take(ctx, k)
+	if err != nil {
+		return none, fmt.Errorf("peer %s: %w", k.address, err)
+	}
+	response, err := rpc(peerpb.NewDRPCPeerClient(conn), ctx, request)
+	if err != nil {
+		_ = conn.Close()
+		return none, fmt.Errorf("peer %s: %w", k.address, withContextError(ctx, err))
+	}
+	c.giveBack(k, conn)
+	return response, nil
+}
+
+// withContextError adds the reason why ctx ended, which drpc may replace by
+// the error of the connection it closed.
+func withContextError(ctx context.Context, err error) error {
+	if cause := ctx.Err(); cause != nil && !errors.Is(err, cause) {
+		return fmt.Errorf("%w: %w", cause, err)
+	}
+	return err
+}
+
+// Heartbeat sends a heartbeat on a connection used for heartbeats only.
+func (c *Client) Heartbeat(ctx context.Context, address string, request *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
+	return unary(ctx, c, poolKey{address, heartbeat}, request, peerpb.DRPCPeerClient.Heartbeat)
+}
+
+// GetConfig fetches the newest configuration document the peer knows.
+func (c *Client) GetConfig(ctx context.Context, address string, request *peerpb.GetConfigRequest) (*peerpb.GetConfigResponse, error) {
+	return unary(ctx, c, poolKey{address, general}, request, peerpb.DRPCPeerClient.GetConfig)
+}
+
+// MoveShare asks the peer for a part of a workspace's share.
+func (c *Client) MoveShare(ctx context.Context, address string, request *peerpb.MoveShareRequest) (*peerpb.MoveShareResponse, error) {
+	return unary(ctx, c, poolKey{address, general}, request, peerpb.DRPCPeerClient.MoveShare)
+}
+
+// Replicate stores copies of program records at the peer.
+func (c *Client) Replicate(ctx context.Context, address string, request *peerpb.ReplicateRequest) (*peerpb.ReplicateResponse, error) {
+	return unary(ctx, c, poolKey{address, general}, request, peerpb.DRPCPeerClient.Replicate)
+}
+
+// TakeShards asks the peer to hand shards over.
+func (c *Client) TakeShards(ctx context.Context, address string, request *peerpb.TakeShardsRequest) (*peerpb.TakeShardsResponse, error) {
+	return unary(ctx, c, poolKey{address, general}, request, peerpb.DRPCPeerClient.TakeShards)
+}
+
+// MarkSuspect tells the peer about a request that crashed a target.
+func (c *Client) MarkSuspect(ctx context.Context, address string, request *peerpb.MarkSuspectRequest) (*peerpb.MarkSuspectResponse, error) {
+	return unary(ctx, c, poolKey{address, general}, request, peerpb.DRPCPeerClient.MarkSuspect)
+}
--- /dev/null
+++ b/io/peer/peer_test.go
@@ -0,0 +1,307 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"mimosarelay/io/peer/peerpb"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// handler answers a few RPCs. A MoveShare blocks until its context ends when
+// hang is set.
+type handler struct {
+	peerpb.DRPCPeerUnimplementedServer
+	hang atomic.Bool
+}
+
+func (h *handler) Heartbeat(_ context.Context, r *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
+	return &peerpb.HeartbeatResponse{ConfigRevision: r.GetConfigRevision() + 1}, nil
+}
+
+func (h *handler) MoveShare(ctx context.Context, r *peerpb.MoveShareRequest) (*peerpb.MoveShareResponse, error) {
+	if h.hang.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if r.GetWorkspace() == "" {
+		return nil, errors.New("workspace is empty")
+	}
+	return &peerpb.MoveShareResponse{TransferId: r.GetTransferId()}, nil
+}
+
+func (h *handler) Call(r *peerpb.CallRequest, s peerpb.DRPCPeer_CallStream) error {
+	for range r.GetCall() {
+		if err := s.Send(&peerpb.CallResponse{Body: r.GetBody()}); err != nil {
+			return err
+		}
+	}
+	if h.hang.Load() {
+		<-s.Context().Done()
+		return s.Context().Err()
+	}
+	return s.Send(&peerpb.CallResponse{End: true})
+}
+
+// countingListener counts accepted connections and can close all of them.
+type countingListener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.mu.Lock()
+		l.conns = append(l.conns, c)
+		l.mu.Unlock()
+	}
+	return c, err
+}
+
+func (l *countingListener) accepted() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+func (l *countingListener) closeAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		_ = c.Close()
+	}
+}
+
+func start(t *testing.T, options Options) (*Client, *handler, *countingListener, string) {
+	t.Helper()
+	l, err := Listen("127.0.0.2:0", nil)
+	assert.NilError(t, err)
+	return startOn(t, options, l)
+}
+
+func startOn(t *testing.T, options Options, inner net.Listener) (*Client, *handler, *countingListener, string) {
+	t.Helper()
+	l := &countingListener{Listener: inner}
+	h := &handler{}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- Serve(ctx, l, h) }()
+	c := NewClient(options)
+	t.Cleanup(func() {
+		assert.Check(t, c.Close())
+		cancel()
+		assert.Check(t, <-done)
+	})
+	return c, h, l, l.Addr().String()
+}
+
+// Guards against a dial for each RPC, and against heartbeats that share a
+// connection with other RPCs.
+func TestConnectionsAreReusedPerClass(t *testing.T) {
+	c, _, l, address := start(t, Options{})
+	ctx := context.Background()
+	for i := range 5 {
+		r, err := c.Heartbeat(ctx, address, &peerpb.HeartbeatRequest{ConfigRevision: uint64(i)})
+		assert.NilError(t, err)
+		assert.Equal(t, r.GetConfigRevision(), uint64(i+1))
+		_, err = c.MoveShare(ctx, address, &peerpb.MoveShareRequest{Workspace: "w"})
+		assert.NilError(t, err)
+		readAll(t, c, address, 3)
+	}
+	assert.Equal(t, l.accepted(), 2)
+}
+
+func readAll(t *testing.T, c *Client, address string, messages uint32) {
+	t.Helper()
+	s, err := c.Call(context.Background(), address, &peerpb.CallRequest{Call: messages, Body: []byte("b")})
+	assert.NilError(t, err)
+	for range messages {
+		m, err := s.Recv()
+		assert.NilError(t, err)
+		assert.Equal(t, string(m.GetBody()), "b")
+	}
+	m, err := s.Recv()
+	assert.NilError(t, err)
+	assert.Assert(t, m.GetEnd())
+	_, err = s.Recv()
+	assert.ErrorIs(t, err, io.EOF)
+}
+
+// Guards against reuse of a connection whose last RPC did not end cleanly.
+func TestFailedConnectionsAreNotReused(t *testing.T) {
+	cases := map[string]func(t *testing.T, c *Client, h *handler, address string){
+		"handler error": func(t *testing.T, c *Client, _ *handler, address string) {
+			_, err := c.MoveShare(context.Background(), address, &peerpb.MoveShareRequest{})
+			assert.ErrorContains(t, err, "workspace is empty")
+			assert.Assert(t, !errors.Is(err, ErrNotSent))
+		},
+		"timeout": func(t *testing.T, c *Client, h *handler, address string) {
+			h.hang.Store(true)
+			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+			defer cancel()
+			_, err := c.MoveShare(ctx, address, &peerpb.MoveShareRequest{Workspace: "w"})
+			assert.ErrorIs(t, err, context.DeadlineExceeded)
+			assert.Assert(t, !errors.Is(err, ErrNotSent))
+			h.hang.Store(false)
+		},
+		"stream closed early": func(t *testing.T, c *Client, _ *handler, address string) {
+			s, err := c.Call(context.Background(), address, &peerpb.CallRequest{Call: 100})
+			assert.NilError(t, err)
+			_, err = s.Recv()
+			assert.NilError(t, err)
+			_ = s.Close()
+		},
+		"stream context ended": func(t *testing.T, c *Client, h *handler, address string) {
+			h.hang.Store(true)
+			ctx, cancel := context.WithCancel(context.Background())
+			s, err := c.Call(ctx, address, &peerpb.CallRequest{Call: 1})
+			assert.NilError(t, err)
+			_, err = s.Recv()
+			assert.NilError(t, err)
+			cancel()
+			_, err = s.Recv()
+			assert.ErrorIs(t, err, context.Canceled)
+			h.hang.Store(false)
+		},
+	}
+	for name, fail := range cases {
+		t.Run(name, func(t *testing.T) {
+			c, h, l, address := start(t, Options{})
+			fail(t, c, h, address)
+			_, err := c.MoveShare(context.Background(), address, &peerpb.MoveShareRequest{Workspace: "w"})
+			assert.NilError(t, err)
+			assert.Equal(t, l.accepted(), 2)
+		})
+	}
+}
+
+// Guards against a stream that a broken connection cut short and that looks
+// like one that the peer ended.
+func TestBrokenStreamIsNotEOF(t *testing.T) {
+	c, h, l, address := start(t, Options{})
+	h.hang.Store(true)
+	s, err := c.Call(context.Background(), address, &peerpb.CallRequest{Call: 1})
+	assert.NilError(t, err)
+	_, err = s.Recv()
+	assert.NilError(t, err)
+	l.closeAll()
+	_, err = s.Recv()
+	assert.Assert(t, err != nil)
+	assert.Assert(t, !errors.Is(err, io.EOF), "%v", err)
+}
+
+// Guards against a failed dial that is reported as a request whose outcome is
+// unknown.
+func TestErrNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.3:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	assert.NilError(t, l.Close())
+	c := NewClient(Options{})
+	_, err = c.MoveShare(context.Background(), address, &peerpb.MoveShareRequest{Workspace: "w"})
+	assert.ErrorIs(t, err, ErrNotSent)
+	_, err = c.Call(context.Background(), address, &peerpb.CallRequest{})
+	assert.ErrorIs(t, err, ErrNotSent)
+	assert.NilError(t, c.Close())
+	_, err = c.Heartbeat(context.Background(), address, &peerpb.HeartbeatRequest{})
+	assert.ErrorIs(t, err, ErrNotSent)
+	assert.ErrorIs(t, err, ErrClosed)
+}
+
+// silentListener accepts connections and never answers on them.
+func silentListener(t *testing.T) (string, *atomic.Int32) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.4:0")
+	assert.NilError(t, err)
+	var accepted atomic.Int32
+	done := make(chan struct{})
+	var conns []net.Conn
+	go func() {
+		defer close(done)
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted.Add(1)
+			conns = append(conns, conn)
+		}
+	}()
+	t.Cleanup(func() {
+		_ = l.Close()
+		<-done
+		for _, c := range conns {
+			_ = c.Close()
+		}
+	})
+	return l.Addr().String(), &accepted
+}
+
+// Guards against callers that a silent connection blocks, and against its
+// reuse.
+func TestSilentConnection(t *testing.T) {
+	address, accepted := silentListener(t)
+	c := NewClient(Options{CallTimeout: 50 * time.Millisecond, StreamIdle: 50 * time.Millisecond})
+	defer func() { assert.NilError(t, c.Close()) }()
+	for range 2 {
+		_, err := c.Heartbeat(context.Background(), address, &peerpb.HeartbeatRequest{})
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		assert.Assert(t, !errors.Is(err, ErrNotSent))
+	}
+	s, err := c.Call(context.Background(), address, &peerpb.CallRequest{})
+	assert.NilError(t, err)
+	_, err = s.Recv()
+	assert.ErrorIs(t, err, ErrStreamIdle)
+	assert.Assert(t, !errors.Is(err, io.EOF))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if accepted.Load() == 3 {
+			return poll.Success()
+		}
+		return poll.Continue("%d connections", accepted.Load())
+	})
+}
+
+// Guards against unused connections that stay open.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	c, _, l, address := start(t, Options{Idle: 20 * time.Millisecond})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		_, err := c.Heartbeat(context.Background(), address, &peerpb.HeartbeatRequest{})
+		assert.NilError(t, err)
+		time.Sleep(40 * time.Millisecond)
+		if l.accepted() > 1 {
+			return poll.Success()
+		}
+		return poll.Continue("connection still open")
+	})
+}
+
+// Guards against RPCs that share a connection at the same time.
+func TestConcurrentRPCs(t *testing.T) {
+	c, _, _, address := start(t, Options{})
+	var wg sync.WaitGroup
+	for i := range 16 {
+		wg.Go(func() {
+			for j := range 20 {
+				id := fmt.Sprintf("%d-%d", i, j)
+				r, err := c.MoveShare(context.Background(), address, &peerpb.MoveShareRequest{Workspace: "w", TransferId: id})
+				assert.Check(t, err)
+				assert.Check(t, r.GetTransferId() == id)
+			}
+		})
+	}
+	wg.Wait()
+}
