Report a broken peer connection as io.ErrUnexpectedEOF

drpc returns context.Canceled when a connection breaks, so a caller could not tell a lost peer from its own cancelled context. Without the mapping TestBrokenConnection fails.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -197,19 +198,24 @@
 	response, err := rpc(peerpb.NewDRPCPeerClient(conn), ctx, request)
 	if err != nil {
 		_ = conn.Close()
-		return none, fmt.Errorf("peer %s: %w", k.address, withContextError(ctx, err))
+		return none, fmt.Errorf("peer %s: %w", k.address, describe(ctx.Err(), err))
 	}
 	c.giveBack(k, conn)
 	return response, nil
 }
 
-// withContextError adds the reason why ctx ended, which drpc may replace by
-// the error of the connection it closed.
-func withContextError(ctx context.Context, err error) error {
-	if cause := ctx.Err(); cause != nil && !errors.Is(err, cause) {
-		return fmt.Errorf("%w: %w", cause, err)
+// describe makes an error of drpc tell why an RPC ended. If the context ended,
+// drpc may return the error of the connection it closed. If the connection
+// broke, drpc returns context.Canceled, although nobody cancelled the RPC.
+func describe(contextErr, err error) error {
+	switch {
+	case contextErr != nil && !errors.Is(err, contextErr):
+		return fmt.Errorf("%w: %w", contextErr, err)
+	case contextErr == nil && (errors.Is(err, context.Canceled) || errors.Is(err, io.EOF)):
+		return fmt.Errorf("connection broken: %w", io.ErrUnexpectedEOF)
+	default:
+		return err
 	}
-	return err
 }
 
 // Heartbeat sends a heartbeat on a connection used for heartbeats only.
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -189,19 +189,19 @@
 	}
 }
 
-// Guards against a stream that a broken connection cut short and that looks
-// like one that the peer ended.
-func TestBrokenStreamIsNotEOF(t *testing.T) {
+// Guards against a broken connection that looks like the end of a stream or
+// like an RPC that the caller cancelled.
+func TestBrokenConnection(t *testing.T) {
 	c, h, l, address := start(t, Options{})
 	h.hang.Store(true)
 	s, err := c.Call(context.Background(), address, &peerpb.CallRequest{Call: 1})
 	assert.NilError(t, err)
 	_, err = s.Recv()
 	assert.NilError(t, err)
-	l.closeAll()
+	go l.closeAll()
 	_, err = s.Recv()
-	assert.Assert(t, err != nil)
-	assert.Assert(t, !errors.Is(err, io.EOF), "%v", err)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	assert.Assert(t, !errors.Is(err, io.EOF) && !errors.Is(err, context.Canceled), "%v", err)
 }
 
 // Guards against a failed dial that is reported as a request whose outcome is
--- a/io/peer/stream.go
+++ b/io/peer/stream.go
@@ -44,7 +44,7 @@
 	stream, err := rpc(peerpb.NewDRPCPeerClient(&streamConn{Conn: conn, client: c, key: k}), ctx, request)
 	if err != nil {
 		_ = conn.Close()
-		return none, fmt.Errorf("peer %s: %w", address, withContextError(ctx, err))
+		return none, fmt.Errorf("peer %s: %w", address, describe(ctx.Err(), err))
 	}
 	return stream, nil
 }
@@ -62,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &pooledStream{Stream: s, conn: c}, nil
+	return &pooledStream{Stream: s, conn: c, callerErr: ctx.Err}, nil
 }
 
 // pooledStream gives its connection back after a clean end and closes it after
@@ -70,7 +70,9 @@
 type pooledStream struct {
 	drpc.Stream
 	conn *streamConn
-	once sync.Once
+	// callerErr returns the error of the context the stream was opened with.
+	callerErr func() error
+	once      sync.Once
 }
 
 func (s *pooledStream) end(clean bool) {
@@ -79,7 +81,7 @@
 			s.conn.client.giveBack(s.conn.key, s.conn.Conn)
 			return
 		}
-		_ = s.conn.Conn.Close()
+		_ = s.conn.Close()
 	})
 }
 
@@ -112,14 +114,12 @@
 	if err == nil {
 		return nil
 	}
-	// drpc returns io.EOF itself at the end of a stream and wraps the io.EOF of
-	// a broken connection. Only the former may match errors.Is(err, io.EOF).
-	ended := err == io.EOF //nolint:errorlint // a wrapped io.EOF means the opposite
-	s.end(ended && s.finished())
-	if !ended && errors.Is(err, io.EOF) {
-		return fmt.Errorf("%w: %v", io.ErrUnexpectedEOF, err) //nolint:errorlint // hides the wrapped io.EOF
+	if errors.Is(err, io.EOF) {
+		s.end(s.finished())
+		return err
 	}
-	return err
+	s.end(false)
+	return describe(s.callerErr(), err)
 }
 
 // finished reports whether both sides ended the stream, after which the
