Treat a connection reset as a broken connection

A reset reaches the client as a network error rather than as EOF; the test of broken connections failed once in five runs because of it.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
@@ -211,13 +212,19 @@
 	switch {
 	case contextErr != nil && !errors.Is(err, contextErr):
 		return fmt.Errorf("%w: %w", contextErr, err)
-	case contextErr == nil && (errors.Is(err, context.Canceled) || errors.Is(err, io.EOF)):
+	case contextErr == nil && broken(err):
 		return fmt.Errorf("connection broken: %w", io.ErrUnexpectedEOF)
 	default:
 		return err
 	}
 }
 
+func broken(err error) bool {
+	var network *net.OpError
+	return errors.Is(err, context.Canceled) || errors.Is(err, io.EOF) ||
+		drpc.ClosedError.Has(err) || errors.As(err, &network)
+}
+
 // Heartbeat sends a heartbeat on a connection used for heartbeats only.
 func (c *Client) Heartbeat(ctx context.Context, address string, request *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
 	return unary(ctx, c, poolKey{address, heartbeat}, request, peerpb.DRPCPeerClient.Heartbeat)
