--- /dev/null
+++ b/standin/engine/answer.go
@@ -0,0 +1,142 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// tokenBytes is the length of a token: a piece of four bytes of a message, and
+// the last piece may be shorter.
+const tokenBytes = 4
+
+// Bounds of the answer length in tokens, unless the last message asks for
+// another one.
+const (
+	minAnswer = 16
+	maxAnswer = 64
+)
+
+// maxAsked bounds the length that a message may ask for.
+const maxAsked = 1 << 17
+
+// askedLength matches the request for an answer of a given length.
+var askedLength = regexp.MustCompile(`\[tokens:(\d+)\]`)
+
+// Message is one message of a conversation.
+type Message struct {
+	Role    string  `json:"role"`
+	Content Content `json:"content"`
+}
+
+// Content is the text of a message. In JSON it is a string, null, or a list of
+// parts, of which the text parts are joined.
+type Content string
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (c *Content) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err == nil {
+		*c = Content(text)
+		return nil
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return fmt.Errorf("message content is neither a string nor a list of parts: %w", err)
+	}
+	var joined strings.Builder
+	for _, p := range parts {
+		if p.Type == "text" {
+			joined.WriteString(p.Text)
+		}
+	}
+	*c = Content(joined.String())
+	return nil
+}
+
+// CountTokens returns the prompt length in tokens: for each message one token
+// for the role and one for each piece of four bytes of the content.
+func CountTokens(messages []Message) int {
+	n := 0
+	for _, m := range messages {
+		n += 1 + (len(m.Content)+tokenBytes-1)/tokenBytes
+	}
+	return n
+}
+
+// tokens returns the hash of each token of the messages, as counted by
+// CountTokens.
+func tokens(messages []Message) []uint64 {
+	all := make([]uint64, 0, CountTokens(messages))
+	for _, m := range messages {
+		all = append(all, xxhash.Sum64String("role:"+m.Role))
+		text := string(m.Content)
+		for len(text) > 0 {
+			n := min(tokenBytes, len(text))
+			all = append(all, xxhash.Sum64String(text[:n]))
+			text = text[n:]
+		}
+	}
+	return all
+}
+
+// Answer returns the text that every engine answers to messages, cut to
+// maxTokens unless that is 0. It depends on all roles and contents. Its length
+// is 16 to 64 tokens, or N tokens if the last message contains "[tokens:N]".
+// A token of an answer is three letters and a space.
+func Answer(messages []Message, maxTokens int) string {
+	return strings.Join(answerTokens(messages, maxTokens), "")
+}
+
+func answerTokens(messages []Message, maxTokens int) []string {
+	seed := digest(messages)
+	n := answerLength(messages, seed)
+	if maxTokens > 0 {
+		n = min(n, maxTokens)
+	}
+	answer := make([]string, n)
+	for i := range answer {
+		answer[i] = word(seed, i)
+	}
+	return answer
+}
+
+// answerLength is the length of the uncut answer in tokens.
+func answerLength(messages []Message, seed uint64) int {
+	if len(messages) > 0 {
+		last := string(messages[len(messages)-1].Content)
+		if m := askedLength.FindStringSubmatch(last); m != nil {
+			if n, err := strconv.Atoi(m[1]); err == nil {
+				return min(max(n, 1), maxAsked)
+			}
+		}
+	}
+	return minAnswer + int(seed%(maxAnswer-minAnswer+1))
+}
+
+func digest(messages []Message) uint64 {
+	d := xxhash.New()
+	for _, m := range messages {
+		_, _ = fmt.Fprintf(d, "%d:%s%d:%s", len(m.Role), m.Role, len(m.Content), m.Content)
+	}
+	return d.Sum64()
+}
+
+// word is token i of an answer.
+func word(seed uint64, i int) string {
+	h := xxhash.Sum64String(strconv.FormatUint(seed, 16) + "/" + strconv.Itoa(i))
+	letters := [tokenBytes]byte{}
+	for j := range letters {
+		letters[j] = 'a' + byte(h%26)
+		h /= 26
+	}
+	letters[tokenBytes-1] = ' '
+	return string(letters[:])
+}
--- /dev/null
+++ b/standin/engine/cache.go
@@ -0,0 +1,208 @@
+package engine
+
+import (
+	"container/list"
+	"encoding/binary"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// blockID is the hash of all tokens up to the end of a block, so that equal
+// prefixes have equal blocks.
+type blockID uint64
+
+// block is a run of BlockTokens tokens in the cache.
+type block struct {
+	id       blockID
+	programs map[string]struct{} // programs that used it and were not released
+	element  *list.Element
+}
+
+// cache is the prefix cache of the engine. Blocks of running streams are not
+// pinned: with too little memory they are evicted like any other.
+type cache struct {
+	blockTokens int
+	capacity    int // blocks
+	blocks      map[blockID]*block
+	recent      *list.List // *block, most recently used first
+	programs    map[string]*programCache
+	events      *eventLog
+}
+
+// programCache counts the blocks of a program.
+type programCache struct {
+	blocks   int
+	lastUsed time.Time
+}
+
+// ProgramEntry is the cache memory of one program. Blocks that programs share
+// are counted for each of them.
+type ProgramEntry struct {
+	Program  string
+	Blocks   int
+	Tokens   int
+	LastUsed time.Time
+}
+
+func newCache(blockTokens, capacity int, events *eventLog) *cache {
+	return &cache{
+		blockTokens: blockTokens,
+		capacity:    capacity,
+		blocks:      map[blockID]*block{},
+		recent:      list.New(),
+		programs:    map[string]*programCache{},
+		events:      events,
+	}
+}
+
+// blockIDs returns the ids of the whole blocks of a token sequence.
+func (c *cache) blockIDs(tokens []uint64) []blockID {
+	var ids []blockID
+	hash := xxhash.New()
+	var b [8]byte
+	for i, t := range tokens {
+		binary.LittleEndian.PutUint64(b[:], t)
+		_, _ = hash.Write(b[:])
+		if (i+1)%c.blockTokens == 0 {
+			ids = append(ids, blockID(hash.Sum64()))
+		}
+	}
+	return ids
+}
+
+// match returns the number of leading tokens that are cached. At least one
+// token is always computed, as engines need its output.
+func (c *cache) match(tokens []uint64) int {
+	n := 0
+	for _, id := range c.blockIDs(tokens) {
+		if c.blocks[id] == nil {
+			break
+		}
+		n++
+	}
+	cached := n * c.blockTokens
+	if cached > 0 && cached == len(tokens) {
+		cached -= c.blockTokens
+	}
+	return cached
+}
+
+// insert caches blocks for a program and evicts the least recently used ones.
+func (c *cache) insert(program string, ids []blockID, now time.Time) {
+	ids = ids[:min(len(ids), c.capacity)]
+	var added []blockID
+	for _, id := range slices.Backward(ids) { // the first block is used last, so that a prefix outlives its continuation
+		b := c.blocks[id]
+		if b == nil {
+			b = &block{id: id, programs: map[string]struct{}{}}
+			b.element = c.recent.PushFront(b)
+			c.blocks[id] = b
+			added = append(added, id)
+		}
+		c.recent.MoveToFront(b.element)
+		c.use(b, program, now)
+	}
+	if len(added) > 0 {
+		slices.Reverse(added)
+		c.events.add(EventStored, program, added, now)
+	}
+	c.evict(now)
+}
+
+func (c *cache) use(b *block, program string, now time.Time) {
+	p := c.programs[program]
+	if p == nil {
+		p = &programCache{}
+		c.programs[program] = p
+	}
+	p.lastUsed = now
+	if _, ok := b.programs[program]; !ok {
+		b.programs[program] = struct{}{}
+		p.blocks++
+	}
+}
+
+func (c *cache) evict(now time.Time) {
+	var removed []blockID
+	for len(c.blocks) > c.capacity {
+		b := c.recent.Back().Value.(*block)
+		for program := range b.programs {
+			c.disown(b, program)
+		}
+		c.free(b)
+		removed = append(removed, b.id)
+	}
+	if len(removed) > 0 {
+		c.events.add(EventRemoved, "", removed, now)
+	}
+}
+
+// release drops a program's blocks that no other program uses and returns how
+// many were freed.
+func (c *cache) release(program string, now time.Time) int {
+	var removed []blockID
+	for e := c.recent.Front(); e != nil; {
+		b := e.Value.(*block)
+		e = e.Next()
+		if _, ok := b.programs[program]; !ok {
+			continue
+		}
+		c.disown(b, program)
+		if len(b.programs) == 0 {
+			c.free(b)
+			removed = append(removed, b.id)
+		}
+	}
+	delete(c.programs, program)
+	if len(removed) > 0 {
+		c.events.add(EventRemoved, program, removed, now)
+	}
+	return len(removed)
+}
+
+func (c *cache) disown(b *block, program string) {
+	delete(b.programs, program)
+	p := c.programs[program]
+	p.blocks--
+	if p.blocks == 0 {
+		delete(c.programs, program)
+	}
+}
+
+func (c *cache) free(b *block) {
+	delete(c.blocks, b.id)
+	c.recent.Remove(b.element)
+}
+
+// blocksOf returns a program's blocks, least recently used last.
+func (c *cache) blocksOf(program string) []blockID {
+	var ids []blockID
+	for e := c.recent.Front(); e != nil; e = e.Next() {
+		b := e.Value.(*block)
+		if _, ok := b.programs[program]; ok {
+			ids = append(ids, b.id)
+		}
+	}
+	return ids
+}
+
+// entries lists the programs in the cache in order of their ids.
+func (c *cache) entries() []ProgramEntry {
+	all := make([]ProgramEntry, 0, len(c.programs))
+	for id, p := range c.programs {
+		all = append(all, ProgramEntry{Program: id, Blocks: p.blocks, Tokens: p.blocks * c.blockTokens, LastUsed: p.lastUsed})
+	}
+	slices.SortFunc(all, func(a, b ProgramEntry) int { return strings.Compare(a.Program, b.Program) })
+	return all
+}
+
+// clear drops everything, as a restart does.
+func (c *cache) clear(now time.Time) {
+	c.blocks = map[blockID]*block{}
+	c.recent.Init()
+	c.programs = map[string]*programCache{}
+	c.events.add(EventCleared, "", nil, now)
+}
