Add the types of placement requests and queries about programs

Cause: placement is written apart from the relay and needs shared types; callers ask for the outcome of calls without a program. Conclusion: placement can be written against these types.

--- a/app/relay/chat.go
+++ b/app/relay/chat.go
@@ -10,8 +10,8 @@
 	"github.com/valyala/fasthttp"
 
 	"mimosarelay/app/programs"
-	"mimosarelay/core/config"
 	"mimosarelay/core/model"
+	"mimosarelay/core/placement"
 	"mimosarelay/io/target"
 )
 
@@ -41,7 +41,7 @@
 	}
 	decision, err := s.Programs.Begin(ctx, c.spec())
 	if err != nil {
-		return nil, err
+		return nil, moved(err)
 	}
 	switch d := decision.(type) {
 	case *programs.Replay:
@@ -136,13 +136,13 @@
 	c.place = place
 	resp, err := s.send(ctx, c, fresh)
 	if err != nil {
-		place.Release(Usage{Failed: true})
+		place.Release(placement.Usage{Failed: true})
 		c.exclude = append(c.exclude, place.Target().Name)
 		return nil, s.sendFailed(ctx, c, err)
 	}
 	if status := resp.Status(); status >= fasthttp.StatusInternalServerError || status == fasthttp.StatusTooManyRequests {
 		_ = resp.Close()
-		place.Release(Usage{Failed: true})
+		place.Release(placement.Usage{Failed: true})
 		c.exclude = append(c.exclude, place.Target().Name)
 		return nil, errors.Join(errTryNext, model.NewRefusal(model.ErrTargetFailed, c.ran, "target %q answered %d", place.Target().Name, status))
 	}
@@ -152,8 +152,8 @@
 	return s.wholeAnswer(ctx, c, resp)
 }
 
-func (c *chatCall) placeRequest() PlaceRequest {
-	return PlaceRequest{
+func (c *chatCall) placeRequest() placement.Request {
+	return placement.Request{
 		Workspace:   c.request.Workspace,
 		Program:     c.request.Program,
 		Model:       c.chat.Model,
@@ -254,7 +254,7 @@
 	body, err := resp.ReadAll(maxAnswer)
 	_ = resp.Close()
 	if err != nil {
-		c.place.Release(Usage{Failed: true})
+		c.place.Release(placement.Usage{Failed: true})
 		c.exclude = append(c.exclude, c.place.Target().Name)
 		return nil, s.sendFailed(ctx, c, err)
 	}
@@ -268,8 +268,8 @@
 	return &Answer{Status: resp.Status(), Headers: headers, Body: newBytesBody(body), Length: len(body)}, nil
 }
 
-func placeUsage(u target.Usage) Usage {
-	return Usage{Prompt: u.PromptTokens, Cached: u.Details.CachedTokens, Completion: u.CompletionTokens}
+func placeUsage(u target.Usage) placement.Usage {
+	return placement.Usage{Prompt: u.PromptTokens, Cached: u.Details.CachedTokens, Completion: u.CompletionTokens}
 }
 
 func used(u target.Usage) model.Tokens { return u.PromptTokens + u.CompletionTokens }
@@ -283,8 +283,3 @@
 	defer cancel()
 	return c.run.Finish(ctx, result)
 }
-
-// targetOf looks a target up at the time of use, so that changes count at once.
-func (s *Service) targetOf(id model.TargetID) (config.Target, bool) {
-	return s.Contracts.Current().Target(id)
-}
--- a/app/relay/ports.go
+++ b/app/relay/ports.go
@@ -6,6 +6,8 @@
 	"mimosarelay/app/programs"
 	"mimosarelay/core/config"
 	"mimosarelay/core/model"
+	"mimosarelay/core/placement"
+	"mimosarelay/core/program"
 	"mimosarelay/io/peer/peerpb"
 )
 
@@ -22,6 +24,10 @@
 // Programs orders, deduplicates, budgets and records calls.
 type Programs interface {
 	Begin(ctx context.Context, spec programs.CallSpec) (programs.Decision, error)
+	State(key model.ProgramKey) (programs.State, error)
+	History(key model.ProgramKey) ([]program.Turn, error)
+	Outcome(key model.ProgramKey, call model.CallNumber) (programs.Outcome, error)
+	End(ctx context.Context, key model.ProgramKey) error
 }
 
 // Owners finds the host that runs the calls of a shard.
@@ -40,43 +46,17 @@
 	Call(ctx context.Context, address string, request *peerpb.CallRequest) (peerpb.DRPCPeer_CallClient, error)
 }
 
-// PlaceRequest asks for a place at a target.
-type PlaceRequest struct {
-	Workspace model.WorkspaceID
-	Program   model.ProgramID
-	Model     model.ModelID
-	// Candidates are the targets of a route; empty for engines.
-	Candidates []model.TargetID
-	// Exclude lists targets that failed during this call.
-	Exclude []model.TargetID
-	// Prompt and MaxTokens bound the work of the call.
-	Prompt    model.Tokens
-	MaxTokens model.Tokens
-	// Prefixes identifies the leading parts of the prompt, shortest first.
-	Prefixes []uint64
-	// Fingerprint identifies the content of the call.
-	Fingerprint model.Fingerprint
-}
-
-// Usage tells a placer what a call took.
-type Usage struct {
-	Prompt     model.Tokens
-	Cached     model.Tokens
-	Completion model.Tokens
-	Failed     bool
-}
-
 // Place is one call's right to run at a target.
 type Place interface {
 	Target() config.Target
 	// Release ends the call's use of the target. It is called exactly once.
-	Release(u Usage)
+	Release(u placement.Usage)
 }
 
 // Placer bounds the calls in flight per target and chooses targets.
 type Placer interface {
 	// Acquire waits for a place. It fails with a *model.Refusal.
-	Acquire(ctx context.Context, r PlaceRequest) (Place, error)
+	Acquire(ctx context.Context, r placement.Request) (Place, error)
 }
 
 // Suspects knows requests that crash targets.
--- a/app/relay/request.go
+++ b/app/relay/request.go
@@ -14,6 +14,17 @@
 	Value string
 }
 
+// Query is a question about a program, or its end.
+type Query string
+
+// Kinds of queries; empty means a call.
+const (
+	QueryState   Query = "State"
+	QueryHistory Query = "History"
+	QueryOutcome Query = "Outcome"
+	QueryEnd     Query = "End"
+)
+
 // Request is one authenticated call.
 type Request struct {
 	ID        model.RequestID
@@ -28,6 +39,8 @@
 	Headers []Header
 	Body    []byte
 
+	// Query is set for questions about Program.
+	Query   Query
 	Program model.ProgramID
 	Parent  model.ProgramID
 	Call    model.CallNumber
--- a/app/relay/routing.go
+++ b/app/relay/routing.go
@@ -8,6 +8,7 @@
 
 	"mimosarelay/app/programs"
 	"mimosarelay/core/model"
+	"mimosarelay/core/program"
 	"mimosarelay/io/peer"
 	"mimosarelay/io/peer/peerpb"
 )
@@ -19,7 +20,7 @@
 // an owner may be sent again, also to a later owner, because owners recognize
 // repeated calls by their number or idempotency key.
 func (s *Service) route(ctx context.Context, r *Request) (*Answer, error) {
-	shard := programs.ShardOf(r.key(), r.Parent)
+	shard := program.ShardOf(r.root())
 	deadline := s.Clock.Now().Add(s.ForwardWait)
 	ran := model.RanNo
 	for {
@@ -53,13 +54,20 @@
 	return refusal
 }
 
-// key identifies the call's program; a call outside a program is filed under
-// its idempotency key.
+// key identifies the call's program; it is empty for a call outside a program.
 func (r *Request) key() model.ProgramKey {
-	if r.Program != "" {
-		return model.ProgramKey{Workspace: r.Workspace, Program: r.Program}
+	return model.ProgramKey{Workspace: r.Workspace, Program: r.Program}
+}
+
+// root identifies the program whose owner runs the call.
+func (r *Request) root() model.ProgramKey {
+	switch {
+	case r.Program == "":
+		return programs.KeyProgram(r.Workspace, r.IdempotencyKey)
+	case r.Parent != "":
+		return model.ProgramKey{Workspace: r.Workspace, Program: r.Parent}
 	}
-	return programs.KeyOfIdempotent(r.Workspace, r.IdempotencyKey)
+	return r.key()
 }
 
 // errOwner marks failures to reach an owner, which another try may solve.
@@ -69,6 +77,18 @@
 	return errors.Is(err, errOwner) || errors.Is(err, model.ErrNoRight)
 }
 
+// moved marks a refusal of the program's records as one that another owner, or
+// this one a little later, may not give.
+func moved(err error) error {
+	refusal := asRefusal(err, model.RanNo)
+	if refusal.Ran != model.RanNo || !errors.Is(err, model.ErrUnavailable) && !errors.Is(err, model.ErrDraining) {
+		return err
+	}
+	elsewhere := *refusal
+	elsewhere.Kind = errOwner
+	return &elsewhere
+}
+
 func (s *Service) routeOnce(ctx context.Context, r *Request, shard model.Shard) (*Answer, error) {
 	address, self, err := s.Owners.Owner(shard)
 	if err != nil {
--- a/app/relay/service.go
+++ b/app/relay/service.go
@@ -103,7 +103,7 @@
 	if err := s.checkContract(r); err != nil {
 		return nil, err
 	}
-	if r.Workspace != "" {
+	if r.Workspace != "" && r.Query == "" {
 		if err := s.Limiter.Admit(ctx, r.Workspace); err != nil {
 			return nil, err
 		}
@@ -154,7 +154,10 @@
 
 // Run carries out a call on this host, which owns its program if it has one.
 func (s *Service) Run(ctx context.Context, r *Request) (*Answer, error) {
-	if r.Route != "" {
+	switch {
+	case r.Query != "":
+		return s.runQuery(ctx, r)
+	case r.Route != "":
 		return s.runService(ctx, r)
 	}
 	return s.runChat(ctx, r)
--- a/app/relay/service_call.go
+++ b/app/relay/service_call.go
@@ -13,6 +13,7 @@
 	"mimosarelay/app/programs"
 	"mimosarelay/core/config"
 	"mimosarelay/core/model"
+	"mimosarelay/core/placement"
 	"mimosarelay/io/target"
 )
 
@@ -40,12 +41,12 @@
 	if timeout == 0 {
 		timeout = defaultRouteTimeout
 	}
-	if r.Program == "" && r.IdempotencyKey == "" {
+	if r.Program == "" && (r.IdempotencyKey == "" || route.Repeatable) {
 		return s.attemptService(ctx, c, timeout)
 	}
 	decision, err := s.Programs.Begin(ctx, c.spec())
 	if err != nil {
-		return nil, err
+		return nil, moved(err)
 	}
 	switch d := decision.(type) {
 	case *programs.Replay:
@@ -116,14 +117,14 @@
 }
 
 func (s *Service) serviceOnce(ctx context.Context, c *serviceCall, timeout time.Duration) (*Answer, error) {
-	place, err := s.Placer.Acquire(ctx, PlaceRequest{
+	place, err := s.Placer.Acquire(ctx, placement.Request{
 		Workspace: c.request.Workspace, Program: c.request.Program, Candidates: c.route.Targets, Exclude: c.exclude,
 	})
 	if err != nil {
 		return nil, err
 	}
 	answer, err := s.exchange(ctx, c, place, timeout)
-	place.Release(Usage{Failed: err != nil})
+	place.Release(placement.Usage{Failed: err != nil})
 	if err != nil {
 		c.exclude = append(c.exclude, place.Target().Name)
 	}
--- a/app/relay/stream.go
+++ b/app/relay/stream.go
@@ -13,6 +13,7 @@
 
 	"mimosarelay/app/programs"
 	"mimosarelay/core/model"
+	"mimosarelay/core/placement"
 	"mimosarelay/io/target"
 )
 
@@ -165,7 +166,7 @@
 	if c.alone {
 		return false
 	}
-	c.place.Release(Usage{Failed: true})
+	c.place.Release(placement.Usage{Failed: true})
 	c.exclude = append(c.exclude, c.place.Target().Name)
 	place, err := b.service.Placer.Acquire(b.ctx, c.placeRequest())
 	if err != nil {
@@ -215,7 +216,7 @@
 	_ = b.resp.Close()
 	if !b.settled {
 		b.settled = true
-		b.call.place.Release(Usage{Failed: true})
+		b.call.place.Release(placement.Usage{Failed: true})
 	}
 	if b.call.run == nil {
 		return
--- a/app/relay/wire.go
+++ b/app/relay/wire.go
@@ -27,6 +27,7 @@
 	"OutcomeUnknown": model.ErrOutcomeUnknown,
 	"Suspect":        model.ErrSuspect,
 	"Draining":       model.ErrDraining,
+	"Owner":          errOwner,
 }
 
 func kindName(err error) string {
@@ -42,7 +43,7 @@
 	m := &peerpb.CallRequest{
 		RequestId: string(r.ID), Workspace: string(r.Workspace), KeyId: string(r.Key),
 		Route: string(r.Route), Method: r.Method, Path: r.Path, Body: r.Body,
-		Program: string(r.Program), Parent: string(r.Parent), Call: uint32(r.Call),
+		Query: string(r.Query), Program: string(r.Program), Parent: string(r.Parent), Call: uint32(r.Call),
 		IdempotencyKey: r.IdempotencyKey,
 	}
 	m.Headers = encodeHeaders(r.Headers)
@@ -53,7 +54,7 @@
 	return &Request{
 		ID: model.RequestID(m.RequestId), Workspace: model.WorkspaceID(m.Workspace), Key: model.KeyID(m.KeyId),
 		Route: model.RouteID(m.Route), Method: m.Method, Path: m.Path, Body: m.Body,
-		Program: model.ProgramID(m.Program), Parent: model.ProgramID(m.Parent), Call: model.CallNumber(m.Call),
+		Query: Query(m.Query), Program: model.ProgramID(m.Program), Parent: model.ProgramID(m.Parent), Call: model.CallNumber(m.Call),
 		IdempotencyKey: m.IdempotencyKey, Headers: decodeHeaders(m.Headers),
 	}
 }
--- a/io/caller/handlers.go
+++ b/io/caller/handlers.go
@@ -22,6 +22,7 @@
 	pathHosts    = "/v1/hosts"
 	pathRoutes   = "/v1/routes/"
 	pathPrograms = "/v1/programs/"
+	pathCalls    = "/v1/calls/"
 	pathHealth   = "/healthz"
 	pathReady    = "/readyz"
 )
@@ -47,6 +48,8 @@
 		s.service(ctx, strings.TrimPrefix(path, pathRoutes))
 	case strings.HasPrefix(path, pathPrograms):
 		s.program(ctx, strings.TrimPrefix(path, pathPrograms))
+	case strings.HasPrefix(path, pathCalls):
+		s.only(ctx, fasthttp.MethodGet, s.call)
 	default:
 		s.refuse(ctx, newRequestID(), model.NewRefusal(model.ErrNotFound, model.RanNo, "path %q does not exist", path))
 	}
@@ -171,7 +174,17 @@
 	id := newRequestID()
 	r, err := s.identify(ctx, id, false)
 	if err == nil {
-		err = parseProgramPath(r, string(ctx.Method()), rest)
+		err = parseProgramPath(ctx, r, rest)
+	}
+	s.run(ctx, r, id, err)
+}
+
+// call tells the outcome of a call outside a program by its idempotency key.
+func (s *Server) call(ctx *fasthttp.RequestCtx) {
+	id := newRequestID()
+	r, err := s.identify(ctx, id, false)
+	if err == nil {
+		err = parseCallPath(r, strings.TrimPrefix(string(ctx.Path()), pathCalls))
 	}
 	s.run(ctx, r, id, err)
 }
--- a/io/caller/identify.go
+++ b/io/caller/identify.go
@@ -154,12 +154,18 @@
 }
 
 // parseProgramPath reads {id}, {id}/history or {id}/calls/{n}.
-func parseProgramPath(r *relay.Request, method, rest string) error {
+func parseProgramPath(ctx *fasthttp.RequestCtx, r *relay.Request, rest string) error {
+	method := string(ctx.Method())
 	parts := strings.Split(rest, "/")
 	if !namePattern.MatchString(parts[0]) {
 		return model.NewRefusal(model.ErrNotFound, model.RanNo, "program id must match %s", namePattern)
 	}
 	r.Program, r.Method = model.ProgramID(parts[0]), method
+	parent, err := nameHeader(ctx, headerParent)
+	if err != nil {
+		return err
+	}
+	r.Parent = model.ProgramID(parent)
 	switch {
 	case len(parts) == 1 && method == fasthttp.MethodGet:
 		r.Query = relay.QueryState
@@ -183,3 +189,11 @@
 	r.Query, r.Call = relay.QueryOutcome, model.CallNumber(n)
 	return nil
 }
+
+func parseCallPath(r *relay.Request, key string) error {
+	if !namePattern.MatchString(key) {
+		return model.NewRefusal(model.ErrNotFound, model.RanNo, "idempotency key must match %s", namePattern)
+	}
+	r.Query, r.IdempotencyKey, r.Call = relay.QueryOutcome, key, 1
+	return nil
+}
