Add engine memory and orders, the service stand-in and the command

Each accepted connection is now served on its own goroutine: goleak found that fasthttp.Server.Serve leaves the worker pool's cleaner asleep for up to 10 s after the listener is closed. With ServeConn the tests of standin/fault and standin/platform end without leaked goroutines.

--- a/cmd/root.go
+++ b/cmd/root.go
@@ -27,5 +27,6 @@
 		SilenceUsage:  true,
 	}
 	root.AddCommand(newVersion())
+	root.AddCommand(newStandin())
 	return root
 }
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -3,7 +3,9 @@
 import (
 	"container/list"
 	"encoding/binary"
+	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -14,6 +16,22 @@
 // prefixes have equal blocks.
 type blockID uint64
 
+// MarshalText writes the id in hexadecimal, because JSON readers of other
+// languages round large numbers.
+func (id blockID) MarshalText() ([]byte, error) {
+	return strconv.AppendUint(nil, uint64(id), 16), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (id *blockID) UnmarshalText(text []byte) error {
+	v, err := strconv.ParseUint(string(text), 16, 64)
+	if err != nil {
+		return fmt.Errorf("block id %q: %w", text, err)
+	}
+	*id = blockID(v)
+	return nil
+}
+
 // block is a run of BlockTokens tokens in the cache.
 type block struct {
 	id       blockID
@@ -177,7 +195,7 @@
 	c.recent.Remove(b.element)
 }
 
-// blocksOf returns a program's blocks, least recently used last.
+// blocksOf returns a program's blocks, most recently used first.
 func (c *cache) blocksOf(program string) []blockID {
 	var ids []blockID
 	for e := c.recent.Front(); e != nil; e = e.Next() {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -56,7 +56,7 @@
 	Retain time.Duration
 	// NoResume cancels a stream as soon as its connection breaks.
 	NoResume bool
-	// LoadLag is the age of load reports.
+	// LoadLag is the least age of load reports, which is at most half more.
 	LoadLag time.Duration
 	// EventLag is the age at which cache events can be read, and each event
 	// whose sequence number is a multiple of EventGapEvery is lost.
@@ -120,6 +120,8 @@
 	running int
 	cache   *cache
 	events  *eventLog
+	orders  orderBook
+	loads   []LoadReport // in order of time
 	counts  Stats
 }
 
@@ -148,7 +150,9 @@
 		streams: map[string]*stream{},
 		cache:   newCache(o.BlockTokens, o.CacheBlocks, events),
 		events:  events,
+		orders:  newOrderBook(o.Models),
 	}
+	s.sample()
 	var err error
 	s.Server, err = fault.Start(fault.Options{
 		Listen:  o.Listen,
@@ -161,6 +165,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("engine: %w", err)
 	}
+	if o.LoadLag > 0 {
+		s.work.Go(s.sampleLoop)
+	}
 	return s, nil
 }
 
@@ -179,7 +186,8 @@
 	return s.counts
 }
 
-// crashed drops the streams and the cache.
+// crashed drops the streams and the cache. Models, role and fencing token
+// survive.
 func (s *Server) crashed() {
 	s.cancelAll()
 	s.mu.Lock()
--- a/standin/engine/handlers.go
+++ b/standin/engine/handlers.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"net/url"
 	"slices"
 	"strconv"
@@ -33,6 +34,20 @@
 		s.complete(ctx)
 	case "GET /v1/models":
 		s.listModels(ctx)
+	case "GET /v1/load":
+		fault.JSON(ctx, s.Load())
+	case "GET /v1/cache/events":
+		s.cacheEvents(ctx)
+	case "POST /v1/cache/export":
+		s.exportCache(ctx)
+	case "POST /v1/cache/import":
+		s.importCache(ctx)
+	case "POST /v1/cache/release":
+		s.releaseCache(ctx)
+	case "POST /v1/orders":
+		s.postOrder(ctx)
+	case "GET /v1/orders/state":
+		fault.JSON(ctx, s.OrderState())
 	case "GET /standin/stats":
 		fault.JSON(ctx, s.Stats())
 	default:
@@ -145,7 +160,17 @@
 
 // serves reports whether a model or adapter of that name is loaded.
 func (s *Server) serves(model string) bool {
-	return slices.Contains(s.options.Models, model)
+	return slices.Contains(s.names(), model)
+}
+
+// names lists the loaded models and adapters.
+func (s *Server) names() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := slices.Collect(maps.Keys(s.orders.models))
+	names = slices.AppendSeq(names, maps.Keys(s.orders.adapters))
+	slices.Sort(names)
+	return names
 }
 
 // listModels serves GET /v1/models.
@@ -157,7 +182,7 @@
 		OwnedBy string `json:"owned_by"`
 	}
 	all := []model{}
-	for _, m := range s.options.Models {
+	for _, m := range s.names() {
 		all = append(all, model{ID: m, Object: "model", OwnedBy: "standin"})
 	}
 	fault.JSON(ctx, map[string]any{"object": "list", "data": all})
--- /dev/null
+++ b/standin/engine/memory.go
@@ -0,0 +1,173 @@
+package engine
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"mimosarelay/standin/fault"
+)
+
+// LoadReport is the answer to GET /v1/load.
+type LoadReport struct {
+	Time          time.Time // when the report was true
+	Running       int
+	Waiting       int
+	CacheBlocks   int
+	CacheCapacity int // blocks
+	BlockTokens   int
+	Programs      []ProgramEntry
+}
+
+// CacheExport is the answer to an export and the body of an import.
+type CacheExport struct {
+	Program     string
+	BlockTokens int
+	Blocks      []blockID
+}
+
+// cacheEventsAnswer is the answer to GET /v1/cache/events.
+type cacheEventsAnswer struct {
+	Events []Event
+	Last   int64 // sequence of the last event returned, or the one asked for
+}
+
+// programRequest is the body of an export or a release.
+type programRequest struct {
+	Program string
+}
+
+// Load returns the report that GET /v1/load answers.
+func (s *Server) Load() LoadReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.options.LoadLag <= 0 {
+		return s.loadNow()
+	}
+	now := s.options.Clock.Now()
+	best := s.loads[0]
+	for _, l := range s.loads {
+		if now.Sub(l.Time) >= s.options.LoadLag {
+			best = l
+		}
+	}
+	return best
+}
+
+// loadNow returns the current load. The caller holds s.mu.
+func (s *Server) loadNow() LoadReport {
+	return LoadReport{
+		Time:          s.options.Clock.Now(),
+		Running:       s.running,
+		Waiting:       len(s.queue),
+		CacheBlocks:   len(s.cache.blocks),
+		CacheCapacity: s.cache.capacity,
+		BlockTokens:   s.cache.blockTokens,
+		Programs:      s.cache.entries(),
+	}
+}
+
+// samplesPerLag is how often the load is sampled within LoadLag.
+const samplesPerLag = 2
+
+// sample stores the current load and drops reports that are no longer needed.
+func (s *Server) sample() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loads = append(s.loads, s.loadNow())
+	if keep := samplesPerLag + 2; len(s.loads) > keep {
+		s.loads = append([]LoadReport(nil), s.loads[len(s.loads)-keep:]...)
+	}
+}
+
+func (s *Server) sampleLoop() {
+	t := s.options.Clock.NewTicker(max(s.options.LoadLag/samplesPerLag, time.Millisecond))
+	defer t.Stop()
+	for {
+		select {
+		case <-t.Chan():
+			s.sample()
+		case <-s.Stopped():
+			return
+		}
+	}
+}
+
+// cacheEvents serves GET /v1/cache/events?since=N.
+func (s *Server) cacheEvents(ctx *fasthttp.RequestCtx) {
+	since, err := intArg(ctx, "since")
+	if err != nil {
+		problem(ctx, fasthttp.StatusBadRequest, "invalid_request_error", err.Error())
+		return
+	}
+	s.mu.Lock()
+	found := s.events.since(int64(since), s.options.Clock.Now())
+	s.mu.Unlock()
+	last := int64(since)
+	if len(found) > 0 {
+		last = found[len(found)-1].Sequence
+	}
+	fault.JSON(ctx, cacheEventsAnswer{Events: found, Last: last})
+}
+
+// exportCache serves POST /v1/cache/export.
+func (s *Server) exportCache(ctx *fasthttp.RequestCtx) {
+	var r programRequest
+	if !decode(ctx, &r) {
+		return
+	}
+	s.mu.Lock()
+	e := CacheExport{Program: r.Program, BlockTokens: s.cache.blockTokens, Blocks: s.cache.blocksOf(r.Program)}
+	s.mu.Unlock()
+	if len(e.Blocks) == 0 {
+		problem(ctx, fasthttp.StatusNotFound, "invalid_request_error", "program "+strconv.Quote(r.Program)+" has no cache entries")
+		return
+	}
+	fault.JSON(ctx, e)
+}
+
+// importCache serves POST /v1/cache/import.
+func (s *Server) importCache(ctx *fasthttp.RequestCtx) {
+	var e CacheExport
+	if !decode(ctx, &e) {
+		return
+	}
+	if e.BlockTokens != s.options.BlockTokens {
+		problem(ctx, fasthttp.StatusBadRequest, "invalid_request_error",
+			fmt.Sprintf("blocks of %d tokens cannot be imported, this engine has blocks of %d", e.BlockTokens, s.options.BlockTokens))
+		return
+	}
+	s.mu.Lock()
+	s.cache.insert(e.Program, e.Blocks, s.options.Clock.Now())
+	s.mu.Unlock()
+	fault.JSON(ctx, map[string]int{"Imported": len(e.Blocks)})
+}
+
+// releaseCache serves POST /v1/cache/release. Releasing a program without
+// entries frees 0 blocks and is no error.
+func (s *Server) releaseCache(ctx *fasthttp.RequestCtx) {
+	var r programRequest
+	if !decode(ctx, &r) {
+		return
+	}
+	s.mu.Lock()
+	freed := s.cache.release(r.Program, s.options.Clock.Now())
+	s.counts.Released += int64(freed)
+	s.mu.Unlock()
+	fault.JSON(ctx, map[string]int{"Freed": freed})
+}
+
+// decode reads the JSON body, or answers with an error and returns false.
+func decode(ctx *fasthttp.RequestCtx, v any) bool {
+	d := json.NewDecoder(bytes.NewReader(ctx.PostBody()))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		problem(ctx, fasthttp.StatusBadRequest, "invalid_request_error", "decode request: "+err.Error())
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/standin/engine/orders.go
@@ -0,0 +1,158 @@
+package engine
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/valyala/fasthttp"
+
+	"mimosarelay/standin/fault"
+)
+
+// Kinds of orders.
+const (
+	LoadModel   = "LoadModel"
+	LoadAdapter = "LoadAdapter"
+	SetRole     = "SetRole"
+)
+
+// maxOrderHistory bounds the accepted orders that are listed.
+const maxOrderHistory = 1000
+
+var errOldFence = errors.New("fencing token is old")
+
+// Order is a command with the fencing token of its sender.
+type Order struct {
+	Fence   uint64
+	Kind    string // LoadModel, LoadAdapter or SetRole
+	Model   string `json:",omitempty"` // LoadModel, LoadAdapter: the base model
+	Adapter string `json:",omitempty"` // LoadAdapter
+	Version string `json:",omitempty"` // LoadModel, LoadAdapter
+	Role    string `json:",omitempty"` // SetRole
+	ID      string `json:",omitempty"` // chosen by the sender, to find its order in the history
+}
+
+// Adapter is a loaded adapter.
+type Adapter struct {
+	Model   string
+	Version string
+}
+
+// OrderState is the answer to GET /v1/orders/state.
+type OrderState struct {
+	Fence         uint64            // highest token accepted
+	ChecksFencing bool              // orders with a lower token are rejected
+	Models        map[string]string // version by model
+	Adapters      map[string]Adapter
+	Role          string
+	History       []Order // accepted orders, oldest first
+}
+
+// orderBook is the state that orders change.
+type orderBook struct {
+	fence    uint64
+	models   map[string]string
+	adapters map[string]Adapter
+	role     string
+	history  []Order
+}
+
+func newOrderBook(models []string) orderBook {
+	b := orderBook{models: map[string]string{}, adapters: map[string]Adapter{}}
+	for _, m := range models {
+		b.models[m] = ""
+	}
+	return b
+}
+
+func (b *orderBook) check(o Order) error {
+	switch {
+	case o.Kind != LoadModel && o.Kind != LoadAdapter && o.Kind != SetRole:
+		return fmt.Errorf("kind %q is not one of %s, %s and %s", o.Kind, LoadModel, LoadAdapter, SetRole)
+	case o.Kind == LoadModel && o.Model == "":
+		return errors.New("field Model is missing")
+	case o.Kind == LoadAdapter && o.Adapter == "":
+		return errors.New("field Adapter is missing")
+	case o.Kind == SetRole && o.Role == "":
+		return errors.New("field Role is missing")
+	}
+	if _, ok := b.models[o.Model]; o.Kind == LoadAdapter && !ok {
+		return fmt.Errorf("model %q of adapter %q is not loaded", o.Model, o.Adapter)
+	}
+	return nil
+}
+
+func (b *orderBook) apply(o Order) {
+	b.fence = max(b.fence, o.Fence)
+	switch o.Kind {
+	case LoadModel:
+		b.models[o.Model] = o.Version
+	case LoadAdapter:
+		b.adapters[o.Adapter] = Adapter{Model: o.Model, Version: o.Version}
+	case SetRole:
+		b.role = o.Role
+	}
+	b.history = append(b.history, o)
+	if len(b.history) > maxOrderHistory {
+		b.history = b.history[1:]
+	}
+}
+
+// OrderState returns what GET /v1/orders/state answers.
+func (s *Server) OrderState() OrderState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return OrderState{
+		Fence:         s.orders.fence,
+		ChecksFencing: !s.options.NoFencing,
+		Models:        maps.Clone(s.orders.models),
+		Adapters:      maps.Clone(s.orders.adapters),
+		Role:          s.orders.role,
+		History:       slices.Clone(s.orders.history),
+	}
+}
+
+// postOrder serves POST /v1/orders. The token is checked when the order
+// arrives and again when it takes effect after OrderTime.
+func (s *Server) postOrder(ctx *fasthttp.RequestCtx) {
+	var o Order
+	if !decode(ctx, &o) {
+		return
+	}
+	err := s.order(o, false)
+	if err == nil {
+		if !s.Sleep(s.options.OrderTime) {
+			fault.Drop(ctx)
+			return
+		}
+		err = s.order(o, true)
+	}
+	switch {
+	case errors.Is(err, errOldFence):
+		problem(ctx, fasthttp.StatusConflict, "invalid_request_error", err.Error())
+	case err != nil:
+		problem(ctx, fasthttp.StatusBadRequest, "invalid_request_error", err.Error())
+	default:
+		fault.JSON(ctx, s.OrderState())
+	}
+}
+
+// order checks o, and applies it if asked to.
+func (s *Server) order(o Order, apply bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.orders.check(o); err != nil {
+		return err
+	}
+	if !s.options.NoFencing && o.Fence < s.orders.fence {
+		s.counts.OrdersRejected++
+		return fmt.Errorf("%w: %d, a sender with %d was here", errOldFence, o.Fence, s.orders.fence)
+	}
+	if apply {
+		s.counts.Orders++
+		s.orders.apply(o)
+	}
+	return nil
+}
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -54,18 +54,17 @@
 	st.changed = make(chan struct{})
 }
 
-// stop marks the stream as cancelled. It returns false if it had ended.
-func (st *stream) stop() bool {
+// stop cancels the stream unless it has ended.
+func (st *stream) stop() {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if st.state == finished || st.state == cancelled {
-		return false
+		return
 	}
 	st.state = cancelled
 	close(st.cancel)
 	close(st.changed)
 	st.changed = make(chan struct{})
-	return true
 }
 
 // attachedSince reports whether a reader came after the given count.
--- a/standin/fault/conn.go
+++ b/standin/fault/conn.go
@@ -15,11 +15,9 @@
 // of an answer, or closed while a handler uses it.
 type conn struct {
 	net.Conn
-	server  *Server
 	client  netip.Addr
 	control bool // accepted on the control address
 	silent  atomic.Bool
-	once    sync.Once
 
 	mu      sync.Mutex
 	cutting bool
@@ -94,33 +92,5 @@
 }
 
 // abort closes the socket. The goroutine that serves the connection then
-// fails its next read or write and calls Close.
+// fails its next read or write.
 func (c *conn) abort() { _ = c.Conn.Close() }
-
-// Close closes the socket and forgets the connection.
-func (c *conn) Close() error {
-	err := c.Conn.Close()
-	c.once.Do(func() { c.server.forget(c) })
-	return err
-}
-
-// listener closes connections on accept while a fault says so.
-type listener struct {
-	net.Listener
-	server *Server
-}
-
-// Accept returns io.EOF after the listener was closed, which ends
-// fasthttp.Server.Serve without an error.
-func (l *listener) Accept() (net.Conn, error) {
-	for {
-		raw, err := l.Listener.Accept()
-		if err != nil {
-			return nil, io.EOF
-		}
-		if c, ok := l.server.admit(raw); ok {
-			return c, nil
-		}
-		_ = raw.Close()
-	}
-}
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -73,19 +73,19 @@
 func (f Fault) Validate() error {
 	switch {
 	case f.LoseAnswers < 0:
-		return fmt.Errorf("LoseAnswers is %d, want 0 or more", f.LoseAnswers)
+		return fmt.Errorf("field LoseAnswers is %d, want 0 or more", f.LoseAnswers)
 	case f.CutBytes < 0:
-		return fmt.Errorf("CutBytes is %d, want 0 or more", f.CutBytes)
+		return fmt.Errorf("field CutBytes is %d, want 0 or more", f.CutBytes)
 	case f.CutChunks < 0:
-		return fmt.Errorf("CutChunks is %d, want 0 or more", f.CutChunks)
+		return fmt.Errorf("field CutChunks is %d, want 0 or more", f.CutChunks)
 	case f.Cuts < 0:
-		return fmt.Errorf("Cuts is %d, want 0 or more", f.Cuts)
+		return fmt.Errorf("field Cuts is %d, want 0 or more", f.Cuts)
 	case f.Cuts > 0 && f.CutBytes == 0 && f.CutChunks == 0:
-		return fmt.Errorf("Cuts is %d, but neither CutBytes nor CutChunks is set", f.Cuts)
+		return fmt.Errorf("field Cuts is %d, but neither CutBytes nor CutChunks is set", f.Cuts)
 	case f.LoseMatch != "" && f.LoseAnswers == 0:
-		return fmt.Errorf("LoseMatch is %q, but LoseAnswers is 0", f.LoseMatch)
+		return fmt.Errorf("field LoseMatch is %q, but LoseAnswers is 0", f.LoseMatch)
 	case f.CrashTime > 0 && f.CrashMarker == "":
-		return fmt.Errorf("CrashTime is set, but CrashMarker is empty")
+		return fmt.Errorf("field CrashTime is set, but CrashMarker is empty")
 	}
 	return nil
 }
--- a/standin/fault/server.go
+++ b/standin/fault/server.go
@@ -25,6 +25,9 @@
 // readBuffer bounds the size of a request header.
 const readBuffer = 32 << 10
 
+// acceptPause avoids a busy loop while connections cannot be accepted.
+const acceptPause = 10 * time.Millisecond
+
 // controlPrefix starts the paths that belong to the stand-in, not to the
 // protocol of the system it stands for.
 const controlPrefix = "/standin/"
@@ -105,9 +108,32 @@
 		ReadBufferSize:        readBuffer,
 		Logger:                log.New(io.Discard, "", 0), // broken connections are intended here
 	}
-	s.serving.Go(func() {
-		_ = srv.Serve(&listener{Listener: l, server: s})
-	})
+	s.serving.Go(func() { s.acceptLoop(srv, l) })
+}
+
+// acceptLoop serves each connection on a goroutine of its own, which Close
+// can wait for. fasthttp.Server.Serve would keep a goroutine for up to 10 s
+// after its listener was closed.
+func (s *Server) acceptLoop(srv *fasthttp.Server, l net.Listener) {
+	for {
+		raw, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // such as no free file descriptor
+			time.Sleep(acceptPause)
+			continue
+		}
+		c, ok := s.admit(raw, l == s.control)
+		if !ok {
+			_ = raw.Close()
+			continue
+		}
+		s.serving.Go(func() {
+			defer s.forget(c)
+			_ = srv.ServeConn(c) // connections that break are intended here
+		})
+	}
 }
 
 // Address returns the IP:port that is served.
@@ -198,9 +224,8 @@
 }
 
 // admit registers an accepted connection unless a fault refuses it.
-func (s *Server) admit(raw net.Conn) (*conn, bool) {
-	onControl := s.control != nil && raw.LocalAddr().String() == s.control.Addr().String()
-	c := &conn{Conn: raw, server: s, control: onControl}
+func (s *Server) admit(raw net.Conn, onControl bool) (*conn, bool) {
+	c := &conn{Conn: raw, control: onControl}
 	if a, err := netip.ParseAddrPort(raw.RemoteAddr().String()); err == nil {
 		c.client = a.Addr().Unmap()
 	}
@@ -213,7 +238,6 @@
 		s.counters.Refused++
 		return nil, false
 	}
-	s.serving.Add(1)
 	if !onControl {
 		s.counters.Connections++
 	}
@@ -231,7 +255,6 @@
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
-	s.serving.Done()
 }
 
 // Drop closes the connection of ctx without an answer.
