--- /dev/null
+++ b/io/consul/kv.go
@@ -0,0 +1,277 @@
+package consul
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"mimosarelay/core/store"
+)
+
+// idLength is the length of a change id with its newline.
+const idLength = 37
+
+// pair is a key as the KV endpoint returns it.
+type pair struct {
+	Key         string
+	Value       []byte // base64 in JSON
+	CreateIndex uint64
+	ModifyIndex uint64
+	Session     string
+}
+
+// Get implements store.Store.
+func (c *Client) Get(ctx context.Context, key string) (store.Entry, error) {
+	p, err := c.getPair(ctx, key)
+	if err != nil {
+		return store.Entry{}, err
+	}
+	return c.entry(p)
+}
+
+// List implements store.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]store.Entry, store.Version, error) {
+	res, err := c.do(ctx, request{
+		method:   fasthttp.MethodGet,
+		path:     c.keyPath(prefix),
+		mayMiss:  true,
+		harmless: true,
+		query:    url.Values{"recurse": {""}, "consistent": {""}},
+	})
+	if err != nil {
+		return nil, 0, err
+	}
+	return c.entries(res)
+}
+
+// Watch implements store.Store by a blocking query.
+func (c *Client) Watch(ctx context.Context, prefix string, since store.Version, wait time.Duration) ([]store.Entry, store.Version, error) {
+	r := request{
+		method:   fasthttp.MethodGet,
+		path:     c.keyPath(prefix),
+		mayMiss:  true,
+		harmless: true,
+		query: url.Values{
+			"recurse": {""},
+			"index":   {strconv.FormatUint(uint64(since), 10)},
+			"wait":    {strconv.FormatInt(wait.Milliseconds(), 10) + "ms"},
+		},
+		// Consul adds up to a sixteenth to the wait.
+		timeout: wait + wait/16 + c.options.Timeout,
+	}
+	// A connection of its own lets the end of ctx close a pending query, both
+	// here and at the server.
+	var mu sync.Mutex
+	var conn net.Conn
+	ended := false
+	h := c.newHTTP(func(n net.Conn) {
+		mu.Lock()
+		defer mu.Unlock()
+		conn = n
+		if ended { // ctx ended while the connection was made
+			conn.Close()
+		}
+	})
+	h.MaxConns = 1
+	defer func() {
+		mu.Lock()
+		defer mu.Unlock()
+		ended = true
+		if conn != nil {
+			conn.Close()
+		}
+	}()
+	res, err := c.doWith(ctx, h, r)
+	if err != nil {
+		return nil, 0, err
+	}
+	return c.entries(res)
+}
+
+// Put implements store.Store. After a lost answer it returns the version if
+// the key holds this write's change id, and otherwise ErrUnknown: the write
+// may still be under way, or may have been overwritten.
+func (c *Client) Put(ctx context.Context, key string, value []byte, prev store.Version) (store.Version, error) {
+	id, body, err := envelope(key, value)
+	if err != nil {
+		return 0, err
+	}
+	ok, err := c.write(ctx, request{
+		method: fasthttp.MethodPut,
+		path:   c.keyPath(key),
+		query:  url.Values{"cas": {strconv.FormatUint(uint64(prev), 10)}},
+		body:   body,
+	})
+	switch {
+	case err == nil && !ok:
+		return 0, fmt.Errorf("put %q: version is not %d: %w", key, prev, store.ErrConflict)
+	case err != nil && !errors.Is(err, store.ErrUnknown):
+		return 0, err
+	}
+	// Consul does not return the new index of a write, so it is read in any
+	// case.
+	p, readErr := c.readBack(ctx, key, err)
+	if readErr == nil && changeID(p.Value) == id {
+		return store.Version(p.ModifyIndex), nil
+	}
+	if err != nil {
+		return 0, errors.Join(err, readErr)
+	}
+	// The write took effect, and was overwritten or cannot be read now. Its
+	// index is at least prev+1, and that of any later write is higher, so a
+	// compare-and-swap on prev+1 cannot overwrite a later write.
+	return prev + 1, nil
+}
+
+// Delete implements store.Store. A missing key counts as deleted.
+func (c *Client) Delete(ctx context.Context, key string, prev store.Version) error {
+	if prev == 0 { // Consul would delete without a check
+		return fmt.Errorf("delete %q: version 0 names no existing key", key)
+	}
+	ok, err := c.write(ctx, request{
+		method: fasthttp.MethodDelete,
+		path:   c.keyPath(key),
+		query:  url.Values{"cas": {strconv.FormatUint(uint64(prev), 10)}},
+	})
+	switch {
+	case err == nil && !ok:
+		return fmt.Errorf("delete %q: version is not %d: %w", key, prev, store.ErrConflict)
+	case !errors.Is(err, store.ErrUnknown):
+		return err
+	}
+	p, readErr := c.readBack(ctx, key, err)
+	switch {
+	case errors.Is(readErr, store.ErrNotFound):
+		return nil
+	case readErr == nil && p.CreateIndex <= uint64(prev) && p.ModifyIndex > uint64(prev):
+		// The key was changed and never deleted, so the check must fail.
+		return fmt.Errorf("delete %q: version is not %d: %w", key, prev, store.ErrConflict)
+	}
+	return errors.Join(err, readErr)
+}
+
+// write sends a request that Consul answers with true or false.
+func (c *Client) write(ctx context.Context, r request) (bool, error) {
+	res, err := c.do(ctx, r)
+	if err != nil {
+		return false, err
+	}
+	switch string(bytes.TrimSpace(res.body)) {
+	case "true":
+		return true, nil
+	case "false":
+		return false, nil
+	}
+	return false, fmt.Errorf("%s %s: answer %q is neither true nor false: %w", r.method, r.path, res.body, store.ErrUnknown)
+}
+
+// readBack reads a key after a write that ended with err. After a lost answer
+// it uses a fresh connection, because idle ones may share the fault. It
+// outlives ctx, because the caller's deadline is often what cut the write
+// short.
+func (c *Client) readBack(ctx context.Context, key string, err error) (pair, error) {
+	if err != nil {
+		c.http.CloseIdleConnections()
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.options.Timeout)
+	defer cancel()
+	return c.getPair(ctx, key)
+}
+
+func (c *Client) getPair(ctx context.Context, key string) (pair, error) {
+	res, err := c.do(ctx, request{
+		method:   fasthttp.MethodGet,
+		path:     c.keyPath(key),
+		mayMiss:  true,
+		harmless: true,
+		query:    url.Values{"consistent": {""}},
+	})
+	if err != nil {
+		return pair{}, err
+	}
+	if res.status == fasthttp.StatusNotFound {
+		return pair{}, fmt.Errorf("get %q: %w", key, store.ErrNotFound)
+	}
+	var pairs []pair
+	if err := json.Unmarshal(res.body, &pairs); err != nil || len(pairs) != 1 {
+		return pair{}, fmt.Errorf("get %q: answer is not a list of one key: %w", key, errors.Join(err, store.ErrUnavailable))
+	}
+	return pairs[0], nil
+}
+
+func (c *Client) entries(res response) ([]store.Entry, store.Version, error) {
+	var pairs []pair
+	if res.status != fasthttp.StatusNotFound {
+		if err := json.Unmarshal(res.body, &pairs); err != nil {
+			return nil, 0, fmt.Errorf("list: %w: %w", store.ErrUnavailable, err)
+		}
+	}
+	index, err := strconv.ParseUint(res.index, 10, 64)
+	if err != nil {
+		return nil, 0, fmt.Errorf("list: header X-Consul-Index %q: %w: %w", res.index, store.ErrUnavailable, err)
+	}
+	out := make([]store.Entry, 0, len(pairs))
+	for _, p := range pairs {
+		e, err := c.entry(p)
+		if err != nil {
+			return nil, 0, err
+		}
+		out = append(out, e)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out, store.Version(max(index, 1)), nil
+}
+
+func (c *Client) entry(p pair) (store.Entry, error) {
+	key := strings.TrimPrefix(p.Key, c.options.Prefix)
+	if changeID(p.Value) == "" {
+		return store.Entry{}, fmt.Errorf("key %q: value has no change id", key)
+	}
+	return store.Entry{
+		Key:     key,
+		Value:   p.Value[idLength:],
+		Version: store.Version(p.ModifyIndex),
+		Holder:  store.LeaseID(p.Session),
+	}, nil
+}
+
+func (c *Client) keyPath(key string) string {
+	parts := strings.Split(c.options.Prefix+key, "/")
+	for i, p := range parts {
+		parts[i] = url.PathEscape(p)
+	}
+	return "/v1/kv/" + strings.Join(parts, "/")
+}
+
+// envelope puts a new change id before value.
+func envelope(key string, value []byte) (string, []byte, error) {
+	if len(value)+idLength > store.MaxValue {
+		return "", nil, fmt.Errorf("put %q: %d bytes exceed the limit of %d", key, len(value), store.MaxValue-idLength)
+	}
+	id := uuid.NewString()
+	return id, append([]byte(id+"\n"), value...), nil
+}
+
+// changeID returns the change id of a stored value, or "" if it has none.
+func changeID(value []byte) string {
+	if len(value) < idLength || value[idLength-1] != '\n' {
+		return ""
+	}
+	id := string(value[:idLength-1])
+	if uuid.Validate(id) != nil {
+		return ""
+	}
+	return id
+}
--- /dev/null
+++ b/io/consul/session.go
@@ -0,0 +1,106 @@
+package consul
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"mimosarelay/core/store"
+)
+
+// Hold implements store.Store. The lease is a session; the store deletes the
+// key when the session ends.
+func (c *Client) Hold(ctx context.Context, key string, value []byte, ttl time.Duration) (store.LeaseID, error) {
+	_, body, err := envelope(key, value)
+	if err != nil {
+		return "", err
+	}
+	session, err := c.createSession(ctx, key, ttl)
+	if err != nil {
+		return "", err
+	}
+	ok, err := c.write(ctx, request{
+		method: fasthttp.MethodPut,
+		path:   c.keyPath(key),
+		query:  url.Values{"acquire": {session}},
+		body:   body,
+	})
+	if err == nil && ok {
+		return store.LeaseID(session), nil
+	}
+	if errors.Is(err, store.ErrUnknown) {
+		p, readErr := c.readBack(ctx, key, err)
+		if readErr == nil && p.Session == session {
+			return store.LeaseID(session), nil
+		}
+	}
+	// A session that is not destroyed here lapses by its TTL.
+	destroy, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.options.Timeout)
+	defer cancel()
+	destroyErr := c.Release(destroy, store.LeaseID(session))
+	if err != nil {
+		return "", errors.Join(fmt.Errorf("hold %q: %w", key, err), destroyErr)
+	}
+	return "", fmt.Errorf("hold %q: held by another lease: %w", key, store.ErrConflict)
+}
+
+func (c *Client) createSession(ctx context.Context, key string, ttl time.Duration) (string, error) {
+	body, err := json.Marshal(map[string]any{
+		"Name":     c.options.Prefix + key,
+		"TTL":      ttl.String(),
+		"Behavior": "delete",
+		// A new process of the same host may acquire its key as soon as the
+		// old lease lapsed.
+		"LockDelay": "0s",
+		// The lease depends on renewals only, not on the health of the agent.
+		"NodeChecks": []string{},
+	})
+	if err != nil {
+		return "", err
+	}
+	res, err := c.do(ctx, request{
+		method:   fasthttp.MethodPut,
+		path:     "/v1/session/create",
+		body:     body,
+		harmless: true, // a session without a key has no effect
+	})
+	if err != nil {
+		return "", err
+	}
+	var created struct{ ID string }
+	if err := json.Unmarshal(res.body, &created); err != nil || created.ID == "" {
+		return "", fmt.Errorf("create session: answer %q has no id: %w", res.body, store.ErrUnavailable)
+	}
+	return created.ID, nil
+}
+
+// Renew implements store.Store.
+func (c *Client) Renew(ctx context.Context, id store.LeaseID) error {
+	res, err := c.do(ctx, request{
+		method:   fasthttp.MethodPut,
+		path:     "/v1/session/renew/" + url.PathEscape(string(id)),
+		mayMiss:  true,
+		harmless: true,
+	})
+	if err != nil {
+		return err
+	}
+	if res.status == fasthttp.StatusNotFound {
+		return fmt.Errorf("renew %s: %w", id, store.ErrLeaseLapsed)
+	}
+	return nil
+}
+
+// Release implements store.Store. A lapsed lease counts as released.
+func (c *Client) Release(ctx context.Context, id store.LeaseID) error {
+	_, err := c.do(ctx, request{
+		method: fasthttp.MethodPut,
+		path:   "/v1/session/destroy/" + url.PathEscape(string(id)),
+	})
+	return err
+}
