--- /dev/null
+++ b/core/member/member_test.go
@@ -0,0 +1,123 @@
+package member_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mimosarelay/core/member"
+	"mimosarelay/core/model"
+)
+
+var times = member.Times{LeaseTTL: 3 * time.Second, WordTTL: 1500 * time.Millisecond, Margin: 500 * time.Millisecond}
+
+func host(n int) member.Member {
+	h := fmt.Sprintf("h%d", n)
+	return member.Member{
+		Host: model.HostID(h), Incarnation: model.Incarnation(h + "-1"),
+		Zone: model.Zone(fmt.Sprintf("z%d", n%3)), PeerAddress: h + ":1",
+	}
+}
+
+func fleet(t rapid.TB, n int) member.Record {
+	var r member.Record
+	var err error
+	for i := range n {
+		r, err = r.Join(host(i))
+		assert.NilError(t, err)
+		r = r.Closed(r.Epoch)
+	}
+	return r
+}
+
+// Guards against removals that let the removed hosts confirm each other, also
+// over several epochs that not all members have entered.
+func TestRemovalKeepsMajorityOfAllOpenEpochs(t *testing.T) {
+	r := fleet(t, 7)
+	_, err := r.RemoveLapsed("h3", "h4", "h5", "h6")
+	assert.ErrorIs(t, err, member.ErrNoMajority)
+	r, err = r.RemoveLapsed("h4", "h5", "h6")
+	assert.NilError(t, err)
+	_, err = r.RemoveLapsed("h3") // h3 to h6 are a majority of the first epoch
+	assert.ErrorIs(t, err, member.ErrNoMajority)
+	proven, err := r.RemoveGone("h3", "h3-1")
+	assert.NilError(t, err)
+	assert.Equal(t, len(proven.Members), 3)
+	closed, err := r.Closed(r.Epoch).RemoveLapsed("h3")
+	assert.NilError(t, err)
+	assert.Equal(t, closed.Epoch, r.Epoch+1)
+}
+
+// Guards against joins that take over a live host's name and restarts that
+// leave two members at one address.
+func TestJoin(t *testing.T) {
+	r := fleet(t, 3)
+	_, err := r.Join(host(1))
+	assert.ErrorIs(t, err, member.ErrPresent)
+	moved := host(1)
+	moved.Incarnation, moved.PeerAddress = "h1-2", "elsewhere:1"
+	_, err = r.Join(moved)
+	assert.ErrorIs(t, err, member.ErrOccupied)
+	again := host(1)
+	again.Incarnation = "h1-2"
+	next, err := r.Join(again)
+	assert.NilError(t, err)
+	assert.Equal(t, len(next.Members), 3)
+	assert.Assert(t, next.Has("h1", "h1-2"))
+	data, err := next.Encode()
+	assert.NilError(t, err)
+	back, err := member.Decode(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, back, next)
+}
+
+// Guards against shards without an owner, owners that leave, needless moves
+// when a host is removed, and copies in the owner's own zone while others exist.
+func TestOwnership(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 9).Draw(t, "hosts")
+		r := fleet(t, n)
+		gone := host(rapid.IntRange(0, n-1).Draw(t, "gone"))
+		next, err := r.MarkLeaving(gone.Host, gone.Incarnation)
+		assert.NilError(t, err)
+		for s := range model.Shard(64) {
+			before, _ := r.Owner(s)
+			after, ok := next.Owner(s)
+			assert.Assert(t, ok && after.Host != gone.Host)
+			if before.Host != gone.Host {
+				assert.Equal(t, after.Host, before.Host)
+			}
+			peers := next.ReplicaPeers(s, after.Host, 2)
+			assert.Equal(t, len(peers), min(2, n-2))
+			if n > 5 {
+				assert.Assert(t, peers[0].Zone != peers[1].Zone && peers[0].Zone != after.Zone && peers[1].Zone != after.Zone)
+			}
+		}
+	})
+}
+
+// Guards against a right that outlives its renewal or its confirmations,
+// counted from sending, and against confirmations of another epoch.
+func TestRightEndsInTime(t *testing.T) {
+	r := fleet(t, 3)
+	start := time.Unix(0, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	w := member.NewRight(times, host(0), start)
+	w.Renewed(at(0))
+	assert.Assert(t, !w.MayAct(at(1)), "not a member yet")
+	w.Enter(r)
+	assert.Assert(t, w.MayAct(at(2499)))
+	assert.Assert(t, !w.MayAct(at(2500)))
+	w.SetAway(true)
+	w.Confirm("h1-1", r.Epoch+1, true, at(2500))
+	w.Confirm("h2-1", r.Epoch, false, at(2500))
+	assert.Assert(t, !w.MayAct(at(2500)))
+	w.Confirm("h1-1", r.Epoch, true, at(2500))
+	assert.Assert(t, w.MayAct(at(3999)))
+	assert.Assert(t, !w.MayAct(at(4000)))
+	w.Answer(at(5000))
+	assert.Equal(t, w.EntryAt(), at(7000))
+}
