--- /dev/null
+++ b/app/limits/gather.go
@@ -0,0 +1,274 @@
+package limits
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"mimosarelay/core/escrow"
+	"mimosarelay/core/limit"
+	"mimosarelay/core/model"
+	"mimosarelay/io/peer/peerpb"
+)
+
+// A peer that gave nothing or failed is asked again after a pause that doubles
+// from minPause to maxPause. The upper bound leaves several attempts within
+// LimitWait.
+const (
+	minPause = 20 * time.Millisecond
+	maxPause = 320 * time.Millisecond
+)
+
+// peerState is what this host remembers of a peer for one workspace and epoch.
+type peerState struct {
+	// open is the id of a transfer whose answer was lost. It is asked for
+	// again, so that its fraction is not lost for the rest of the epoch.
+	open  string
+	pause time.Duration
+	next  time.Time // not asked before
+}
+
+// ask is one request to a peer.
+type ask struct {
+	peer     Member
+	transfer string
+	epoch    model.Epoch
+	request  *peerpb.MoveShareRequest
+}
+
+// startGather asks peers for shares in the background while requests wait or
+// answers are missing. The caller holds mu.
+func (s *Service) startGather(id model.WorkspaceID, ws *workspace) {
+	if ws.gathering || s.closed || !s.member {
+		return
+	}
+	ws.gathering = true
+	s.tasks.Go(func() { s.gather(id, ws) })
+}
+
+func (s *Service) gather(id model.WorkspaceID, ws *workspace) {
+	for {
+		a, pause := s.nextAsk(id, ws)
+		switch {
+		case a != nil:
+			s.move(id, ws, a)
+		case pause == 0:
+			return
+		default:
+			s.sleep(pause)
+		}
+	}
+}
+
+func (s *Service) sleep(d time.Duration) {
+	t := s.options.Clock.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-s.ctx.Done():
+	case <-t.Chan():
+	}
+}
+
+// nextAsk returns the next request, or the time until the next one is due. It
+// ends the gathering if both are zero.
+func (s *Service) nextAsk(id model.WorkspaceID, ws *workspace) (*ask, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Clock.Now()
+	want := int64(len(ws.waiters))*limit.Token - ws.bucket.Level(now)
+	peers := s.candidates(id, ws, want > 0)
+	if s.closed || !s.member || s.workspaces[id] != ws || len(peers) == 0 {
+		ws.gathering = false
+		return nil, 0
+	}
+	p := peers[0]
+	state := ws.peers[p.Host]
+	if pause := state.next.Sub(now); pause > 0 {
+		return nil, pause
+	}
+	a := &ask{peer: p, transfer: state.open, epoch: s.ledger.Epoch()}
+	if a.transfer == "" {
+		a.transfer = uuid.NewString()
+		if err := s.ledger.Ask(a.epoch, a.transfer, id); err != nil {
+			slog.Error("transfer not opened", "workspace", id, "error", err)
+			ws.gathering = false
+			return nil, 0
+		}
+		state.open = a.transfer
+	}
+	a.request = &peerpb.MoveShareRequest{
+		Sender: &peerpb.Sender{
+			Host:        string(s.options.Host),
+			Incarnation: string(s.membership.Incarnation),
+			Epoch:       uint64(a.epoch),
+		},
+		Workspace:       string(id),
+		WantMicroTokens: max(0, want),
+		TransferId:      a.transfer,
+	}
+	return a, 0
+}
+
+// candidates returns the peers to ask, those that are due first, else in an
+// order that differs between asking hosts and workspaces. Unless all is set,
+// only peers with a missing answer count. The caller holds mu.
+func (s *Service) candidates(id model.WorkspaceID, ws *workspace, all bool) []Member {
+	var peers []Member
+	for _, m := range s.membership.Members {
+		if m.Host == s.options.Host {
+			continue
+		}
+		if ws.peers[m.Host] == nil {
+			ws.peers[m.Host] = &peerState{}
+		}
+		if all || ws.peers[m.Host].open != "" {
+			peers = append(peers, m)
+		}
+	}
+	slices.SortFunc(peers, func(a, b Member) int {
+		return cmp.Or(
+			ws.peers[a.Host].next.Compare(ws.peers[b.Host].next),
+			cmp.Compare(s.rank(id, a.Host), s.rank(id, b.Host)),
+		)
+	})
+	return peers
+}
+
+func (s *Service) rank(id model.WorkspaceID, host model.HostID) uint64 {
+	return xxhash.Sum64String(string(s.options.Host) + "\x00" + string(id) + "\x00" + string(host))
+}
+
+// move sends one request and credits its answer.
+func (s *Service) move(id model.WorkspaceID, ws *workspace, a *ask) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	t := s.options.Clock.AfterFunc(s.options.AskTimeout, cancel)
+	response, err := s.options.Peers.MoveShare(ctx, a.peer.PeerAddress, a.request)
+	t.Stop()
+	cancel()
+	if err == nil && (response.GetTransferId() != a.transfer || response.GetSender().GetEpoch() != uint64(a.epoch)) {
+		err = fmt.Errorf("answer for transfer %q of epoch %d", response.GetTransferId(), response.GetSender().GetEpoch())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := ws.peers[a.peer.Host]
+	if s.ledger.Epoch() != a.epoch || state == nil {
+		return
+	}
+	if err != nil {
+		slog.Debug("share not moved", "workspace", id, "peer", a.peer.Host, "error", err)
+		state.backOff(s.options.Clock.Now())
+		return
+	}
+	s.credit(id, ws, state, response)
+}
+
+// credit adds a received transfer. The caller holds mu.
+func (s *Service) credit(id model.WorkspaceID, ws *workspace, state *peerState, r *peerpb.MoveShareResponse) {
+	now := s.options.Clock.Now()
+	state.open = ""
+	transfer := escrow.Transfer{ID: r.GetTransferId(), Workspace: id, Fraction: r.GetFraction()}
+	if err := s.ledger.Credit(s.ledger.Epoch(), transfer); err != nil {
+		slog.Warn("transfer refused", "workspace", id, "transfer", transfer.ID, "error", err)
+		s.ledger.Forget(transfer.ID)
+		state.backOff(now)
+		return
+	}
+	ws.bucket.SetFraction(now, s.ledger.Held(id))
+	ws.bucket.Deposit(now, r.GetMicroTokens())
+	if r.GetFraction() == 0 {
+		state.backOff(now)
+		return
+	}
+	state.pause = 0
+	state.next = now
+	ws.wakeFirst()
+}
+
+func (p *peerState) backOff(now time.Time) {
+	p.pause = min(max(2*p.pause, minPause), maxPause)
+	p.next = now.Add(p.pause)
+}
+
+// Errors of HandleMoveShare.
+var (
+	errNotMember = errors.New("limits: sender is not a member of the epoch")
+	errRequest   = errors.New("limits: malformed transfer request")
+)
+
+// HandleMoveShare gives a part of this host's share to a peer. The share is
+// debited before the answer is returned. A repeat of a transfer id returns the
+// same transfer.
+func (s *Service) HandleMoveShare(_ context.Context, r *peerpb.MoveShareRequest) (*peerpb.MoveShareResponse, error) {
+	if r.GetTransferId() == "" || r.GetWorkspace() == "" || r.GetWantMicroTokens() < 0 {
+		return nil, fmt.Errorf("%w: workspace %q, transfer %q, want %d", errRequest, r.GetWorkspace(), r.GetTransferId(), r.GetWantMicroTokens())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	epoch := model.Epoch(r.GetSender().GetEpoch())
+	if epoch != s.ledger.Epoch() || !s.member {
+		return nil, fmt.Errorf("%w: %d, host is in %d", escrow.ErrStaleEpoch, epoch, s.ledger.Epoch())
+	}
+	host := model.HostID(r.GetSender().GetHost())
+	if !s.membership.has(host, model.Incarnation(r.GetSender().GetIncarnation())) {
+		return nil, fmt.Errorf("%w: %q", errNotMember, host)
+	}
+	transfer, ok := s.ledger.Given(epoch, r.GetTransferId())
+	if !ok {
+		var err error
+		if transfer, err = s.give(epoch, host, r); err != nil {
+			return nil, err
+		}
+	}
+	return &peerpb.MoveShareResponse{
+		Sender: &peerpb.Sender{
+			Host:        string(s.options.Host),
+			Incarnation: string(s.membership.Incarnation),
+			Epoch:       uint64(epoch),
+		},
+		TransferId:  transfer.ID,
+		Fraction:    transfer.Fraction,
+		MicroTokens: transfer.MicroTokens,
+	}, nil
+}
+
+// give debits a new transfer. The caller holds mu.
+func (s *Service) give(epoch model.Epoch, host model.HostID, r *peerpb.MoveShareRequest) (escrow.Transfer, error) {
+	id := model.WorkspaceID(r.GetWorkspace())
+	transfer := escrow.Transfer{ID: r.GetTransferId(), Workspace: id}
+	ws, ok := s.workspaces[id]
+	if ok {
+		now := s.options.Clock.Now()
+		g := s.giver(ws, now, host, r.GetWantMicroTokens())
+		transfer.Fraction, transfer.MicroTokens = limit.Give(g, r.GetWantMicroTokens())
+	}
+	if err := s.ledger.Debit(epoch, transfer); err != nil {
+		return escrow.Transfer{}, err
+	}
+	if ok && transfer.Fraction > 0 {
+		now := s.options.Clock.Now()
+		ws.bucket.Withdraw(now, transfer.MicroTokens)
+		ws.bucket.SetFraction(now, s.ledger.Held(id))
+		ws.wakeFirst()
+	}
+	return transfer, nil
+}
+
+func (s *Service) giver(ws *workspace, now time.Time, asker model.HostID, want int64) limit.Giver {
+	level := ws.bucket.Level(now)
+	own := int64(len(ws.waiters))*limit.Token - level
+	return limit.Giver{
+		Contract: ws.bucket.Contract(),
+		Fraction: ws.bucket.Fraction(),
+		Level:    level,
+		Demand:   ws.demand.Rate(now),
+		Waiting:  len(ws.waiters),
+		Yields:   level < limit.Token && limit.Yields(own, want, string(s.options.Host), string(asker)),
+	}
+}
--- /dev/null
+++ b/app/limits/limits.go
@@ -0,0 +1,430 @@
+// Package limits admits requests against the rate and burst of their workspace.
+// Each host holds a share of every limit; hosts move shares between them as
+// demand moves and settle what no host holds at each membership epoch.
+package limits
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"mimosarelay/core/config"
+	"mimosarelay/core/escrow"
+	"mimosarelay/core/limit"
+	"mimosarelay/core/model"
+	"mimosarelay/core/store"
+	"mimosarelay/io/peer/peerpb"
+)
+
+// Store keys.
+const (
+	// SharesKey holds the settlement rounds of the current epoch.
+	SharesKey = "mimosarelay/control/Shares"
+	// EnterPrefix precedes the host in the keys of entry reports.
+	EnterPrefix = "mimosarelay/control/Enter/"
+)
+
+// Defaults of Options.
+const (
+	defaultLimitWait = time.Second
+	// A peer answers within milliseconds. Two silent peers must leave time to
+	// ask others within LimitWait.
+	defaultAskTimeout = 150 * time.Millisecond
+)
+
+// Member is one member of an epoch.
+type Member struct {
+	Host        model.HostID
+	Incarnation model.Incarnation
+	PeerAddress string
+	Leaving     bool
+}
+
+// Membership is the membership of an epoch as this host sees it.
+type Membership struct {
+	Epoch model.Epoch
+	// Incarnation is that of this host. Without a member of this host and
+	// incarnation, the host was removed.
+	Incarnation model.Incarnation
+	Members     []Member
+}
+
+// EntryReport is the JSON value of the store key EnterPrefix + host.
+type EntryReport struct {
+	Host        model.HostID
+	Incarnation model.Incarnation
+	Epoch       model.Epoch
+	Holdings    map[model.WorkspaceID]int64 // units of 2^-30
+}
+
+// Peers sends requests to other hosts. Implemented by io/peer.
+type Peers interface {
+	MoveShare(ctx context.Context, address string, request *peerpb.MoveShareRequest) (*peerpb.MoveShareResponse, error)
+}
+
+// Options configures a Service.
+type Options struct {
+	Host  model.HostID
+	Clock clockwork.Clock
+	Store store.Store
+	Peers Peers
+	// MayAct reports whether the host has the right to act. It is called
+	// without locks of this package.
+	MayAct func() bool
+	// Silent reports whether a host does not answer heartbeats; nil means
+	// never. It is called without locks of this package.
+	Silent func(model.HostID) bool
+	// LimitWait is how long a request waits for tokens; 0 means 1 s.
+	LimitWait time.Duration
+	// AskTimeout bounds a request to a peer; 0 means 150 ms.
+	AskTimeout time.Duration
+}
+
+// Service admits requests on one host. It is safe for concurrent use.
+//
+// Lock order: mu is the only lock, and it is not held while Options.MayAct,
+// Options.Silent, Options.Store or Options.Peers are called, so hooks may be
+// called with locks of the membership held.
+type Service struct {
+	options Options
+	ctx     context.Context // ends with Close
+	cancel  context.CancelFunc
+	tasks   sync.WaitGroup
+	kick    chan struct{} // asks the settlement loop to run
+
+	mu         sync.Mutex
+	closed     bool
+	ledger     *escrow.Ledger
+	membership Membership
+	member     bool // this incarnation is in membership
+	shares     escrow.Shares
+	reports    map[model.HostID]EntryReport
+	workspaces map[model.WorkspaceID]*workspace
+}
+
+// workspace is the state of one contract on this host.
+type workspace struct {
+	bucket    *limit.Bucket
+	demand    limit.Demand
+	waiters   []*waiter // first come, first served
+	gathering bool
+	peers     map[model.HostID]*peerState
+}
+
+// waiter is a request without a token. wake has room for one signal.
+type waiter struct{ wake chan struct{} }
+
+// New returns a Service without holdings. Close ends its background work.
+func New(options Options) *Service {
+	if options.LimitWait == 0 {
+		options.LimitWait = defaultLimitWait
+	}
+	if options.AskTimeout == 0 {
+		options.AskTimeout = defaultAskTimeout
+	}
+	if options.Silent == nil {
+		options.Silent = func(model.HostID) bool { return false }
+	}
+	s := &Service{
+		options:    options,
+		kick:       make(chan struct{}, 1),
+		ledger:     escrow.NewLedger(),
+		reports:    map[model.HostID]EntryReport{},
+		workspaces: map[model.WorkspaceID]*workspace{},
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.tasks.Go(s.settleLoop)
+	return s
+}
+
+// Close ends the background work and waits for it.
+func (s *Service) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	s.cancel()
+	s.tasks.Wait()
+}
+
+// Admit takes one token of the workspace. It waits up to LimitWait for refill
+// and transfers. It fails with a *model.Refusal of kind ErrRateLimited,
+// ErrNoRight or ErrForbidden, or with the error of ctx.
+func (s *Service) Admit(ctx context.Context, id model.WorkspaceID) error {
+	if !s.options.MayAct() {
+		return noRight()
+	}
+	w := &waiter{wake: make(chan struct{}, 1)}
+	if err := s.enqueue(id, w); err != nil {
+		return err
+	}
+	defer s.dequeue(id, w)
+	deadline := s.options.Clock.NewTimer(s.options.LimitWait)
+	defer deadline.Stop()
+	for {
+		if !s.options.MayAct() {
+			return noRight()
+		}
+		taken, retry, err := s.tryTake(id, w)
+		if taken || err != nil {
+			return err
+		}
+		if err := s.await(ctx, w, retry, deadline); err != nil {
+			return s.waitError(id, err)
+		}
+	}
+}
+
+func noRight() error {
+	return model.NewRefusal(model.ErrNoRight, model.RanNo, "host has neither a lease nor a quorum")
+}
+
+var errDeadline = errors.New("limits: no token in time")
+
+// await returns nil when the waiter should try again.
+func (s *Service) await(ctx context.Context, w *waiter, retry time.Duration, deadline clockwork.Timer) error {
+	var refill <-chan time.Time
+	if retry > 0 {
+		t := s.options.Clock.NewTimer(retry)
+		defer t.Stop()
+		refill = t.Chan()
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-deadline.Chan():
+		return errDeadline
+	case <-refill:
+	case <-w.wake:
+	}
+	return nil
+}
+
+func (s *Service) waitError(id model.WorkspaceID, err error) error {
+	if !errors.Is(err, errDeadline) {
+		return fmt.Errorf("wait for rate of workspace %q: %w", id, err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w, ok := s.workspaces[id]
+	if !ok {
+		return noContract(id)
+	}
+	return limited(id, w)
+}
+
+func noContract(id model.WorkspaceID) error {
+	return model.NewRefusal(model.ErrForbidden, model.RanNo, "workspace %q has no contract", id)
+}
+
+// limited refuses with the time after which the requests that wait here and one
+// more have tokens at the fleet-wide rate.
+func limited(id model.WorkspaceID, w *workspace) error {
+	r := model.NewRefusal(model.ErrRateLimited, model.RanNo, "rate of workspace %q exceeded", id)
+	rate := w.bucket.Contract().Rate
+	if rate == 0 {
+		return r
+	}
+	seconds := float64(len(w.waiters)+1) * float64(limit.Token) / float64(rate)
+	return r.Retry(time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second)))
+}
+
+// maxRetryAfter bounds the advice to callers.
+const maxRetryAfter = time.Hour
+
+// enqueue adds a waiter. It refuses at once if the fleet-wide limit can't
+// provide a token within LimitWait for as many waiters.
+func (s *Service) enqueue(id model.WorkspaceID, w *waiter) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ws, ok := s.workspaces[id]
+	if !ok {
+		return noContract(id)
+	}
+	ws.demand.Add(s.options.Clock.Now())
+	c := ws.bucket.Contract()
+	reach := float64(c.Burst) + float64(c.Rate)*s.options.LimitWait.Seconds()
+	if float64(len(ws.waiters)+1)*float64(limit.Token) > reach+float64(limit.Token) {
+		return limited(id, ws)
+	}
+	ws.waiters = append(ws.waiters, w)
+	return nil
+}
+
+func (s *Service) dequeue(id model.WorkspaceID, w *waiter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ws, ok := s.workspaces[id]
+	if !ok {
+		return
+	}
+	for i, other := range ws.waiters {
+		if other == w {
+			ws.waiters = append(ws.waiters[:i:i], ws.waiters[i+1:]...)
+			break
+		}
+	}
+	ws.wakeFirst()
+}
+
+func (w *workspace) wakeFirst() {
+	if len(w.waiters) == 0 {
+		return
+	}
+	select {
+	case w.waiters[0].wake <- struct{}{}:
+	default:
+	}
+}
+
+// tryTake takes a token if the waiter is the first of its workspace. Otherwise
+// it returns the time after which refill provides one, or 0 if it never does,
+// and starts to gather shares of peers.
+func (s *Service) tryTake(id model.WorkspaceID, w *waiter) (taken bool, retry time.Duration, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ws, ok := s.workspaces[id]
+	if !ok {
+		return false, 0, noContract(id)
+	}
+	if len(ws.waiters) == 0 || ws.waiters[0] != w {
+		return false, 0, nil
+	}
+	now := s.options.Clock.Now()
+	if s.member && ws.bucket.Take(now) {
+		return true, 0, nil
+	}
+	s.startGather(id, ws)
+	retry, _ = ws.bucket.Wait(now, limit.Token)
+	return false, retry, nil
+}
+
+// ContractsChanged applies a configuration document. A changed contract never
+// adds tokens.
+func (s *Service) ContractsChanged(document *config.Document) {
+	s.mu.Lock()
+	now := s.options.Clock.Now()
+	present := map[model.WorkspaceID]bool{}
+	for _, c := range document.Workspaces {
+		present[c.Name] = true
+		contract := limit.NewContract(c.Rate, c.Burst)
+		if ws, ok := s.workspaces[c.Name]; ok {
+			ws.bucket.SetContract(now, contract)
+			ws.wakeFirst()
+			continue
+		}
+		s.workspaces[c.Name] = &workspace{
+			bucket: limit.NewBucket(now, contract, s.ledger.Held(c.Name)),
+			peers:  map[model.HostID]*peerState{},
+		}
+	}
+	for id, ws := range s.workspaces {
+		if present[id] {
+			continue
+		}
+		delete(s.workspaces, id)
+		for _, w := range ws.waiters {
+			close(w.wake)
+		}
+	}
+	s.mu.Unlock()
+	s.requestSettlement()
+}
+
+// EpochChanged enters a newer epoch. Older ones are ignored. A host that is not
+// a member under its incarnation loses its holdings.
+func (s *Service) EpochChanged(current Membership) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if current.Epoch <= s.ledger.Epoch() {
+		return
+	}
+	same := current.Incarnation == s.membership.Incarnation
+	s.membership = current
+	s.member = current.has(s.options.Host, current.Incarnation)
+	if !s.member || !same {
+		s.ledger.Drop()
+	}
+	if err := s.ledger.Enter(current.Epoch); err != nil {
+		slog.Error("epoch not entered", "epoch", current.Epoch, "error", err)
+	}
+	for _, ws := range s.workspaces {
+		ws.peers = map[model.HostID]*peerState{}
+	}
+	s.resize()
+	s.requestSettlement()
+}
+
+func (m Membership) has(host model.HostID, incarnation model.Incarnation) bool {
+	for _, member := range m.Members {
+		if member.Host == host && member.Incarnation == incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// resize fits the buckets to the holdings.
+func (s *Service) resize() {
+	now := s.options.Clock.Now()
+	for id, ws := range s.workspaces {
+		if held := s.ledger.Held(id); held != ws.bucket.Fraction() {
+			ws.bucket.SetFraction(now, held)
+			ws.wakeFirst()
+		}
+	}
+}
+
+// Holdings returns the holdings to write in the entry report of the epoch: those
+// held at its entry. It returns nil if the host is not in that epoch.
+func (s *Service) Holdings(epoch model.Epoch) map[model.WorkspaceID]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	report, err := s.ledger.EntryReport(epoch)
+	if err != nil || !s.member {
+		return nil
+	}
+	return report
+}
+
+// Dump is the state of a Service for operators.
+type Dump struct {
+	Epoch      model.Epoch
+	Member     bool
+	Rounds     int
+	Workspaces map[model.WorkspaceID]WorkspaceDump
+}
+
+// WorkspaceDump is the state of one workspace on one host.
+type WorkspaceDump struct {
+	Fraction    int64 // units of 2^-30
+	MicroTokens int64
+	Waiting     int
+	Demand      float64 // requests per second
+}
+
+// Dump returns the state of the service.
+func (s *Service) Dump() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Clock.Now()
+	d := Dump{
+		Epoch:      s.ledger.Epoch(),
+		Member:     s.member,
+		Rounds:     s.ledger.Rounds(),
+		Workspaces: map[model.WorkspaceID]WorkspaceDump{},
+	}
+	for id, ws := range s.workspaces {
+		d.Workspaces[id] = WorkspaceDump{
+			Fraction:    s.ledger.Held(id),
+			MicroTokens: ws.bucket.Level(now),
+			Waiting:     len(ws.waiters),
+			Demand:      ws.demand.Rate(now),
+		}
+	}
+	return d
+}
