--- a/app/limits/gather.go
+++ b/app/limits/gather.go
@@ -166,11 +166,11 @@
 		state.backOff(s.options.Clock.Now())
 		return
 	}
-	s.credit(id, ws, state, response)
+	s.credit(id, state, response)
 }
 
 // credit adds a received transfer. The caller holds mu.
-func (s *Service) credit(id model.WorkspaceID, ws *workspace, state *peerState, r *peerpb.MoveShareResponse) {
+func (s *Service) credit(id model.WorkspaceID, state *peerState, r *peerpb.MoveShareResponse) {
 	now := s.options.Clock.Now()
 	state.open = ""
 	transfer := escrow.Transfer{ID: r.GetTransferId(), Workspace: id, Fraction: r.GetFraction()}
@@ -180,15 +180,17 @@
 		state.backOff(now)
 		return
 	}
-	ws.bucket.SetFraction(now, s.ledger.Held(id))
-	ws.bucket.Deposit(now, r.GetMicroTokens())
+	if ws, ok := s.workspaces[id]; ok {
+		ws.bucket.SetFraction(now, s.ledger.Held(id))
+		ws.bucket.Deposit(now, r.GetMicroTokens())
+		ws.wakeFirst()
+	}
 	if r.GetFraction() == 0 {
 		state.backOff(now)
 		return
 	}
 	state.pause = 0
 	state.next = now
-	ws.wakeFirst()
 }
 
 func (p *peerState) backOff(now time.Time) {
--- a/app/limits/limits.go
+++ b/app/limits/limits.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"sync"
@@ -165,6 +164,7 @@
 	defer s.dequeue(id, w)
 	deadline := s.options.Clock.NewTimer(s.options.LimitWait)
 	defer deadline.Stop()
+	expired := false
 	for {
 		if !s.options.MayAct() {
 			return noRight()
@@ -173,8 +173,11 @@
 		if taken || err != nil {
 			return err
 		}
-		if err := s.await(ctx, w, retry, deadline); err != nil {
-			return s.waitError(id, err)
+		if expired {
+			return s.refuse(id)
+		}
+		if expired, err = s.await(ctx, w, retry, deadline); err != nil {
+			return fmt.Errorf("wait for rate of workspace %q: %w", id, err)
 		}
 	}
 }
@@ -183,10 +186,9 @@
 	return model.NewRefusal(model.ErrNoRight, model.RanNo, "host has neither a lease nor a quorum")
 }
 
-var errDeadline = errors.New("limits: no token in time")
-
-// await returns nil when the waiter should try again.
-func (s *Service) await(ctx context.Context, w *waiter, retry time.Duration, deadline clockwork.Timer) error {
+// await returns when the waiter should try again, and whether that is its last
+// attempt.
+func (s *Service) await(ctx context.Context, w *waiter, retry time.Duration, deadline clockwork.Timer) (expired bool, err error) {
 	var refill <-chan time.Time
 	if retry > 0 {
 		t := s.options.Clock.NewTimer(retry)
@@ -195,26 +197,23 @@
 	}
 	select {
 	case <-ctx.Done():
-		return ctx.Err()
+		return false, ctx.Err()
 	case <-deadline.Chan():
-		return errDeadline
+		return true, nil
 	case <-refill:
 	case <-w.wake:
 	}
-	return nil
+	return false, nil
 }
 
-func (s *Service) waitError(id model.WorkspaceID, err error) error {
-	if !errors.Is(err, errDeadline) {
-		return fmt.Errorf("wait for rate of workspace %q: %w", id, err)
-	}
+func (s *Service) refuse(id model.WorkspaceID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	w, ok := s.workspaces[id]
+	ws, ok := s.workspaces[id]
 	if !ok {
 		return noContract(id)
 	}
-	return limited(id, w)
+	return limited(id, ws)
 }
 
 func noContract(id model.WorkspaceID) error {
@@ -330,6 +329,7 @@
 		for _, w := range ws.waiters {
 			close(w.wake)
 		}
+		ws.waiters = nil
 	}
 	s.mu.Unlock()
 	s.requestSettlement()
@@ -355,6 +355,7 @@
 	for _, ws := range s.workspaces {
 		ws.peers = map[model.HostID]*peerState{}
 	}
+	s.applyRounds()
 	s.resize()
 	s.requestSettlement()
 }
--- a/app/limits/settle.go
+++ b/app/limits/settle.go
@@ -79,19 +79,26 @@
 	return shares, nil
 }
 
-// apply applies the rounds that this host has not applied yet.
+// apply remembers the newest record and applies the rounds that this host has
+// not applied yet. A record may arrive before its epoch is entered.
 func (s *Service) apply(shares escrow.Shares) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if shares.Epoch != s.ledger.Epoch() || !s.member {
-		return
-	}
-	if len(shares.Rounds) >= len(s.shares.Rounds) || s.shares.Epoch != shares.Epoch {
+	if shares.Epoch > s.shares.Epoch || shares.Epoch == s.shares.Epoch && len(shares.Rounds) > len(s.shares.Rounds) {
 		s.shares = shares
 	}
-	for i := s.ledger.Rounds(); i < len(shares.Rounds); i++ {
-		if err := s.ledger.Apply(shares.Epoch, i, s.options.Host, shares.Rounds[i]); err != nil {
-			slog.Error("settlement round not applied", "epoch", shares.Epoch, "round", i, "error", err)
+	s.applyRounds()
+}
+
+// applyRounds applies the remembered rounds of the current epoch. The caller
+// holds mu.
+func (s *Service) applyRounds() {
+	if s.shares.Epoch != s.ledger.Epoch() || !s.member {
+		return
+	}
+	for i := s.ledger.Rounds(); i < len(s.shares.Rounds); i++ {
+		if err := s.ledger.Apply(s.shares.Epoch, i, s.options.Host, s.shares.Rounds[i]); err != nil {
+			slog.Error("settlement round not applied", "epoch", s.shares.Epoch, "round", i, "error", err)
 			break
 		}
 	}
@@ -124,7 +131,7 @@
 	s.mu.Lock()
 	epoch := s.ledger.Epoch()
 	shares := s.shares
-	if shares.Epoch != epoch {
+	if shares.Epoch < epoch {
 		shares = escrow.Shares{Epoch: epoch}
 	}
 	round, ready, err := s.nextRound(shares)
