core/program: add the state machine of a program

Callers retry, owners die and sub-agents share a budget, so one place must decide what runs. A root and its sub-agents form one tree with one version and one budget; the shard is the hash of the root, so that a reservation and the call it belongs to change in one record. Content of finished calls is encoded once in records of its own, so that a commit does not rewrite the history.

--- /dev/null
+++ b/core/program/tree.go
@@ -0,0 +1,435 @@
+// Package program is the state machine of agent programs: order of calls,
+// duplicates, budget, outcomes of non-idempotent calls and history. It does no
+// I/O and is not safe for concurrent use; app/programs adds both.
+//
+// A root program and its sub-agents form one Tree with one budget and one
+// version. The tree is the unit of placement and of commits, so that a
+// sub-agent's reservation and the state of its call change in one record.
+package program
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mimosarelay/core/model"
+)
+
+// Version orders the states of a tree. The epoch of the writer is in the upper
+// 32 bits, so that a record of a removed owner never outranks its successor's.
+type Version uint64
+
+const versionSequenceBits = 32
+
+// Epoch returns the epoch of the writer.
+func (v Version) Epoch() model.Epoch { return model.Epoch(v >> versionSequenceBits) }
+
+// Next returns the version after v when written in epoch e.
+func (v Version) Next(e model.Epoch) Version {
+	if e > v.Epoch() {
+		return Version(e)<<versionSequenceBits | 1
+	}
+	return v + 1
+}
+
+// Budget bounds a tree. A zero field is unbounded.
+type Budget struct {
+	Tokens   model.Tokens  // used and reserved tokens of all calls
+	Calls    int           // calls of the root and its sub-agents
+	Lifetime time.Duration // from the first call
+}
+
+// State of a call.
+type State string
+
+// States of a call. Admitted calls have a reservation but no byte was sent.
+// Done, Failed and Unknown are final.
+const (
+	Admitted State = "admitted"
+	Started  State = "started"
+	Done     State = "done"    // answer recorded
+	Failed   State = "failed"  // ran, but no answer was recorded
+	Unknown  State = "unknown" // may have run; never sent again
+)
+
+// Final reports whether the call has ended and its successor may run.
+func (s State) Final() bool { return s == Done || s == Failed || s == Unknown }
+
+// Call is one call of a program without its content.
+type Call struct {
+	Number      model.CallNumber
+	Fingerprint model.Fingerprint
+	Idempotent  bool
+	State       State
+	Reserved    model.Tokens // 0 after settlement
+	Used        model.Tokens
+	Status      int    // HTTP status of a done call
+	ContentType string // of a done call
+	Parts       int    // number of content records of a done call
+	Written     Version
+	EndedAt     time.Time
+
+	messages []byte
+}
+
+// Program is the root or a sub-agent of a tree.
+type Program struct {
+	Calls map[model.CallNumber]*Call
+}
+
+// next returns the lowest call number that has not ended.
+func (p *Program) next() model.CallNumber {
+	n := model.CallNumber(len(p.Calls) + 1)
+	for n > 1 && !p.Calls[n-1].State.Final() {
+		n--
+	}
+	return n
+}
+
+// Content is what the history keeps of a done call.
+type Content struct {
+	Messages []byte
+	Answer   []byte
+}
+
+// ContentID names the content of one call within a tree.
+type ContentID struct {
+	Program model.ProgramID
+	Call    model.CallNumber
+}
+
+// Tree is a root program with its sub-agents.
+type Tree struct {
+	Root      model.ProgramKey
+	Version   Version
+	Budget    Budget
+	CreatedAt time.Time
+	EndedAt   time.Time // zero while the tree is live
+	Reason    string    // why it ended
+	Used      model.Tokens
+	Reserved  model.Tokens
+	Calls     int // calls admitted, without those that certainly did not run
+	Programs  map[model.ProgramID]*Program
+
+	contents map[ContentID]Content
+}
+
+// New returns an empty tree.
+func New(root model.ProgramKey, b Budget, now time.Time) *Tree {
+	return &Tree{
+		Root:      root,
+		Budget:    b,
+		CreatedAt: now.UTC().Round(0),
+		Programs:  map[model.ProgramID]*Program{},
+		contents:  map[ContentID]Content{},
+	}
+}
+
+// ShardOf returns the shard of a root program and all its sub-agents.
+func ShardOf(root model.ProgramKey) model.Shard {
+	h := xxhash.Sum64String(string(root.Workspace) + "\x00" + string(root.Program))
+	return model.Shard(h % model.ShardCount)
+}
+
+// Request asks to run one call.
+type Request struct {
+	Program     model.ProgramID
+	Call        model.CallNumber
+	Fingerprint model.Fingerprint
+	Reserve     model.Tokens
+	Idempotent  bool
+	Messages    []byte
+}
+
+// Result is the end of a call that ran to completion.
+type Result struct {
+	Answer      []byte
+	ContentType string
+	Status      int
+	Used        model.Tokens
+}
+
+// Decision is what to do with a Request: Run, Replay, Wait or Reject.
+type Decision interface{ decision() }
+
+// Run admits the call; its reservation is made.
+type Run struct{}
+
+// Replay answers with the recorded result.
+type Replay struct{ Result Result }
+
+// Wait delays the call until the tree changes.
+type Wait struct {
+	Duplicate bool // the same call is running; otherwise a predecessor has not ended
+}
+
+// Reject refuses the call.
+type Reject struct{ Refusal *model.Refusal }
+
+func (Run) decision()    {}
+func (Replay) decision() {}
+func (Wait) decision()   {}
+func (Reject) decision() {}
+
+func reject(kind error, ran model.Ran, format string, args ...any) Reject {
+	return Reject{model.NewRefusal(kind, ran, format, args...)}
+}
+
+// Admit decides about a call and reserves its cost if it may run.
+func (t *Tree) Admit(r Request, now time.Time) Decision {
+	if r.Call == 0 || r.Reserve < 0 {
+		return reject(model.ErrBadRequest, model.RanNo, "call %d with a reservation of %d tokens", r.Call, r.Reserve)
+	}
+	p := t.Programs[r.Program]
+	if p != nil {
+		if c := p.Calls[r.Call]; c != nil {
+			return t.repeat(r, c)
+		}
+	}
+	if t.Over(now) {
+		return reject(model.ErrProgramEnded, model.RanNo, "program %q has ended", t.Root.Program)
+	}
+	next := model.CallNumber(1)
+	if p != nil {
+		next = p.next()
+	}
+	if r.Call > next {
+		return Wait{}
+	}
+	if d := t.checkBudget(r); d != nil {
+		return d
+	}
+	if p == nil {
+		p = &Program{Calls: map[model.CallNumber]*Call{}}
+		t.Programs[r.Program] = p
+	}
+	p.Calls[r.Call] = &Call{
+		Number:      r.Call,
+		Fingerprint: r.Fingerprint,
+		Idempotent:  r.Idempotent,
+		State:       Admitted,
+		Reserved:    r.Reserve,
+		messages:    r.Messages,
+	}
+	t.Reserved += r.Reserve
+	t.Calls++
+	return Run{}
+}
+
+func (t *Tree) repeat(r Request, c *Call) Decision {
+	if r.Fingerprint != c.Fingerprint {
+		return reject(model.ErrConflict, model.RanNo, "call %d of program %q was made with other content", r.Call, r.Program)
+	}
+	switch c.State {
+	case Done:
+		return Replay{t.result(ContentID{r.Program, r.Call}, c)}
+	case Failed:
+		return reject(model.ErrTargetFailed, model.RanYes, "call %d of program %q ran without a recorded answer", r.Call, r.Program)
+	case Unknown:
+		return reject(model.ErrOutcomeUnknown, model.RanUnknown, "call %d of program %q may have run", r.Call, r.Program)
+	default:
+		return Wait{Duplicate: true}
+	}
+}
+
+func (t *Tree) result(id ContentID, c *Call) Result {
+	return Result{
+		Answer:      t.contents[id].Answer,
+		ContentType: c.ContentType,
+		Status:      c.Status,
+		Used:        c.Used,
+	}
+}
+
+func (t *Tree) checkBudget(r Request) Decision {
+	if t.Budget.Calls > 0 && t.Calls >= t.Budget.Calls {
+		return reject(model.ErrBudget, model.RanNo, "program %q made its %d calls", t.Root.Program, t.Budget.Calls)
+	}
+	limit := t.Budget.Tokens
+	if limit == 0 {
+		limit = math.MaxInt64
+	}
+	free := limit - t.Used - t.Reserved
+	if r.Reserve > free {
+		return reject(model.ErrBudget, model.RanNo, "call %d needs %d tokens; %d of %d are left", r.Call, r.Reserve, max(free, 0), limit)
+	}
+	return nil
+}
+
+// Get returns a call, or an error that unwraps to ErrNotFound.
+func (t *Tree) Get(p model.ProgramID, n model.CallNumber) (*Call, error) {
+	if pr := t.Programs[p]; pr != nil {
+		if c := pr.Calls[n]; c != nil {
+			return c, nil
+		}
+	}
+	return nil, fmt.Errorf("call %d of program %q: %w", n, p, model.ErrNotFound)
+}
+
+// Start marks an admitted call as sent. The new state must be committed before
+// the first byte leaves.
+func (t *Tree) Start(p model.ProgramID, n model.CallNumber) error {
+	c, err := t.Get(p, n)
+	if err != nil {
+		return err
+	}
+	if c.State != Admitted {
+		return fmt.Errorf("start call %d of program %q: call is %s", n, p, c.State)
+	}
+	c.State = Started
+	return nil
+}
+
+// Finish records the answer of a started call and settles its reservation.
+func (t *Tree) Finish(p model.ProgramID, n model.CallNumber, r Result, now time.Time) error {
+	c, err := t.Get(p, n)
+	if err != nil {
+		return err
+	}
+	if c.State != Started {
+		return fmt.Errorf("finish call %d of program %q: call is %s", n, p, c.State)
+	}
+	if r.Used < 0 {
+		return fmt.Errorf("finish call %d of program %q: %d tokens used", n, p, r.Used)
+	}
+	t.Reserved -= c.Reserved
+	t.Used += r.Used
+	c.State = Done
+	c.Reserved = 0
+	c.Used = r.Used
+	c.Status = r.Status
+	c.ContentType = r.ContentType
+	c.EndedAt = now.UTC().Round(0)
+	t.contents[ContentID{p, n}] = Content{Messages: c.messages, Answer: r.Answer}
+	c.messages = nil
+	return nil
+}
+
+// Abort ends a call without an answer. A call that certainly did not run is
+// forgotten together with its reservation. A non-idempotent call that ran, or
+// may have, becomes final. An idempotent one may run again; the tokens of the
+// lost attempt count as used, because the target may have spent them.
+func (t *Tree) Abort(p model.ProgramID, n model.CallNumber, ran model.Ran, now time.Time) error {
+	c, err := t.Get(p, n)
+	if err != nil {
+		return err
+	}
+	if c.State.Final() {
+		return fmt.Errorf("abort call %d of program %q: call is %s", n, p, c.State)
+	}
+	switch {
+	case ran == model.RanNo || c.State == Admitted:
+		t.Reserved -= c.Reserved
+		t.Calls--
+		t.forget(p, n)
+	case c.Idempotent:
+		t.Reserved -= c.Reserved
+		t.Used += c.Reserved
+		t.forget(p, n)
+	case ran == model.RanYes:
+		t.Reserved -= c.Reserved
+		t.Used += c.Reserved
+		c.Used = c.Reserved
+		c.Reserved = 0
+		c.State = Failed
+		c.EndedAt = now.UTC().Round(0)
+		c.messages = nil
+	default:
+		c.State = Unknown
+		c.EndedAt = now.UTC().Round(0)
+		c.messages = nil
+	}
+	return nil
+}
+
+func (t *Tree) forget(p model.ProgramID, n model.CallNumber) {
+	pr := t.Programs[p]
+	delete(pr.Calls, n)
+	if len(pr.Calls) == 0 {
+		delete(t.Programs, p)
+	}
+}
+
+// Recover ends the calls that a previous owner left open: an admitted call was
+// not sent; a started one is unknown, or may run again if it is idempotent.
+func (t *Tree) Recover(now time.Time) error {
+	for id, p := range t.Programs {
+		for n, c := range p.Calls {
+			if c.State.Final() {
+				continue
+			}
+			if err := t.Abort(id, n, model.RanUnknown, now); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Busy reports whether a call has not ended.
+func (t *Tree) Busy() bool {
+	for _, p := range t.Programs {
+		for _, c := range p.Calls {
+			if !c.State.Final() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Deadline is when the lifetime ends; zero if it is unbounded.
+func (t *Tree) Deadline() time.Time {
+	if t.Budget.Lifetime == 0 {
+		return time.Time{}
+	}
+	return t.CreatedAt.Add(t.Budget.Lifetime)
+}
+
+// Over reports whether the tree accepts no new call at the given time.
+func (t *Tree) Over(now time.Time) bool {
+	if !t.EndedAt.IsZero() {
+		return true
+	}
+	d := t.Deadline()
+	return !d.IsZero() && !now.Before(d)
+}
+
+// End closes the tree to new calls. It reports false if it was closed before.
+func (t *Tree) End(reason string, now time.Time) bool {
+	if !t.EndedAt.IsZero() {
+		return false
+	}
+	t.EndedAt = now.UTC().Round(0)
+	t.Reason = reason
+	return true
+}
+
+// Turn is one entry of a history.
+type Turn struct {
+	Call        model.CallNumber
+	Messages    []byte
+	Answer      []byte
+	ContentType string
+	Status      int
+}
+
+// History returns the done calls of a program in order.
+func (t *Tree) History(id model.ProgramID) []Turn {
+	p := t.Programs[id]
+	if p == nil {
+		return nil
+	}
+	var turns []Turn
+	for n := model.CallNumber(1); int(n) <= len(p.Calls); n++ {
+		c := p.Calls[n]
+		if c.State != Done {
+			continue
+		}
+		b := t.contents[ContentID{id, n}]
+		turns = append(turns, Turn{n, b.Messages, b.Answer, c.ContentType, c.Status})
+	}
+	return turns
+}
