app/programs: add replication, group commit, takeover and handover

A call is done only when its record survives the owner. A new owner first asks all previous owners to hand over, then all members and the store, and ends open calls.

--- /dev/null
+++ b/app/programs/programs.go
@@ -0,0 +1,276 @@
+// Package programs keeps the programs of the shards that a host owns. It
+// commits each change to two peers or to the store, takes shards over and hands
+// them over.
+package programs
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/jonboulle/clockwork"
+
+	"mimosarelay/core/model"
+	"mimosarelay/core/program"
+	"mimosarelay/core/store"
+)
+
+// Defaults of Options.
+const (
+	defaultOrderWait  = 10 * time.Second
+	defaultCommitWait = 3 * time.Second // a slow store counts as down after 1 s; leaves room for fallback peers
+	defaultPeerWait   = time.Second
+	defaultRetryPause = 100 * time.Millisecond
+	defaultLifetime   = 24 * time.Hour // records without an end would be kept forever
+	defaultRetention  = time.Hour      // a caller may ask for the history and outcomes this long after the end
+	defaultWorkers    = 64             // concurrent replication requests to peers
+	sweepEvery        = time.Second
+)
+
+// Options configure a Service. Store, Peers, MayAct and Clock are required.
+type Options struct {
+	Store  store.Store
+	Peers  Peers
+	Clock  clockwork.Clock
+	MayAct func() bool
+	Disk   Disk // nil: replicas stay in memory
+	// Budget returns the bounds of a new program. Nil, or a zero field, means
+	// no bound, except that Lifetime defaults to 24 h.
+	Budget     func(model.WorkspaceID) program.Budget
+	Log        *slog.Logger
+	OrderWait  time.Duration // wait for predecessors; 0: 10 s
+	CommitWait time.Duration // longest wait for a commit; 0: 3 s
+	PeerWait   time.Duration // time-out of one request to a peer; 0: 1 s
+	Retention  time.Duration // how long an ended program is kept; 0: 1 h
+	Workers    int           // concurrent replication requests; 0: 64
+}
+
+func (o *Options) setDefaults() {
+	setDefault(&o.OrderWait, defaultOrderWait)
+	setDefault(&o.CommitWait, defaultCommitWait)
+	setDefault(&o.PeerWait, defaultPeerWait)
+	setDefault(&o.Retention, defaultRetention)
+	setDefault(&o.Workers, defaultWorkers)
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Budget == nil {
+		o.Budget = func(model.WorkspaceID) program.Budget { return program.Budget{} }
+	}
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+// entry is a tree that this host owns.
+type entry struct {
+	root  model.ProgramKey
+	shard model.Shard
+
+	mu        sync.Mutex
+	tree      *program.Tree
+	broken    error         // the records of the tree are incomplete
+	gone      bool          // handed over or dropped; holders must not change the tree
+	changed   chan struct{} // closed and replaced at each change
+	committed program.Version
+	// Content that the peers, or the store, have not confirmed yet.
+	peersLack  map[program.ContentID]bool
+	storeLack  map[program.ContentID]bool
+	generation int // grows when peersLack is filled again
+	endTold    map[model.ProgramID]bool
+}
+
+// Service owns the programs of a host. Lock order: Service.mu, then entry.mu,
+// then replicas.mu, then journal.mu. No lock is held during I/O.
+type Service struct {
+	o       Options
+	pool    pond.Pool
+	journal *journal
+	copies  *replicas
+	ctx     context.Context
+	cancel  context.CancelFunc
+	work    sync.WaitGroup // background goroutines
+	epoch   atomic.Uint64  // of topology; readable under entry.mu
+
+	mu        sync.Mutex
+	topology  Topology
+	changed   chan struct{} // closed and replaced when the fields below change
+	ready     map[model.Shard]bool
+	elsewhere map[model.ProgramKey]bool // roots with a running call at the previous owner
+	trees     map[model.ProgramKey]*entry
+	rootOf    map[model.ProgramKey]model.ProgramKey // sub-agents
+	stopLoad  context.CancelFunc
+	draining  bool
+	onEnd     []func(model.ProgramKey)
+}
+
+// New returns a service that owns nothing until EpochChanged. The caller must
+// call Run, and Close at the end.
+func New(o Options) *Service {
+	o.setDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Service{
+		o:         o,
+		pool:      pond.NewPool(o.Workers),
+		journal:   newJournal(o.Store, o.Clock, o.Log),
+		copies:    newReplicas(o.Disk),
+		ctx:       ctx,
+		cancel:    cancel,
+		changed:   make(chan struct{}),
+		ready:     map[model.Shard]bool{},
+		elsewhere: map[model.ProgramKey]bool{},
+		trees:     map[model.ProgramKey]*entry{},
+		rootOf:    map[model.ProgramKey]model.ProgramKey{},
+		stopLoad:  func() {},
+	}
+}
+
+// Run loads the data folder, writes the journal and ends programs at their
+// lifetime, until ctx ends or Close is called.
+func (s *Service) Run(ctx context.Context) error {
+	if err := s.copies.load(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(s.ctx, cancel)
+	defer stop()
+	s.background(func() { s.journal.run(ctx) })
+	tick := s.o.Clock.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.Chan():
+			s.sweep()
+		}
+	}
+}
+
+// Close stops all background work and waits for it.
+func (s *Service) Close() {
+	s.cancel()
+	s.mu.Lock()
+	s.stopLoad()
+	s.mu.Unlock()
+	s.work.Wait()
+	s.pool.StopAndWait()
+}
+
+// background runs f in a goroutine that Close waits for.
+func (s *Service) background(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spawn(f)
+}
+
+// spawn is background for holders of s.mu.
+func (s *Service) spawn(f func()) {
+	if s.ctx.Err() == nil {
+		s.work.Go(f)
+	}
+}
+
+// sweep ends programs at their lifetime and drops those past retention.
+func (s *Service) sweep() {
+	now := s.o.Clock.Now()
+	cut := now.Add(-s.o.Retention)
+	for _, e := range s.entries() {
+		e.mu.Lock()
+		if e.tree == nil || e.gone {
+			e.mu.Unlock()
+			continue
+		}
+		unused := e.tree.Version == 0 && len(e.tree.Programs) == 0 // its only call was rejected
+		over := !unused && e.tree.Over(now) && e.tree.EndedAt.IsZero()
+		ended := !e.tree.EndedAt.IsZero() && e.tree.EndedAt.Before(cut) && !e.tree.Busy()
+		old := unused || ended
+		if over {
+			e.tree.End("lifetime", now)
+			s.touch(e)
+		}
+		if old {
+			e.gone = true
+			e.notify()
+		}
+		e.mu.Unlock()
+		if over {
+			s.background(func() { _ = s.commit(s.ctx, e) })
+			s.tellEnd(e)
+		}
+		if old {
+			s.drop(e)
+			s.journal.forget(e.root)
+		}
+	}
+	s.copies.expire(cut)
+}
+
+func (s *Service) entries() []*entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]*entry, 0, len(s.trees))
+	for _, e := range s.trees {
+		out = append(out, e)
+	}
+	return out
+}
+
+// drop removes an entry from the tables.
+func (s *Service) drop(e *entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.trees[e.root] != e {
+		return
+	}
+	delete(s.trees, e.root)
+	for k, r := range s.rootOf {
+		if r == e.root {
+			delete(s.rootOf, k)
+		}
+	}
+}
+
+// notify wakes everything that waits for a change. Needs e.mu.
+func (e *entry) notify() {
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+// signal wakes everything that waits for a change of the tables. Needs s.mu.
+func (s *Service) signal() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// tellEnd calls the OnEnd functions once for each program that has ended and
+// has no open call.
+func (s *Service) tellEnd(e *entry) {
+	now := s.o.Clock.Now()
+	e.mu.Lock()
+	var keys []model.ProgramKey
+	for id := range e.tree.Programs {
+		if e.endTold[id] || !e.tree.Ended(id, now) {
+			continue
+		}
+		e.endTold[id] = true
+		keys = append(keys, model.ProgramKey{Workspace: e.root.Workspace, Program: id})
+	}
+	e.mu.Unlock()
+	s.mu.Lock()
+	callbacks := s.onEnd
+	s.mu.Unlock()
+	for _, k := range keys {
+		for _, f := range callbacks {
+			f(k)
+		}
+	}
+}
--- /dev/null
+++ b/app/programs/query.go
@@ -0,0 +1,264 @@
+package programs
+
+import (
+	"context"
+	"time"
+
+	"mimosarelay/core/model"
+	"mimosarelay/core/program"
+)
+
+// State describes a program to its caller and to operators.
+type State struct {
+	Key       model.ProgramKey
+	Root      model.ProgramID
+	NextCall  model.CallNumber
+	Running   bool
+	Used      model.Tokens // of the root and its sub-agents
+	Reserved  model.Tokens
+	Calls     int
+	Budget    program.Budget
+	CreatedAt time.Time
+	EndedAt   time.Time // zero while the program is live
+	Reason    string
+}
+
+// Outcome describes one call. Ran is unknown while the call runs.
+type Outcome struct {
+	State       program.State
+	Ran         model.Ran
+	Status      int
+	ContentType string
+	Used        model.Tokens
+	EndedAt     time.Time
+}
+
+// find returns the locked entry of a program, which the caller must unlock.
+func (s *Service) find(key model.ProgramKey) (*entry, error) {
+	s.mu.Lock()
+	root, ok := s.rootOf[key]
+	if !ok {
+		root = key
+	}
+	e := s.trees[root]
+	s.mu.Unlock()
+	if e == nil {
+		return nil, model.NewRefusal(model.ErrNotFound, model.RanNo, "program %q is not at this host", key.Program)
+	}
+	e.mu.Lock()
+	if e.gone || e.tree == nil {
+		e.mu.Unlock()
+		return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "records of program %q are not available", key.Program)
+	}
+	return e, nil
+}
+
+// State returns the state of a program or sub-agent.
+func (s *Service) State(key model.ProgramKey) (State, error) {
+	e, err := s.find(key)
+	if err != nil {
+		return State{}, err
+	}
+	defer e.mu.Unlock()
+	t := e.tree
+	out := State{
+		Key:       key,
+		Root:      e.root.Program,
+		NextCall:  t.Next(key.Program),
+		Running:   t.Busy(),
+		Used:      t.Used,
+		Reserved:  t.Reserved,
+		Calls:     t.Calls,
+		Budget:    t.Budget,
+		CreatedAt: t.CreatedAt,
+		EndedAt:   t.EndedAt,
+		Reason:    t.Reason,
+	}
+	if p := t.Programs[key.Program]; p != nil && t.EndedAt.IsZero() {
+		out.EndedAt = p.EndedAt
+	}
+	return out, nil
+}
+
+// findCommitted is find for answers about finished calls. It commits them
+// first: after a takeover, or a Finish that failed to, they may not be.
+func (s *Service) findCommitted(key model.ProgramKey) (*entry, error) {
+	e, err := s.find(key)
+	if err != nil {
+		return nil, err
+	}
+	if e.tree.LastWritten() <= e.committed {
+		return e, nil
+	}
+	e.mu.Unlock()
+	if err := s.commit(s.ctx, e); err != nil {
+		return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "records are not committed yet: %v", err).Retry(retryAdvice)
+	}
+	return s.find(key)
+}
+
+// History returns the turns of a program. It waits until they are committed.
+func (s *Service) History(key model.ProgramKey) ([]program.Turn, error) {
+	e, err := s.findCommitted(key)
+	if err != nil {
+		return nil, err
+	}
+	defer e.mu.Unlock()
+	var out []program.Turn
+	for _, t := range e.tree.History(key.Program) {
+		if t.Written <= e.committed {
+			out = append(out, t)
+		}
+	}
+	return out, nil
+}
+
+// Outcome returns what is known about one call. A result that is not committed
+// yet is reported as started.
+func (s *Service) Outcome(key model.ProgramKey, n model.CallNumber) (Outcome, error) {
+	e, err := s.findCommitted(key)
+	if err != nil {
+		return Outcome{}, err
+	}
+	defer e.mu.Unlock()
+	c, err := e.tree.Get(key.Program, n)
+	if err != nil {
+		return Outcome{}, model.NewRefusal(model.ErrNotFound, model.RanNo, "%v", err)
+	}
+	if c.State == program.Done && c.Written > e.committed {
+		return Outcome{State: program.Started, Ran: model.RanUnknown}, nil
+	}
+	out := Outcome{c.State, model.RanUnknown, c.Status, c.ContentType, c.Used, c.EndedAt}
+	switch c.State {
+	case program.Done, program.Failed:
+		out.Ran = model.RanYes
+	case program.Admitted:
+		out.Ran = model.RanNo
+	}
+	return out, nil
+}
+
+// End closes a program to new calls; a root closes its sub-agents too. It
+// returns once that is committed.
+func (s *Service) End(ctx context.Context, key model.ProgramKey) error {
+	if !s.o.MayAct() {
+		return noRight()
+	}
+	e, err := s.find(key)
+	if err != nil {
+		return err
+	}
+	if e.tree.EndProgram(key.Program, "caller", s.o.Clock.Now()) {
+		s.touch(e)
+	}
+	e.mu.Unlock()
+	s.tellEnd(e)
+	if err := s.commit(ctx, e); err != nil {
+		return model.NewRefusal(model.ErrUnavailable, model.RanUnknown, "end of program %q is not committed: %v", key.Program, err)
+	}
+	return nil
+}
+
+// OnEnd registers f to be called when a program has ended and has no open
+// call. f must not block.
+func (s *Service) OnEnd(f func(model.ProgramKey)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onEnd = append(s.onEnd, f)
+}
+
+// Live lists the programs at this host that have not ended, or have an open
+// call.
+func (s *Service) Live() []model.ProgramKey {
+	now := s.o.Clock.Now()
+	var out []model.ProgramKey
+	for _, e := range s.entries() {
+		e.mu.Lock()
+		if e.tree != nil && !e.gone {
+			for id := range e.tree.Programs {
+				if !e.tree.Ended(id, now) {
+					out = append(out, model.ProgramKey{Workspace: e.root.Workspace, Program: id})
+				}
+			}
+		}
+		e.mu.Unlock()
+	}
+	return out
+}
+
+// Drain accepts no new calls and waits until the running ones have ended, the
+// new owners have taken all programs, and the journal is written.
+func (s *Service) Drain(ctx context.Context) error {
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	for !s.drained() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.o.Clock.After(defaultRetryPause):
+		}
+	}
+	return nil
+}
+
+func (s *Service) drained() bool {
+	t := s.current()
+	alone := true
+	for _, m := range t.others() {
+		alone = alone && m.Leaving
+	}
+	entries := s.entries()
+	if !alone && len(entries) > 0 {
+		return false
+	}
+	for _, e := range entries {
+		e.mu.Lock()
+		busy := e.tree != nil && e.tree.Busy()
+		e.mu.Unlock()
+		if busy {
+			return false
+		}
+	}
+	return s.journal.idle()
+}
+
+// Dump returns the tables for operators, without content.
+func (s *Service) Dump() any {
+	type row struct {
+		Program   model.ProgramKey
+		Version   program.Version
+		Committed program.Version
+		Busy      bool
+		Broken    bool
+	}
+	var d struct {
+		Epoch     model.Epoch
+		Ready     int // shards
+		Elsewhere int // programs with a running call at the previous owner
+		Draining  bool
+		Copies    int // trees of other owners
+		Segments  int // of the journal
+		Queued    int // records not yet in the store
+		Programs  []row
+	}
+	s.mu.Lock()
+	d.Epoch = s.topology.Epoch
+	d.Ready = len(s.ready)
+	d.Elsewhere = len(s.elsewhere)
+	d.Draining = s.draining
+	s.mu.Unlock()
+	d.Copies = s.copies.count()
+	d.Segments, d.Queued = s.journal.sizes()
+	for _, e := range s.entries() {
+		e.mu.Lock()
+		r := row{Program: e.root, Committed: e.committed, Broken: e.broken != nil}
+		if e.tree != nil {
+			r.Version = e.tree.Version
+			r.Busy = e.tree.Busy()
+		}
+		e.mu.Unlock()
+		d.Programs = append(d.Programs, r)
+	}
+	return d
+}
--- /dev/null
+++ b/app/programs/takeover.go
@@ -0,0 +1,445 @@
+package programs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"mimosarelay/core/model"
+	"mimosarelay/core/program"
+	"mimosarelay/core/store"
+	"mimosarelay/io/peer/peerpb"
+)
+
+// ErrStaleEpoch reports a request of another epoch than this host's.
+var ErrStaleEpoch = errors.New("request of another epoch")
+
+// EpochChanged adopts a new membership. old is the zero Topology at the first
+// one. Shards that the host gains are loaded in the background.
+func (s *Service) EpochChanged(old, cur Topology) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cur.Epoch <= s.topology.Epoch {
+		return
+	}
+	was, before := old.Member(cur.Self)
+	self, isMember := cur.Member(cur.Self)
+	if !isMember || !before || was.Incarnation != self.Incarnation {
+		s.forgetAll()
+		prefix := ""
+		if isMember {
+			prefix = fmt.Sprintf("%s%s/%s/", journalPrefix, self.Host, self.Incarnation)
+		}
+		s.journal.reset(prefix)
+	}
+	s.topology = cur
+	s.epoch.Store(uint64(cur.Epoch))
+	s.stopLoad()
+	for shard := range s.ready {
+		if cur.Owner(shard) != cur.Self {
+			delete(s.ready, shard)
+		}
+	}
+	for root := range s.elsewhere {
+		delete(s.ready, program.ShardOf(root))
+		delete(s.elsewhere, root)
+	}
+	s.renewReplicas(old, cur)
+	s.signal()
+	s.startLoad(cur)
+}
+
+// forgetAll drops all programs: the host was removed, and another one owns
+// them. Needs s.mu.
+func (s *Service) forgetAll() {
+	for _, e := range s.trees {
+		e.mu.Lock()
+		e.gone = true
+		e.notify()
+		e.mu.Unlock()
+	}
+	clear(s.trees)
+	clear(s.rootOf)
+	clear(s.ready)
+	clear(s.elsewhere)
+}
+
+// renewReplicas sends all content again where the hosts that keep copies have
+// changed. Needs s.mu.
+func (s *Service) renewReplicas(old, cur Topology) {
+	for _, e := range s.trees {
+		if slices.EqualFunc(old.lanes(e.shard), cur.lanes(e.shard), slices.Equal[[]Member]) {
+			continue
+		}
+		e.mu.Lock()
+		if e.tree == nil {
+			e.mu.Unlock()
+			continue
+		}
+		e.generation++
+		for _, id := range e.tree.ContentIDs() {
+			e.peersLack[id] = true
+		}
+		e.mu.Unlock()
+		s.spawn(func() { _ = s.commit(s.ctx, e) })
+	}
+}
+
+// startLoad takes over all shards that are owned but not loaded. Needs s.mu.
+func (s *Service) startLoad(t Topology) {
+	missing := map[model.Shard]bool{}
+	for shard := range model.Shard(model.ShardCount) {
+		if t.Owner(shard) == t.Self && t.Self != "" && !s.ready[shard] {
+			missing[shard] = true
+		}
+	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	s.stopLoad = cancel
+	if _, member := t.Member(t.Self); !member || len(missing) == 0 {
+		return
+	}
+	s.spawn(func() { s.load(ctx, t, missing) })
+}
+
+// load repeats a takeover until it has succeeded, no program is busy at its
+// previous owner, or the epoch changes.
+func (s *Service) load(ctx context.Context, t Topology, shards map[model.Shard]bool) {
+	var only map[model.ProgramKey]bool // nil: all roots of the shards
+	for {
+		busy, err := s.loadOnce(ctx, t, shards, only)
+		switch {
+		case err != nil:
+			s.o.Log.Warn("takeover incomplete", "Epoch", t.Epoch, "Error", err)
+		case len(busy) == 0:
+			s.sweepJournals(ctx, t)
+			return
+		default:
+			only = busy
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.o.Clock.After(defaultRetryPause):
+		}
+	}
+}
+
+// loadOnce asks the previous owners to hand over, then all members and the
+// store for records, and installs what it found. It returns the roots that are
+// busy elsewhere.
+func (s *Service) loadOnce(ctx context.Context, t Topology, shards map[model.Shard]bool, only map[model.ProgramKey]bool) (map[model.ProgramKey]bool, error) {
+	busy := map[model.ProgramKey]bool{}
+	found := newReplicas(nil)
+	want := slices.Sorted(maps.Keys(shards))
+	numbers := make([]uint32, len(want))
+	for i, n := range want {
+		numbers[i] = uint32(n)
+	}
+	// Handing over comes first: it puts the final state among the records.
+	for _, m := range t.others() {
+		r, err := s.take(ctx, m, &peerpb.TakeShardsRequest{Sender: t.sender(), Shards: numbers})
+		if err != nil {
+			return nil, fmt.Errorf("take shards from %s: %w", m.Host, err)
+		}
+		for _, b := range r.GetBusy() {
+			busy[model.ProgramKey{Workspace: model.WorkspaceID(b.GetWorkspace()), Program: model.ProgramID(b.GetProgram())}] = true
+		}
+	}
+	for _, m := range t.others() {
+		if err := s.fetch(ctx, m, &peerpb.FetchRecordsRequest{Sender: t.sender(), Shards: numbers}, found); err != nil {
+			return nil, fmt.Errorf("fetch records from %s: %w", m.Host, err)
+		}
+	}
+	found.put(s.copies.list(func(n model.Shard) bool { return shards[n] }))
+	entries, err := s.listJournals(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range entries {
+		records, err := decodeSegment(e.Value)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", e.Key, err)
+		}
+		found.put(slices.DeleteFunc(records, func(r program.Record) bool { return !shards[program.ShardOf(r.ID.Root)] }))
+	}
+	return busy, s.install(ctx, t, shards, only, busy, found)
+}
+
+func (s *Service) take(ctx context.Context, m Member, r *peerpb.TakeShardsRequest) (*peerpb.TakeShardsResponse, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer s.o.Clock.AfterFunc(s.o.PeerWait, cancel).Stop()
+	return s.o.Peers.TakeShards(ctx, m.Address, r)
+}
+
+func (s *Service) fetch(ctx context.Context, m Member, r *peerpb.FetchRecordsRequest, into *replicas) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// All copies of a host may take longer than one ordinary request.
+	defer s.o.Clock.AfterFunc(10*s.o.PeerWait, cancel).Stop()
+	response, err := s.o.Peers.FetchRecords(ctx, m.Address, r)
+	if err != nil {
+		return err
+	}
+	for _, p := range response.GetRecords() {
+		record, err := fromPeer(p)
+		if err != nil {
+			return err
+		}
+		into.put([]program.Record{record})
+	}
+	return nil
+}
+
+func (s *Service) listJournals(ctx context.Context) ([]store.Entry, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer s.o.Clock.AfterFunc(10*storeTimeout, cancel).Stop()
+	entries, _, err := s.o.Store.List(ctx, journalPrefix)
+	if err != nil {
+		return nil, fmt.Errorf("list journals: %w", err)
+	}
+	return entries, nil
+}
+
+// install makes loaded trees live, with open calls ended, and commits them
+// under the new epoch.
+func (s *Service) install(ctx context.Context, t Topology, shards map[model.Shard]bool, only, busy map[model.ProgramKey]bool, found *replicas) error {
+	cut := s.o.Clock.Now().Add(-s.o.Retention)
+	found.expire(cut)
+	loaded := map[model.ProgramKey]*entry{}
+	for root, copied := range found.trees {
+		if busy[root] || only != nil && !only[root] {
+			continue
+		}
+		loaded[root] = s.revive(root, copied)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ctx.Err() != nil || s.topology.Epoch != t.Epoch {
+		return context.Canceled
+	}
+	for root, e := range loaded {
+		if s.trees[root] != nil {
+			continue // stayed here with a running call
+		}
+		s.trees[root] = e
+		if e.tree == nil {
+			continue
+		}
+		for id := range e.tree.Programs {
+			if id != root.Program {
+				s.rootOf[model.ProgramKey{Workspace: root.Workspace, Program: id}] = root
+			}
+		}
+		s.spawn(func() { _ = s.commit(s.ctx, e) })
+	}
+	for shard := range shards {
+		s.ready[shard] = true
+	}
+	s.elsewhere = busy
+	s.signal()
+	return nil
+}
+
+// revive builds the entry of a tree from its records.
+func (s *Service) revive(root model.ProgramKey, copied *replica) *entry {
+	e := newEntry(root, nil)
+	find := func(i program.ID) (program.Record, bool) { r, ok := copied.records[i]; return r, ok }
+	head, ok := find(program.ID{Root: root})
+	if !ok {
+		// Content precedes its head: nothing of this tree was committed.
+		e.tree = program.New(root, s.budget(root), s.o.Clock.Now())
+		return e
+	}
+	tree, err := program.Assemble(head, find)
+	if err == nil {
+		err = tree.Recover(s.o.Clock.Now())
+	}
+	if err != nil {
+		// Serving an older state could run a call twice.
+		e.broken = err
+		s.o.Log.Error("program is damaged", "Workspace", root.Workspace, "Program", root.Program, "Error", err)
+		return e
+	}
+	e.tree = tree
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, id := range tree.ContentIDs() {
+		e.peersLack[id] = true
+		e.storeLack[id] = true
+	}
+	s.touch(e)
+	return e
+}
+
+// sweepJournals deletes segments of former members whose programs all have a
+// newer head in the journal of a member, or are past their retention.
+func (s *Service) sweepJournals(ctx context.Context, t Topology) {
+	entries, err := s.listJournals(ctx)
+	if err != nil {
+		return
+	}
+	live := map[program.ID]program.Version{}
+	dead := map[string][]program.Record{}
+	versions := map[string]store.Version{}
+	for _, e := range entries {
+		host, incarnation, ok := journalOwner(e.Key)
+		records, err := decodeSegment(e.Value)
+		if !ok || err != nil {
+			continue
+		}
+		if m, member := t.Member(host); !member || m.Incarnation != incarnation {
+			dead[e.Key] = records
+			versions[e.Key] = e.Version
+			continue
+		}
+		for _, r := range records {
+			live[r.ID] = max(live[r.ID], r.Version)
+		}
+	}
+	cut := s.o.Clock.Now().Add(-s.o.Retention)
+	for key, records := range dead {
+		needed := slices.ContainsFunc(records, func(r program.Record) bool {
+			expired := r.ID.IsHead() && !r.Expiry.IsZero() && r.Expiry.Before(cut)
+			head := live[program.ID{Root: r.ID.Root}]
+			return !expired && head.Epoch() <= r.Version.Epoch()
+		})
+		if !needed {
+			_ = s.o.Store.Delete(ctx, key, versions[key]) // another member may have been faster
+		}
+	}
+}
+
+// HandleReplicate keeps copies of records of another owner.
+func (s *Service) HandleReplicate(_ context.Context, r *peerpb.ReplicateRequest) (*peerpb.ReplicateResponse, error) {
+	records := make([]program.Record, len(r.GetRecords()))
+	for i, p := range r.GetRecords() {
+		var err error
+		if records[i], err = fromPeer(p); err != nil {
+			return nil, err
+		}
+	}
+	// A newer epoch is fine: a takeover after it asks this host again. The
+	// epoch is checked after the write as well: a takeover may have read the
+	// copies in between.
+	if err := s.checkEpoch(r.GetSender(), false); err != nil {
+		return nil, err
+	}
+	if err := s.copies.store(records); err != nil {
+		return nil, err
+	}
+	if err := s.checkEpoch(r.GetSender(), false); err != nil {
+		return nil, err
+	}
+	return &peerpb.ReplicateResponse{Sender: s.current().sender(), OnDisk: s.o.Disk != nil}, nil
+}
+
+func (s *Service) checkEpoch(sender *peerpb.Sender, exact bool) error {
+	own := s.epoch.Load()
+	if sender.GetEpoch() < own || exact && sender.GetEpoch() != own || own == 0 {
+		return fmt.Errorf("%w: %s is at %d, this host at %d", ErrStaleEpoch, sender.GetHost(), sender.GetEpoch(), own)
+	}
+	return nil
+}
+
+// HandleFetchRecords sends the copies of the requested shards, or of all.
+func (s *Service) HandleFetchRecords(_ context.Context, r *peerpb.FetchRecordsRequest, send func(*peerpb.FetchRecordsResponse) error) error {
+	if err := s.checkEpoch(r.GetSender(), true); err != nil {
+		return err
+	}
+	wanted := shardSet(r.GetShards())
+	records := s.copies.list(func(n model.Shard) bool { return len(wanted) == 0 || wanted[n] })
+	for _, batch := range batches(records, maxMessage) {
+		m := &peerpb.FetchRecordsResponse{}
+		for _, one := range batch {
+			m.Records = append(m.Records, toPeer(program.ShardOf(one.ID.Root), []program.Record{one})...)
+		}
+		if err := send(m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func shardSet(numbers []uint32) map[model.Shard]bool {
+	out := make(map[model.Shard]bool, len(numbers))
+	for _, n := range numbers {
+		out[model.Shard(n)] = true
+	}
+	return out
+}
+
+// HandleTakeShards hands over the programs of shards that this host does not
+// own any more. Programs with an open call stay and are listed as busy. The
+// records of the others are moved to the copies, where FetchRecords finds them.
+func (s *Service) HandleTakeShards(_ context.Context, r *peerpb.TakeShardsRequest) (*peerpb.TakeShardsResponse, error) {
+	if err := s.checkEpoch(r.GetSender(), true); err != nil {
+		return nil, err
+	}
+	wanted := shardSet(r.GetShards())
+	out := &peerpb.TakeShardsResponse{Sender: s.current().sender()}
+	for _, e := range s.entries() {
+		if !wanted[e.shard] {
+			continue
+		}
+		if s.current().Owner(e.shard) == s.current().Self {
+			return nil, fmt.Errorf("%w: shard %d belongs to this host", ErrStaleEpoch, e.shard)
+		}
+		handed, err := s.handOver(e)
+		if err != nil {
+			return nil, err
+		}
+		if !handed {
+			out.Busy = append(out.Busy, &peerpb.Record{
+				Shard:     uint32(e.shard),
+				Workspace: string(e.root.Workspace),
+				Program:   string(e.root.Program),
+			})
+		}
+	}
+	return out, nil
+}
+
+func (s *Service) handOver(e *entry) (bool, error) {
+	e.mu.Lock()
+	if e.tree == nil || e.gone {
+		e.mu.Unlock()
+		s.drop(e)
+		return true, nil
+	}
+	if e.tree.Busy() {
+		e.mu.Unlock()
+		return false, nil
+	}
+	records, err := e.all()
+	if err != nil {
+		e.mu.Unlock()
+		return false, err
+	}
+	s.copies.put(records)
+	e.gone = true
+	e.notify()
+	e.mu.Unlock()
+	s.drop(e)
+	return true, nil
+}
+
+// all encodes the whole tree. Needs e.mu.
+func (e *entry) all() ([]program.Record, error) {
+	var out []program.Record
+	for _, id := range e.tree.ContentIDs() {
+		rs, err := e.tree.Contents(id)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, rs...)
+	}
+	if e.tree.Version == 0 {
+		return out, nil // nothing was ever committed
+	}
+	head, err := e.tree.Head()
+	return append(out, head), err
+}
--- a/core/program/record.go
+++ b/core/program/record.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/klauspost/compress/zstd"
@@ -50,6 +51,7 @@
 	ID      ID
 	Version Version
 	Data    []byte
+	Expiry  time.Time // of a head that Identify returned; see Tree.Expiry
 }
 
 type payload struct {
@@ -228,7 +230,7 @@
 		return Record{}, err
 	}
 	if p.Head != nil {
-		return Record{ID: ID{Root: p.Head.Root}, Version: p.Head.Version, Data: data}, nil
+		return Record{ID: ID{Root: p.Head.Root}, Version: p.Head.Version, Data: data, Expiry: p.Head.Expiry()}, nil
 	}
 	return Record{ID: p.Part.ID, Version: p.Part.Version, Data: data}, nil
 }
--- a/core/program/tree.go
+++ b/core/program/tree.go
@@ -76,7 +76,8 @@
 
 // Program is the root or a sub-agent of a tree.
 type Program struct {
-	Calls map[model.CallNumber]*Call
+	Calls   map[model.CallNumber]*Call
+	EndedAt time.Time // zero unless this sub-agent alone was ended
 }
 
 // next returns the lowest call number that has not ended.
@@ -188,8 +189,8 @@
 			return t.repeat(r, c)
 		}
 	}
-	if t.Over(now) {
-		return reject(model.ErrProgramEnded, model.RanNo, "program %q has ended", t.Root.Program)
+	if t.Over(now) || p != nil && !p.EndedAt.IsZero() {
+		return reject(model.ErrProgramEnded, model.RanNo, "program %q has ended", r.Program)
 	}
 	next := model.CallNumber(1)
 	if p != nil {
@@ -347,7 +348,7 @@
 func (t *Tree) forget(p model.ProgramID, n model.CallNumber) {
 	pr := t.Programs[p]
 	delete(pr.Calls, n)
-	if len(pr.Calls) == 0 {
+	if len(pr.Calls) == 0 && pr.EndedAt.IsZero() {
 		delete(t.Programs, p)
 	}
 }
@@ -407,6 +408,45 @@
 	return true
 }
 
+// EndProgram ends the whole tree if id names its root, otherwise that sub-agent
+// alone. It reports false if there was nothing to end.
+func (t *Tree) EndProgram(id model.ProgramID, reason string, now time.Time) bool {
+	if id == t.Root.Program {
+		return t.End(reason, now)
+	}
+	p := t.Programs[id]
+	if p == nil || !p.EndedAt.IsZero() {
+		return false
+	}
+	p.EndedAt = now.UTC().Round(0)
+	return true
+}
+
+// Next returns the number of the lowest call of a program that has not ended.
+func (t *Tree) Next(id model.ProgramID) model.CallNumber {
+	if p := t.Programs[id]; p != nil {
+		return p.next()
+	}
+	return 1
+}
+
+// Expiry is when the tree accepts no more calls; zero if that is not known.
+func (t *Tree) Expiry() time.Time {
+	if !t.EndedAt.IsZero() {
+		return t.EndedAt
+	}
+	return t.Deadline()
+}
+
+// ContentIDs lists the done calls of the tree.
+func (t *Tree) ContentIDs() []ContentID {
+	var out []ContentID
+	for id := range t.contents {
+		out = append(out, id)
+	}
+	return out
+}
+
 // Turn is one entry of a history.
 type Turn struct {
 	Call        model.CallNumber
@@ -414,6 +454,7 @@
 	Answer      []byte
 	ContentType string
 	Status      int
+	Written     Version // version of the tree that first held this turn
 }
 
 // History returns the done calls of a program in order.
@@ -429,7 +470,35 @@
 			continue
 		}
 		b := t.contents[ContentID{id, n}]
-		turns = append(turns, Turn{n, b.Messages, b.Answer, c.ContentType, c.Status})
+		turns = append(turns, Turn{n, b.Messages, b.Answer, c.ContentType, c.Status, c.Written})
 	}
 	return turns
 }
+
+// Ended reports whether a program accepts no new call and has none open.
+func (t *Tree) Ended(id model.ProgramID, now time.Time) bool {
+	p := t.Programs[id]
+	if p == nil {
+		return t.Over(now)
+	}
+	if !t.Over(now) && p.EndedAt.IsZero() {
+		return false
+	}
+	for _, c := range p.Calls {
+		if !c.State.Final() {
+			return false
+		}
+	}
+	return true
+}
+
+// LastWritten returns the newest version that added content.
+func (t *Tree) LastWritten() Version {
+	var v Version
+	for id := range t.contents {
+		if c, err := t.Get(id.Program, id.Call); err == nil {
+			v = max(v, c.Written)
+		}
+	}
+	return v
+}
