--- a/app/programs/commit.go
+++ b/app/programs/commit.go
@@ -97,15 +97,8 @@
 	defer late.Stop()
 
 	stored := s.journal.add(n.forStore)
-	peers := make(chan error, 1)
-	s.background(func() { peers <- s.replicate(e, n) })
-	s.background(func() {
-		select {
-		case <-stored:
-			e.confirmStore(n)
-		case <-s.ctx.Done():
-		}
-	})
+	peers := s.startReplication(e, n)
+	s.noteStored(e, n, stored)
 	var failures error
 	for {
 		select {
@@ -134,6 +127,22 @@
 	}
 }
 
+func (s *Service) startReplication(e *entry, n snapshot) <-chan error {
+	done := make(chan error, 1)
+	s.background(func() { done <- s.replicate(e, n) })
+	return done
+}
+
+func (s *Service) noteStored(e *entry, n snapshot, stored <-chan struct{}) {
+	s.background(func() {
+		select {
+		case <-stored:
+			e.confirmStore(n)
+		case <-s.ctx.Done():
+		}
+	})
+}
+
 // confirm notes the newest committed version.
 func (e *entry) confirm(n snapshot) {
 	e.mu.Lock()
