--- a/app/relay/chat.go
+++ b/app/relay/chat.go
@@ -62,7 +62,7 @@
 	if !ok {
 		return nil, model.NewRefusal(model.ErrUnauthorized, model.RanNo, "workspace %q has no contract", r.Workspace)
 	}
-	if len(workspace.Models) > 0 && !contains(workspace.Models, chat.Model) {
+	if !workspace.MayUseModel(chat.Model) {
 		return nil, model.NewRefusal(model.ErrForbidden, model.RanNo, "the contract does not grant model %q", chat.Model)
 	}
 	body, err := chat.Body()
--- a/app/relay/service.go
+++ b/app/relay/service.go
@@ -137,21 +137,12 @@
 	if !ok {
 		return model.NewRefusal(model.ErrUnauthorized, model.RanNo, "route %q needs a key", r.Route)
 	}
-	if len(workspace.Routes) > 0 && !contains(workspace.Routes, r.Route) {
+	if !workspace.MayUseRoute(r.Route) {
 		return model.NewRefusal(model.ErrForbidden, model.RanNo, "the contract does not grant route %q", r.Route)
 	}
 	return nil
 }
 
-func contains[T comparable](list []T, item T) bool {
-	for _, l := range list {
-		if l == item {
-			return true
-		}
-	}
-	return false
-}
-
 // Run carries out a call on this host, which owns its program if it has one.
 func (s *Service) Run(ctx context.Context, r *Request) (*Answer, error) {
 	switch {
--- a/app/relay/service_call.go
+++ b/app/relay/service_call.go
@@ -17,8 +17,6 @@
 	"mimosarelay/io/target"
 )
 
-const defaultRouteTimeout = 30 * time.Second
-
 // serviceCall is one call to a plain service on its way.
 type serviceCall struct {
 	request *Request
@@ -37,10 +35,7 @@
 		return nil, err
 	}
 	c := &serviceCall{request: r, route: route, ran: model.RanNo}
-	timeout := route.Timeout
-	if timeout == 0 {
-		timeout = defaultRouteTimeout
-	}
+	timeout := route.CallTimeout()
 	if r.Program == "" && (r.IdempotencyKey == "" || route.Repeatable) {
 		return s.attemptService(ctx, c, timeout)
 	}
@@ -59,13 +54,13 @@
 }
 
 func checkMethod(route config.Route, method string) error {
+	if route.Allows(method) {
+		return nil
+	}
 	allowed := route.Methods
 	if len(allowed) == 0 {
 		allowed = []string{http.MethodPost}
 	}
-	if contains(allowed, method) {
-		return nil
-	}
 	return model.NewRefusal(model.ErrBadRequest, model.RanNo, "route %q allows %s", route.Name, strings.Join(allowed, ", "))
 }
 
--- a/io/caller/handlers.go
+++ b/io/caller/handlers.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -117,12 +118,30 @@
 		return
 	}
 	list := modelList{Object: "list", Data: []modelItem{}}
-	for _, m := range s.options.Snapshot().ModelsOf(r.Workspace) {
+	for _, m := range grantedModels(s.options.Snapshot(), r.Workspace) {
 		list.Data = append(list.Data, modelItem{ID: m, Object: "model"})
 	}
 	s.json(ctx, list)
 }
 
+// grantedModels lists the models that a workspace may use, sorted.
+func grantedModels(snapshot *config.Snapshot, id model.WorkspaceID) []model.ModelID {
+	workspace, ok := snapshot.Workspace(id)
+	if !ok {
+		return nil
+	}
+	var list []model.ModelID
+	for _, t := range snapshot.Document().Targets {
+		for _, m := range t.Models {
+			if workspace.MayUseModel(m) {
+				list = append(list, m)
+			}
+		}
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
 func (s *Server) chat(ctx *fasthttp.RequestCtx) {
 	id := newRequestID()
 	r, err := s.identify(ctx, id, false)
