Add tests of the stand-ins and list trailers as arrivals

TestSeesFindsAKeyEverywhere failed for trailers and header names: fasthttp keeps trailers apart from headers and normalises names, so a key sent there arrived unseen. Arrivals now list trailers, and Sees ignores case.

go test -race -count=10 ./standin/... passes.

--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -1,16 +1,29 @@
 package engine
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
+
+	"mimosarelay/standin/fault"
 )
 
+// The clock of the Date header runs for the rest of the process.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
+}
+
+// patience bounds the wait for something that must happen.
+const patience = 5 * time.Second
+
 func start(t *testing.T, o Options) *Server {
 	t.Helper()
 	o.Listen = "127.0.0.1:0"
@@ -24,7 +37,14 @@
 	return []Message{{Role: "system", Content: "You answer."}, {Role: "user", Content: Content(text)}}
 }
 
-func send(t *testing.T, s *Server, method, path string, body any, headers ...string) *http.Response {
+// reply is a response that was read until its body ended or broke.
+type reply struct {
+	status int
+	body   []byte
+	err    error
+}
+
+func send(t *testing.T, s *Server, method, path string, body any, headers ...string) reply {
 	t.Helper()
 	data, err := json.Marshal(body)
 	assert.NilError(t, err)
@@ -33,23 +53,39 @@
 	for i := 0; i+1 < len(headers); i += 2 {
 		r.Header.Set(headers[i], headers[i+1])
 	}
-	answer, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = answer.Body.Close() })
-	return answer
+	c := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
+	got, err := c.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer got.Body.Close()
+	data, err = io.ReadAll(got.Body)
+	return reply{got.StatusCode, data, err}
+}
+
+func decodeReply[T any](t *testing.T, r reply) T {
+	t.Helper()
+	var v T
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.status, 200, string(r.body))
+	assert.NilError(t, json.Unmarshal(r.body, &v))
+	return v
 }
 
-// events returns the data of the server-sent events until the body ends.
-func events(t *testing.T, answer *http.Response) ([]string, error) {
+func chat(t *testing.T, s *Server, m []Message, stream bool, headers ...string) reply {
 	t.Helper()
+	return send(t, s, "POST", "/v1/chat/completions", Request{Model: DefaultModel, Messages: m, Stream: stream}, headers...)
+}
+
+// events returns the data of the server-sent events.
+func (r reply) events() []string {
 	var all []string
-	lines := bufio.NewScanner(answer.Body)
-	for lines.Scan() {
-		if data, ok := strings.CutPrefix(lines.Text(), "data: "); ok {
+	for event := range strings.SplitSeq(string(r.body), "\n\n") {
+		if data, ok := strings.CutPrefix(event, "data: "); ok {
 			all = append(all, data)
 		}
 	}
-	return all, lines.Err()
+	return all
 }
 
 // text joins the content of the chunks.
@@ -73,16 +109,157 @@
 	return joined.String(), usage
 }
 
+// eventually waits for a condition that other goroutines bring about.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "not reached: %s", what)
+	}
+}
+
 // Guards against a stream that loses or reorders chunks, or that ends without
 // usage and [DONE].
 func TestStreamIsWhole(t *testing.T) {
 	s := start(t, Options{})
 	m := ask("What is the flag of Hobart?")
-	got, err := events(t, send(t, s, "POST", "/v1/chat/completions", Request{Model: DefaultModel, Messages: m, Stream: true}))
-	assert.NilError(t, err)
-	assert.Equal(t, got[len(got)-1], "[DONE]")
-	answer, usage := text(t, got)
+	got := chat(t, s, m, true)
+	assert.NilError(t, got.err)
+	all := got.events()
+	assert.Equal(t, all[len(all)-1], "[DONE]")
+	answer, usage := text(t, all)
 	assert.Equal(t, answer, Answer(m, 0))
 	assert.Equal(t, usage.PromptTokens, CountTokens(m))
 	assert.Equal(t, usage.CompletionTokens, len(answer)/tokenBytes)
+	assert.Equal(t, usage.TotalTokens, usage.PromptTokens+usage.CompletionTokens)
+}
+
+// Guards against answers that differ between the two forms, or that ignore the
+// token limit.
+func TestCompletionWithoutStream(t *testing.T) {
+	s := start(t, Options{})
+	m := ask("Plan the stock. [tokens:100]")
+	got := decodeReply[Completion](t, chat(t, s, m, false))
+	assert.Equal(t, string(got.Choices[0].Message.Content), Answer(m, 0))
+	assert.Equal(t, got.Choices[0].FinishReason, "stop")
+	assert.Equal(t, got.Usage.CompletionTokens, 100)
+	short := Request{Model: DefaultModel, Messages: m, MaxTokens: 7}
+	got = decodeReply[Completion](t, send(t, s, "POST", "/v1/chat/completions", short))
+	assert.Equal(t, string(got.Choices[0].Message.Content), Answer(m, 7))
+	assert.Equal(t, got.Choices[0].FinishReason, "length")
+	assert.Equal(t, got.Usage.CompletionTokens, 7)
+}
+
+// Guards against answers that do not tell conversations apart.
+func TestAnswerDependsOnAllMessages(t *testing.T) {
+	base := []Message{{"user", "a"}, {"assistant", "b"}, {"user", "c"}}
+	seen := map[string]string{Answer(base, 0): "base"}
+	for name, m := range map[string][]Message{
+		"first content": {{"user", "x"}, {"assistant", "b"}, {"user", "c"}},
+		"role":          {{"user", "a"}, {"user", "b"}, {"user", "c"}},
+		"last content":  {{"user", "a"}, {"assistant", "b"}, {"user", "x"}},
+		"order":         {{"assistant", "b"}, {"user", "a"}, {"user", "c"}},
+		"moved border":  {{"user", "a"}, {"assistant", "bu"}, {"ser", "c"}},
+	} {
+		answer := Answer(m, 0)
+		assert.Equal(t, seen[answer], "", name)
+		seen[answer] = name
+	}
+}
+
+// Guards against clients that send content as parts or null.
+func TestContentForms(t *testing.T) {
+	var m []Message
+	body := `[{"role": "user", "content": [{"type": "text", "text": "a"}, {"type": "image_url"}, {"type": "text", "text": "b"}]},
+		{"role": "assistant", "content": null}]`
+	assert.NilError(t, json.Unmarshal([]byte(body), &m))
+	assert.DeepEqual(t, m, []Message{{"user", "ab"}, {"assistant", ""}})
+	assert.ErrorContains(t, json.Unmarshal([]byte(`[{"role": "user", "content": 7}]`), &m), "neither a string nor")
+}
+
+// Guards against a resume that skips or repeats chunks after a cut stream, and
+// against a cut stream that looks complete.
+func TestCutStreamResumes(t *testing.T) {
+	s := start(t, Options{})
+	m := ask("Resume me. [tokens:40]")
+	assert.NilError(t, s.SetFault(fault.Fault{CutChunks: 10, Cuts: 1}))
+	first := chat(t, s, m, true, "X-Request-Id", "r1")
+	assert.ErrorIs(t, first.err, io.ErrUnexpectedEOF)
+	assert.Equal(t, len(first.events()), 10)
+	rest := send(t, s, "GET", "/v1/streams/r1?from=10", nil)
+	assert.NilError(t, rest.err)
+	answer, usage := text(t, append(first.events(), rest.events()...))
+	assert.Equal(t, answer, Answer(m, 0))
+	assert.Equal(t, usage.CompletionTokens, 40)
+	assert.Equal(t, send(t, s, "GET", "/v1/streams/none", nil).status, 404)
+	assert.Equal(t, send(t, s, "GET", "/v1/streams/r1?from=1000", nil).status, 400)
+}
+
+// Guards against streams that run on without a reader for ever, and against
+// cancelling them before they can be resumed.
+func TestAbandonedStreamIsCancelledAfterRetain(t *testing.T) {
+	for name, o := range map[string]Options{
+		"retain":    {Retain: time.Minute},
+		"no resume": {NoResume: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			o.Clock, o.OutputTokenTime = clock, time.Hour
+			s := start(t, o)
+			st, err := s.start("r1", "", Request{Model: DefaultModel, Messages: ask("x")})
+			assert.NilError(t, err)
+			eventually(t, "running", func() bool { return s.Load().Running == 1 })
+			s.detach(st)
+			if !o.NoResume {
+				clock.Advance(time.Minute - time.Second)
+				assert.Assert(t, !st.ended())
+				clock.Advance(time.Second)
+			}
+			eventually(t, "cancelled", func() bool { return s.Stats().Cancelled == 1 && s.Load().Running == 0 })
+		})
+	}
+}
+
+// Guards against a cancelled stream that keeps its place in the batch, or that
+// its reader takes for complete.
+func TestCancel(t *testing.T) {
+	s := start(t, Options{Clock: clockwork.NewFakeClock(), OutputTokenTime: time.Hour, MaxRunning: 1})
+	replies := make(chan reply, 2)
+	go func() { replies <- chat(t, s, ask("a"), true, "X-Request-Id", "a") }()
+	eventually(t, "a runs", func() bool { return s.Load().Running == 1 })
+	go func() { replies <- chat(t, s, ask("b"), true, "X-Request-Id", "b") }()
+	eventually(t, "b waits", func() bool { return s.Load().Waiting == 1 })
+	assert.Equal(t, chat(t, s, ask("a"), true, "X-Request-Id", "a").status, 409)
+	for _, id := range []string{"b", "a"} {
+		assert.Equal(t, send(t, s, "DELETE", "/v1/streams/"+id, nil).status, 204)
+		r := <-replies
+		assert.Assert(t, r.err != nil)
+		assert.Equal(t, len(r.events()), 0)
+	}
+	eventually(t, "both left", func() bool { return s.Stats().Cancelled == 2 })
+	assert.Equal(t, s.Load().Running+s.Load().Waiting, 0)
+}
+
+// Guards against a time model without batching: the tokens of two streams that
+// run together come later than those of one alone.
+func TestBatchSlowsStreams(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := start(t, Options{Clock: clock, OutputTokenTime: time.Second, Slowdown: 0.5})
+	_, err := s.start("a", "", Request{Model: DefaultModel, Messages: ask("a")})
+	assert.NilError(t, err)
+	assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+	_, err = s.start("b", "", Request{Model: DefaultModel, Messages: ask("b")})
+	assert.NilError(t, err)
+	assert.NilError(t, clock.BlockUntilContext(t.Context(), 2))
+	done := func(id string) int {
+		st := s.find(id)
+		defer s.detach(st)
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		return st.done
+	}
+	clock.Advance(time.Second) // a was alone when it began its token
+	eventually(t, "token of a", func() bool { return done("a") == 1 })
+	assert.Equal(t, done("b"), 0)
+	clock.Advance(time.Second / 2)
+	eventually(t, "token of b", func() bool { return done("b") == 1 })
 }
--- /dev/null
+++ b/standin/engine/memory_test.go
@@ -0,0 +1,201 @@
+package engine
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"mimosarelay/standin/fault"
+)
+
+// turn runs one call and returns the conversation with the answer.
+func turn(t *testing.T, s *Server, program string, m []Message) ([]Message, Usage) {
+	t.Helper()
+	got := decodeReply[Completion](t, chat(t, s, m, false, "X-Program", program))
+	return append(m, got.Choices[0].Message, Message{"user", "go on"}), *got.Usage
+}
+
+// long has 200 tokens and one for the role.
+func long(name string) []Message {
+	return []Message{{"user", Content(name + strings.Repeat("x", 800-len(name)))}}
+}
+
+// Guards against usage that reports cached tokens wrongly: a first call has
+// none, and the next one all whole blocks of the history with the answer.
+func TestCachedTokens(t *testing.T) {
+	s := start(t, Options{BlockTokens: 16})
+	next, first := turn(t, s, "p", long("a"))
+	assert.Equal(t, first.PromptTokensDetails.CachedTokens, 0)
+	_, second := turn(t, s, "p", next)
+	history := first.PromptTokens + 1 + first.CompletionTokens
+	assert.Equal(t, second.PromptTokensDetails.CachedTokens, history/16*16)
+	_, other := turn(t, s, "q", long("b"))
+	assert.Equal(t, other.PromptTokensDetails.CachedTokens, 0)
+}
+
+// Guards against prompt time for cached tokens, which would hide the worth of
+// the cache.
+func TestCachedTokensCostNoTime(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := start(t, Options{Clock: clock, PromptTokenTime: time.Second})
+	call := func(waiters int) chan Usage {
+		usage := make(chan Usage, 1)
+		go func() {
+			_, u := turn(t, s, "p", long("a"))
+			usage <- u
+		}()
+		assert.NilError(t, clock.BlockUntilContext(t.Context(), waiters))
+		return usage
+	}
+	cold := call(1)
+	clock.Advance(201 * time.Second)
+	assert.Equal(t, (<-cold).PromptTokensDetails.CachedTokens, 0)
+	warm := call(2) // the other waiter is the end of the first stream's Retain
+	clock.Advance(9 * time.Second)
+	assert.Equal(t, (<-warm).PromptTokensDetails.CachedTokens, 192)
+}
+
+// Guards against a cache that outgrows its memory or evicts recent entries.
+func TestCacheIsLimited(t *testing.T) {
+	s := start(t, Options{CacheBlocks: 20})
+	turn(t, s, "old", long("a"))
+	next, _ := turn(t, s, "new", long("b"))
+	assert.Equal(t, s.Load().CacheBlocks, 20)
+	_, u := turn(t, s, "new", next)
+	assert.Assert(t, u.PromptTokensDetails.CachedTokens >= 192)
+	_, u = turn(t, s, "old", long("a"))
+	assert.Assert(t, u.PromptTokensDetails.CachedTokens < 192)
+}
+
+// Guards against memory that stays after release, and against releasing blocks
+// that another program shares.
+func TestReleaseFreesWhatNoOtherProgramUses(t *testing.T) {
+	s := start(t, Options{})
+	turn(t, s, "one", long("a"))
+	turn(t, s, "two", long("a"))
+	release := func(program string) int {
+		return decodeReply[map[string]int](t, send(t, s, "POST", "/v1/cache/release", programRequest{program}))["Freed"]
+	}
+	assert.Equal(t, release("one"), 0)
+	load := decodeReply[LoadReport](t, send(t, s, "GET", "/v1/load", nil))
+	assert.Equal(t, len(load.Programs), 1)
+	assert.Equal(t, load.Programs[0].Program, "two")
+	assert.Equal(t, load.Programs[0].Blocks, load.CacheBlocks)
+	assert.Equal(t, release("two"), load.CacheBlocks)
+	assert.Equal(t, s.Load().CacheBlocks, 0)
+	assert.Equal(t, release("two"), 0)
+}
+
+// Guards against an export that another engine cannot use.
+func TestExportAndImport(t *testing.T) {
+	from, to := start(t, Options{}), start(t, Options{})
+	next, _ := turn(t, from, "p", long("a"))
+	e := decodeReply[CacheExport](t, send(t, from, "POST", "/v1/cache/export", programRequest{"p"}))
+	assert.Equal(t, send(t, to, "POST", "/v1/cache/import", e).status, 200)
+	_, u := turn(t, to, "p", next)
+	assert.Assert(t, u.PromptTokensDetails.CachedTokens >= 192)
+	assert.Equal(t, send(t, from, "POST", "/v1/cache/export", programRequest{"none"}).status, 404)
+	e.BlockTokens = 8
+	assert.Equal(t, send(t, to, "POST", "/v1/cache/import", e).status, 400)
+}
+
+// Guards against cache events that come at once or whole: readers must cope
+// with lag and gaps.
+func TestCacheEventsAreLateAndHaveGaps(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := start(t, Options{Clock: clock, EventLag: time.Second, EventGapEvery: 2})
+	read := func() cacheEventsAnswer {
+		return decodeReply[cacheEventsAnswer](t, send(t, s, "GET", "/v1/cache/events?since=0", nil))
+	}
+	turn(t, s, "p", long("a")) // stores the prompt, then the answer
+	_ = decodeReply[map[string]int](t, send(t, s, "POST", "/v1/cache/release", programRequest{"p"}))
+	assert.Equal(t, len(read().Events), 0)
+	clock.Advance(time.Second)
+	got := read()
+	assert.Equal(t, len(got.Events), 2)
+	assert.Equal(t, got.Events[0].Kind, EventStored)
+	assert.Equal(t, got.Events[1].Kind, EventRemoved)
+	assert.Equal(t, got.Events[1].Sequence, int64(3))
+	assert.Equal(t, got.Last, int64(3))
+}
+
+// Guards against load reports that are current although the engine's lag.
+func TestLoadReportLags(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := start(t, Options{Clock: clock, LoadLag: time.Second})
+	turn(t, s, "p", long("a"))
+	assert.Equal(t, s.Load().CacheBlocks, 0)
+	for range 2 * samplesPerLag {
+		assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+		clock.Advance(time.Second / samplesPerLag)
+		eventually(t, "sample", func() bool { return s.lastSample().Equal(clock.Now()) })
+	}
+	report := s.Load()
+	assert.Assert(t, report.CacheBlocks > 0)
+	assert.Equal(t, clock.Since(report.Time), time.Second)
+}
+
+func (s *Server) lastSample() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loads[len(s.loads)-1].Time
+}
+
+// Guards against an engine that obeys a sender whose right has ended, and
+// against one that checks although it should not.
+func TestFencing(t *testing.T) {
+	for name, noFencing := range map[string]bool{"checked": false, "not checked": true} {
+		t.Run(name, func(t *testing.T) {
+			s := start(t, Options{NoFencing: noFencing})
+			post := func(o Order) int { return send(t, s, "POST", "/v1/orders", o).status }
+			assert.Equal(t, post(Order{Fence: 5, Kind: SetRole, Role: "new"}), 200)
+			assert.Equal(t, post(Order{Fence: 5, Kind: LoadModel, Model: "m2", Version: "v1"}), 200)
+			want, role := 409, "new"
+			if noFencing {
+				want, role = 200, "old"
+			}
+			assert.Equal(t, post(Order{Fence: 4, Kind: SetRole, Role: "old"}), want)
+			state := decodeReply[OrderState](t, send(t, s, "GET", "/v1/orders/state", nil))
+			assert.Equal(t, state.Role, role)
+			assert.Equal(t, state.Fence, uint64(5))
+			assert.Equal(t, state.Models["m2"], "v1")
+		})
+	}
+}
+
+// Guards against orders that are accepted without effect, and models that are
+// listed but not served.
+func TestOrdersChangeModels(t *testing.T) {
+	s := start(t, Options{})
+	r := Request{Model: "tuned", Messages: ask("x")}
+	assert.Equal(t, send(t, s, "POST", "/v1/chat/completions", r).status, 404)
+	for name, o := range map[string]Order{
+		"kind":    {Fence: 1, Kind: "Reboot"},
+		"model":   {Fence: 1, Kind: LoadModel},
+		"role":    {Fence: 1, Kind: SetRole},
+		"no base": {Fence: 1, Kind: LoadAdapter, Adapter: "tuned", Model: "none"},
+	} {
+		assert.Equal(t, send(t, s, "POST", "/v1/orders", o).status, 400, name)
+	}
+	adapter := Order{Fence: 1, Kind: LoadAdapter, Adapter: "tuned", Model: DefaultModel, Version: "3"}
+	assert.Equal(t, send(t, s, "POST", "/v1/orders", adapter).status, 200)
+	assert.Equal(t, send(t, s, "POST", "/v1/chat/completions", r).status, 200)
+	listed := send(t, s, "GET", "/v1/models", nil)
+	assert.Assert(t, strings.Contains(string(listed.body), `"id":"tuned"`), string(listed.body))
+}
+
+// Guards against a crash that leaves streams or cache behind.
+func TestCrashDropsStreamsAndCache(t *testing.T) {
+	s := start(t, Options{Retain: time.Hour})
+	turn(t, s, "p", long("a"))
+	assert.Assert(t, s.Load().CacheBlocks > 0)
+	assert.NilError(t, s.SetFault(fault.Fault{CrashMarker: "poison"}))
+	assert.Assert(t, chat(t, s, ask("poison"), true, "X-Request-Id", "r1").err != nil)
+	assert.Equal(t, s.Load().CacheBlocks, 0)
+	assert.Equal(t, s.Counters().CrashArrival, int64(1))
+	assert.Equal(t, send(t, s, "GET", "/v1/streams/r1", nil).status, 404)
+	assert.Equal(t, chat(t, s, ask("fine"), false).status, 200)
+}
--- a/standin/fault/conn.go
+++ b/standin/fault/conn.go
@@ -93,4 +93,4 @@
 
 // abort closes the socket. The goroutine that serves the connection then
 // fails its next read or write.
-func (c *conn) abort() { _ = c.Conn.Close() }
+func (c *conn) abort() { _ = c.Close() }
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"hash/crc32"
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -150,19 +149,14 @@
 		Method:      string(ctx.Method()),
 		Path:        string(ctx.RequestURI()),
 		Headers:     map[string][]string{},
+		Trailers:    trailers(&ctx.Request.Header),
 		Body:        string(ctx.PostBody()),
 		Idempotency: string(ctx.Request.Header.Peek(headerIdempotency)),
 	}
-	for k, v := range ctx.Request.Header.All() {
+	// In order means as received: All joins cookies and omits trailers.
+	for k, v := range ctx.Request.Header.AllInOrder() {
 		a.Headers[string(k)] = append(a.Headers[string(k)], string(v))
 	}
-	for k, v := range trailers(ctx, a.Headers) {
-		delete(a.Headers, k)
-		if a.Trailers == nil {
-			a.Trailers = map[string][]string{}
-		}
-		a.Trailers[k] = v
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.total++
@@ -173,33 +167,44 @@
 	}
 }
 
-// trailers returns the headers that the request announced as trailers.
-func trailers(ctx *fasthttp.RequestCtx, headers map[string][]string) map[string][]string {
+// trailers returns the fields that followed the body, announced or not.
+func trailers(h *fasthttp.RequestHeader) map[string][]string {
+	var names []string
+	for name := range h.Trailers() {
+		names = append(names, string(name))
+	}
 	found := map[string][]string{}
-	for name := range ctx.Request.Header.Trailers() {
-		if v, ok := headers[string(name)]; ok {
-			found[string(name)] = v
+	for _, name := range names {
+		for _, v := range h.PeekAllTrailer(name) {
+			found[name] = append(found[name], string(v))
 		}
 	}
 	return found
 }
 
 // Sees returns the arrivals in which text occurs in the path, a header, a
-// trailer or the body. Tests use it to look for keys of callers.
+// trailer or the body, in any case, because the names of headers are recorded
+// in their usual form. Tests use it to look for keys of callers.
 func (s *Server) Sees(text string) []Arrival {
+	text = strings.ToLower(text)
 	var found []Arrival
 	for _, a := range s.Arrivals().Arrivals {
-		if strings.Contains(a.Path, text) || strings.Contains(a.Body, text) ||
-			occurs(a.Headers, text) || occurs(a.Trailers, text) {
+		if occurs(text, a.Path, a.Body) || occursIn(text, a.Headers) || occursIn(text, a.Trailers) {
 			found = append(found, a)
 		}
 	}
 	return found
 }
 
-func occurs(headers map[string][]string, text string) bool {
-	for name := range maps.Keys(headers) {
-		if strings.Contains(name, text) || strings.Contains(strings.Join(headers[name], "\n"), text) {
+func occurs(lower string, texts ...string) bool {
+	return slices.ContainsFunc(texts, func(t string) bool {
+		return strings.Contains(strings.ToLower(t), lower)
+	})
+}
+
+func occursIn(lower string, fields map[string][]string) bool {
+	for name, values := range fields {
+		if occurs(lower, name) || occurs(lower, values...) {
 			return true
 		}
 	}
--- /dev/null
+++ b/standin/service/service_test.go
@@ -0,0 +1,152 @@
+package service
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"mimosarelay/standin/fault"
+)
+
+// The clock of the Date header runs for the rest of the process.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
+}
+
+// patience bounds the wait for something that must happen.
+const patience = 5 * time.Second
+
+func start(t *testing.T, o Options) *Server {
+	t.Helper()
+	o.Listen = "127.0.0.1:0"
+	s, err := Start(o)
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, s.Close()) })
+	return s
+}
+
+// do sends a request as written and returns the body of the answer.
+func do(s *Server, request string) (string, error) {
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(patience))
+	if _, err := io.WriteString(c, request); err != nil {
+		return "", err
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return "", err
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	return string(body), err
+}
+
+func pay(key, body string) string {
+	return fmt.Sprintf("POST /pay?x=1 HTTP/1.1\r\nHost: h\r\nIdempotency-Key: %s\r\nContent-Length: %d\r\n\r\n%s", key, len(body), body)
+}
+
+// Guards against arrivals that are not listed, or listed with other content:
+// other packages count them to prove that a call ran at most once.
+func TestArrivalsAreListed(t *testing.T) {
+	s := start(t, Options{AnswerBytes: 50})
+	for _, key := range []string{"k1", "k2", "k1"} {
+		body, err := do(s, pay(key, "amount"))
+		assert.NilError(t, err)
+		assert.Equal(t, len(body), 50)
+		assert.Assert(t, strings.HasPrefix(body, Answer("POST", "/pay?x=1", "amount")), body)
+	}
+	text, err := do(s, "GET /standin/arrivals HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.NilError(t, err)
+	var got Arrivals
+	assert.NilError(t, json.Unmarshal([]byte(text), &got))
+	assert.Equal(t, got.Total, int64(3))
+	last := got.Arrivals[2]
+	assert.Equal(t, last.Number, int64(3))
+	assert.Equal(t, last.Method+" "+last.Path+" "+last.Body, "POST /pay?x=1 amount")
+	assert.Equal(t, last.Idempotency, "k1")
+	assert.DeepEqual(t, last.Headers["Idempotency-Key"], []string{"k1"})
+}
+
+// Guards against places in which a caller's key could arrive unseen.
+func TestSeesFindsAKeyEverywhere(t *testing.T) {
+	for name, request := range map[string]string{
+		"header":  "GET /a HTTP/1.1\r\nHost: h\r\nX-Any: has secret1 in it\r\n\r\n",
+		"name":    "GET /a HTTP/1.1\r\nHost: h\r\nsecret1: v\r\n\r\n",
+		"query":   "GET /a?key=secret1 HTTP/1.1\r\nHost: h\r\n\r\n",
+		"body":    "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 7\r\n\r\nsecret1",
+		"cookie":  "GET /a HTTP/1.1\r\nHost: h\r\nCookie: k=Secret1\r\n\r\n",
+		"late":    "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\nX-End: secret1\r\n\r\n",
+		"trailer": "POST /a HTTP/1.1\r\nHost: h\r\nTrailer: X-End\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\nX-End: secret1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := start(t, Options{})
+			_, err := do(s, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+			assert.NilError(t, err)
+			assert.Equal(t, len(s.Sees("secret1")), 0)
+			_, err = do(s, request)
+			assert.NilError(t, err)
+			assert.Equal(t, len(s.Sees("secret1")), 1)
+		})
+	}
+}
+
+// Guards against requests that ran, or reached a hanging tool, without being
+// counted.
+func TestUnansweredRequestsCount(t *testing.T) {
+	for name, f := range map[string]fault.Fault{
+		"lost answer": {LoseAnswers: 1},
+		"half answer": {CutBytes: 1},
+		"hang":        {Hang: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := start(t, Options{})
+			assert.NilError(t, s.SetFault(f))
+			failed := make(chan error, 1)
+			go func() {
+				_, err := do(s, pay("k", "amount"))
+				failed <- err
+			}()
+			for end := time.Now().Add(patience); s.Arrivals().Total == 0; time.Sleep(time.Millisecond) {
+				assert.Assert(t, time.Now().Before(end), "the request was not counted")
+			}
+			if f.Hang {
+				assert.NilError(t, s.SetFault(fault.Fault{}))
+			}
+			assert.Assert(t, <-failed != nil)
+			assert.Equal(t, s.Arrivals().Total, int64(1))
+		})
+	}
+}
+
+// Guards against a delay that is skipped, and a load report that does not lag.
+func TestDelayAndLoad(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := start(t, Options{Clock: clock, Delay: time.Minute, LoadLag: time.Second})
+	answered := make(chan error, 1)
+	go func() {
+		_, err := do(s, pay("k", ""))
+		answered <- err
+	}()
+	assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+	assert.Equal(t, s.Load().Running, 0)
+	clock.Advance(time.Second)
+	assert.Equal(t, s.Load().Running, 1)
+	clock.Advance(time.Minute - time.Second - 1)
+	assert.Equal(t, len(answered), 0)
+	clock.Advance(1)
+	assert.NilError(t, <-answered)
+}
