Add silent client addresses to the fault switches

RefuseClients tells a client of the partition by a closed connection. A partition in which packets are lost shows only in timeouts, so SilenceClients makes connections of the listed addresses silent.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -7,6 +7,9 @@
 // then takes PromptTokenTime for each prompt token that is not cached, then
 // OutputTokenTime for each token of the answer. Both are multiplied by
 // 1 + Slowdown*(n-1) while n streams run.
+//
+// A closed connection is noticed only when the next chunk is written to it, so
+// a caller that gives up on a waiting request cancels it by DELETE.
 package engine
 
 import (
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -32,7 +32,7 @@
 // Fault is the set of faults in effect. The zero value means none. A PUT of
 // /standin/fault replaces the whole set. Requests for /standin/ paths are
 // exempt from Slow, Hang, LoseAnswers and the cuts, but not from Down,
-// RefuseClients and silent connections; the control address is exempt from
+// RefuseClients, SilenceClients and silent connections; the control address is exempt from
 // all of them.
 type Fault struct {
 	// Down closes open connections, and new ones as soon as they are accepted.
@@ -67,6 +67,10 @@
 	// RefuseClients lists client IP addresses whose connections are closed,
 	// which models a partition in one direction.
 	RefuseClients []netip.Addr `json:",omitempty"`
+	// SilenceClients lists client IP addresses whose open and new connections
+	// become silent, which models a partition that no side is told of. These
+	// connections stay silent when the fault is lifted.
+	SilenceClients []netip.Addr `json:",omitempty"`
 }
 
 // Validate reports the first field that has no meaning.
--- a/standin/fault/fault_test.go
+++ b/standin/fault/fault_test.go
@@ -225,6 +225,25 @@
 	assertAnswers(t, dial(t, x.Address(), "127.0.0.3"))
 }
 
+// Guards against a partition that the client is told of by a closed
+// connection, and against one that heals the connections it broke.
+func TestSilenceClientsByAddress(t *testing.T) {
+	x := start(t)
+	old, spared := dial(t, x.Address(), "127.0.0.2"), dial(t, x.Address(), "127.0.0.3")
+	assertAnswers(t, old)
+	assert.NilError(t, x.SetFault(Fault{SilenceClients: []netip.Addr{netip.MustParseAddr("127.0.0.2")}}))
+	fresh := dial(t, x.Address(), "127.0.0.2")
+	for range 2 {
+		for _, c := range []*client{old, fresh} {
+			_, _, err := c.do("GET", "/x", "", quiet)
+			assert.Assert(t, isTimeout(err), "%v", err)
+		}
+		assertAnswers(t, spared)
+		assert.NilError(t, x.SetFault(Fault{}))
+	}
+	assertAnswers(t, dial(t, x.Address(), "127.0.0.2"))
+}
+
 // Guards against misspelled switches that silently do nothing.
 func TestBadFaultsAreRejected(t *testing.T) {
 	x := start(t)
--- a/standin/fault/server.go
+++ b/standin/fault/server.go
@@ -186,6 +186,7 @@
 		return err
 	}
 	f.RefuseClients = slices.Clone(f.RefuseClients)
+	f.SilenceClients = slices.Clone(f.SilenceClients)
 	s.mu.Lock()
 	s.fault = f
 	close(s.changed)
@@ -193,11 +194,9 @@
 	s.abortWhere(func(c *conn) bool {
 		return c != except && !c.control && (f.Down || slices.Contains(f.RefuseClients, c.client))
 	})
-	if f.Silent {
-		for c := range s.conns {
-			if c != except && !c.control {
-				c.silent.Store(true)
-			}
+	for c := range s.conns {
+		if c != except && !c.control && (f.Silent || slices.Contains(f.SilenceClients, c.client)) {
+			c.silent.Store(true)
 		}
 	}
 	s.mu.Unlock()
@@ -239,6 +238,7 @@
 		return nil, false
 	}
 	if !onControl {
+		c.silent.Store(slices.Contains(s.fault.SilenceClients, c.client))
 		s.counters.Connections++
 	}
 	s.conns[c] = struct{}{}
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -189,16 +189,31 @@
 }
 
 // Guards against an outage that ends with all leases lapsed at once: under a
-// new leader each has its full TTL again.
-func TestSessionsSurviveDown(t *testing.T) {
-	clock := clockwork.NewFakeClock()
-	s := start(t, Options{Clock: clock})
-	id := session(t, s, `{"TTL": "3s"}`)
-	assert.NilError(t, s.SetFault(fault.Fault{Down: true}))
-	clock.Advance(10 * time.Minute)
-	assert.NilError(t, s.SetFault(fault.Fault{}))
-	clock.Advance(2 * time.Second)
-	assert.Equal(t, do(t, s, "PUT", "/v1/session/renew/"+id, "").status, 200)
+// new leader each has its full TTL again, unless the option says otherwise.
+func TestSessionsInAnOutage(t *testing.T) {
+	for name, c := range map[string]struct {
+		lapse  bool
+		status int
+	}{
+		"full TTL afterwards": {false, 200},
+		"lapse while down":    {true, 404},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			s := start(t, Options{Clock: clock, LapseWhileDown: c.lapse})
+			id := session(t, s, `{"TTL": "3s"}`)
+			assert.NilError(t, s.SetFault(fault.Fault{Down: true}))
+			clock.Advance(10 * time.Minute)
+			if c.lapse {
+				for end := time.Now().Add(patience); s.Stats().Lapsed == 0; time.Sleep(time.Millisecond) {
+					assert.Assert(t, time.Now().Before(end), "the session did not lapse")
+				}
+			}
+			assert.NilError(t, s.SetFault(fault.Fault{}))
+			clock.Advance(2 * time.Second)
+			assert.Equal(t, do(t, s, "PUT", "/v1/session/renew/"+id, "").status, c.status)
+		})
+	}
 }
 
 // Guards against watchers that miss a change, or that keys outside of their
