--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -24,6 +25,14 @@
 // patience bounds the wait for something that must happen.
 const patience = 5 * time.Second
 
+// blockUntil waits until n timers of the clock are running.
+func blockUntil(t *testing.T, clock *clockwork.FakeClock, n int) {
+	t.Helper()
+	ctx, stop := context.WithTimeout(t.Context(), patience)
+	defer stop()
+	assert.NilError(t, clock.BlockUntilContext(ctx, n))
+}
+
 func start(t *testing.T, o Options) *Server {
 	t.Helper()
 	o.Listen = "127.0.0.1:0"
@@ -239,6 +248,21 @@
 	assert.Equal(t, s.Load().Running+s.Load().Waiting, 0)
 }
 
+// Guards against waiting streams that stay behind when the batch has room, and
+// against a batch larger than MaxRunning.
+func TestWaitingStreamMovesUp(t *testing.T) {
+	s := start(t, Options{Clock: clockwork.NewFakeClock(), OutputTokenTime: time.Hour, MaxRunning: 1})
+	for _, id := range []string{"a", "b", "c"} {
+		_, err := s.start(id, "", Request{Model: DefaultModel, Messages: ask(id)})
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, s.Load().Running, 1)
+	assert.Equal(t, s.Load().Waiting, 2)
+	assert.Equal(t, send(t, s, "DELETE", "/v1/streams/a", nil).status, 204)
+	eventually(t, "b runs", func() bool { return s.Load().Waiting == 1 })
+	assert.Equal(t, s.Load().Running, 1)
+}
+
 // Guards against a time model without batching: the tokens of two streams that
 // run together come later than those of one alone.
 func TestBatchSlowsStreams(t *testing.T) {
@@ -246,10 +270,10 @@
 	s := start(t, Options{Clock: clock, OutputTokenTime: time.Second, Slowdown: 0.5})
 	_, err := s.start("a", "", Request{Model: DefaultModel, Messages: ask("a")})
 	assert.NilError(t, err)
-	assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+	blockUntil(t, clock, 1)
 	_, err = s.start("b", "", Request{Model: DefaultModel, Messages: ask("b")})
 	assert.NilError(t, err)
-	assert.NilError(t, clock.BlockUntilContext(t.Context(), 2))
+	blockUntil(t, clock, 2)
 	done := func(id string) int {
 		st := s.find(id)
 		defer s.detach(st)
--- a/standin/engine/memory_test.go
+++ b/standin/engine/memory_test.go
@@ -41,21 +41,19 @@
 func TestCachedTokensCostNoTime(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	s := start(t, Options{Clock: clock, PromptTokenTime: time.Second})
-	call := func(waiters int) chan Usage {
-		usage := make(chan Usage, 1)
-		go func() {
-			_, u := turn(t, s, "p", long("a"))
-			usage <- u
-		}()
-		assert.NilError(t, clock.BlockUntilContext(t.Context(), waiters))
-		return usage
+	call := func(waiters int) chan reply {
+		replies := make(chan reply, 1)
+		go func() { replies <- chat(t, s, long("a"), false) }()
+		blockUntil(t, clock, waiters)
+		return replies
 	}
+	cachedIn := func(r reply) int { return decodeReply[Completion](t, r).Usage.PromptTokensDetails.CachedTokens }
 	cold := call(1)
 	clock.Advance(201 * time.Second)
-	assert.Equal(t, (<-cold).PromptTokensDetails.CachedTokens, 0)
+	assert.Equal(t, cachedIn(<-cold), 0)
 	warm := call(2) // the other waiter is the end of the first stream's Retain
 	clock.Advance(9 * time.Second)
-	assert.Equal(t, (<-warm).PromptTokensDetails.CachedTokens, 192)
+	assert.Equal(t, cachedIn(<-warm), 192)
 }
 
 // Guards against a cache that outgrows its memory or evicts recent entries.
@@ -70,6 +68,22 @@
 	assert.Assert(t, u.PromptTokensDetails.CachedTokens < 192)
 }
 
+// Guards against eviction in order of insertion, and against a prompt that is
+// cached whole, which leaves no token to compute.
+func TestCacheKeepsWhatWasUsedLast(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := newCache(1, 3, &eventLog{})
+	for _, id := range []blockID{1, 2, 3, 1, 4} {
+		c.insert("p", []blockID{id}, now)
+	}
+	assert.DeepEqual(t, c.blocksOf("p"), []blockID{4, 1, 3})
+	c = newCache(2, 3, &eventLog{})
+	prompt := []uint64{1, 2, 3, 4}
+	c.insert("p", c.blockIDs(prompt), now)
+	assert.Equal(t, c.match(prompt), 2)
+	assert.Equal(t, c.match(append(prompt, 5)), 4)
+}
+
 // Guards against memory that stays after release, and against releasing blocks
 // that another program shares.
 func TestReleaseFreesWhatNoOtherProgramUses(t *testing.T) {
@@ -129,7 +143,7 @@
 	turn(t, s, "p", long("a"))
 	assert.Equal(t, s.Load().CacheBlocks, 0)
 	for range 2 * samplesPerLag {
-		assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+		blockUntil(t, clock, 1)
 		clock.Advance(time.Second / samplesPerLag)
 		eventually(t, "sample", func() bool { return s.lastSample().Equal(clock.Now()) })
 	}
--- a/standin/fault/fault_test.go
+++ b/standin/fault/fault_test.go
@@ -131,13 +131,15 @@
 	assert.NilError(t, x.SetFault(Fault{LoseAnswers: 1, LoseMatch: "/key"}))
 	c := dial(t, x.Address(), "127.0.0.1")
 	assertAnswers(t, c)
-	_, body, err := c.do("PUT", "/other", "v", patience)
-	assert.NilError(t, err)
-	assert.Equal(t, body, "answer")
+	for path, method := range map[string]string{"/other": "PUT", "/key": "GET"} {
+		_, body, err := c.do(method, path, "", patience)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "answer")
+	}
 	before := x.effects.Load()
 	assertCut(t, c, "PUT", "/key", "v")
 	assert.Equal(t, x.effects.Load(), before+1)
-	_, body, err = dial(t, x.Address(), "127.0.0.1").do("PUT", "/key", "v", patience)
+	_, body, err := dial(t, x.Address(), "127.0.0.1").do("PUT", "/key", "v", patience)
 	assert.NilError(t, err)
 	assert.Equal(t, body, "answer")
 }
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -23,8 +23,12 @@
 	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
 }
 
-// patience bounds the wait for something that must happen.
-const patience = 5 * time.Second
+// patience bounds the wait for something that must happen, and quiet the wait
+// for something that must not.
+const (
+	patience = 5 * time.Second
+	quiet    = 50 * time.Millisecond
+)
 
 func start(t *testing.T, o Options) *Server {
 	t.Helper()
@@ -204,11 +208,14 @@
 			id := session(t, s, `{"TTL": "3s"}`)
 			assert.NilError(t, s.SetFault(fault.Fault{Down: true}))
 			clock.Advance(10 * time.Minute)
+			wait, lapsed := quiet, int64(0)
 			if c.lapse {
-				for end := time.Now().Add(patience); s.Stats().Lapsed == 0; time.Sleep(time.Millisecond) {
-					assert.Assert(t, time.Now().Before(end), "the session did not lapse")
-				}
+				wait, lapsed = patience, 1
+			}
+			for end := time.Now().Add(wait); s.Stats().Lapsed == 0 && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
 			}
+			assert.Equal(t, s.Stats().Lapsed, lapsed)
 			assert.NilError(t, s.SetFault(fault.Fault{}))
 			clock.Advance(2 * time.Second)
 			assert.Equal(t, do(t, s, "PUT", "/v1/session/renew/"+id, "").status, c.status)
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -26,6 +27,14 @@
 // patience bounds the wait for something that must happen.
 const patience = 5 * time.Second
 
+// blockUntil waits until n timers of the clock are running.
+func blockUntil(t *testing.T, clock *clockwork.FakeClock, n int) {
+	t.Helper()
+	ctx, stop := context.WithTimeout(t.Context(), patience)
+	defer stop()
+	assert.NilError(t, clock.BlockUntilContext(ctx, n))
+}
+
 func start(t *testing.T, o Options) *Server {
 	t.Helper()
 	o.Listen = "127.0.0.1:0"
@@ -141,7 +150,7 @@
 		_, err := do(s, pay("k", ""))
 		answered <- err
 	}()
-	assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+	blockUntil(t, clock, 1)
 	assert.Equal(t, s.Load().Running, 0)
 	clock.Advance(time.Second)
 	assert.Equal(t, s.Load().Running, 1)
