Drop the state of a crashed stand-in before its connections close

TestCrashDropsStreamsAndCache failed once in 15 runs with -race: the client saw its connection close and then read the old cache, because the connections were closed first. The state is now dropped first, and requests that arrive meanwhile are closed without effect. The test of the crash marker delays the drop and fails with the old order. go test -race -count=30 ./standin/... ./cmd passes.

--- a/standin/fault/fault_test.go
+++ b/standin/fault/fault_test.go
@@ -48,7 +48,10 @@
 			ctx.SetBodyString("answer")
 		},
 		IsWrite: func(ctx *fasthttp.RequestCtx) bool { return ctx.IsPut() },
-		Crashed: func() { x.crashes.Add(1) },
+		Crashed: func() {
+			time.Sleep(quiet / 4) // dropping state takes a moment
+			x.crashes.Add(1)
+		},
 	})
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.NilError(t, x.Close()) })
--- a/standin/fault/server.go
+++ b/standin/fault/server.go
@@ -67,6 +67,7 @@
 	changed   chan struct{} // closed and replaced when fault changes
 	conns     map[*conn]struct{}
 	closing   bool
+	crashing  bool      // state is being dropped
 	downUntil time.Time // after a crash
 	counters  Counters
 }
@@ -247,7 +248,7 @@
 
 // refuses reports whether a new connection is closed. The caller holds s.mu.
 func (s *Server) refuses(client netip.Addr) bool {
-	return s.fault.Down || s.options.Clock.Now().Before(s.downUntil) ||
+	return s.fault.Down || s.crashing || s.options.Clock.Now().Before(s.downUntil) ||
 		slices.Contains(s.fault.RefuseClients, client)
 }
 
@@ -303,21 +304,31 @@
 	s.spoilAnswer(ctx)
 }
 
-// crash closes everything if the body contains the marker.
+// crash closes everything if the body contains the marker. The state is
+// dropped before any connection closes, so that a client that notices the
+// crash cannot find the old state.
 func (s *Server) crash(ctx *fasthttp.RequestCtx) bool {
 	s.mu.Lock()
+	if s.crashing {
+		s.mu.Unlock()
+		return true
+	}
 	marker := s.fault.CrashMarker
 	if marker == "" || !bytes.Contains(ctx.PostBody(), []byte(marker)) {
 		s.mu.Unlock()
 		return false
 	}
 	s.counters.CrashArrival++
-	s.downUntil = s.options.Clock.Now().Add(time.Duration(s.fault.CrashTime))
-	s.abortWhere(func(c *conn) bool { return !c.control })
+	s.crashing = true
 	s.mu.Unlock()
 	if s.options.Crashed != nil {
 		s.options.Crashed()
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashing = false
+	s.downUntil = s.options.Clock.Now().Add(time.Duration(s.fault.CrashTime))
+	s.abortWhere(func(c *conn) bool { return !c.control })
 	return true
 }
 
