--- a/cmd/standin.go
+++ b/cmd/standin.go
@@ -16,6 +16,7 @@
 // server is a running stand-in.
 type server interface {
 	Address() string
+	ControlAddress() string
 	Close() error
 }
 
@@ -42,7 +43,11 @@
 	}
 	ctx, stop := signal.NotifyContext(parent, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if _, err := fmt.Fprintf(c.OutOrStdout(), "listening on %s\n", s.Address()); err != nil {
+	report := fmt.Sprintf("listening on %s\n", s.Address())
+	if control := s.ControlAddress(); control != "" {
+		report += fmt.Sprintf("control on %s\n", control)
+	}
+	if _, err := fmt.Fprint(c.OutOrStdout(), report); err != nil {
 		_ = s.Close()
 		return fmt.Errorf("report address: %w", err)
 	}
