--- a/standin/fault/fault_test.go
+++ b/standin/fault/fault_test.go
@@ -48,7 +48,10 @@
 			ctx.SetBodyString("answer")
 		},
 		IsWrite: func(ctx *fasthttp.RequestCtx) bool { return ctx.IsPut() },
-		Crashed: func() { x.crashes.Add(1) },
+		Crashed: func() {
+			time.Sleep(quiet / 4) // dropping state takes a moment
+			x.crashes.Add(1)
+		},
 	})
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.NilError(t, x.Close()) })
@@ -131,13 +134,15 @@
 	assert.NilError(t, x.SetFault(Fault{LoseAnswers: 1, LoseMatch: "/key"}))
 	c := dial(t, x.Address(), "127.0.0.1")
 	assertAnswers(t, c)
-	_, body, err := c.do("PUT", "/other", "v", patience)
-	assert.NilError(t, err)
-	assert.Equal(t, body, "answer")
+	for path, method := range map[string]string{"/other": "PUT", "/key": "GET"} {
+		_, body, err := c.do(method, path, "", patience)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "answer")
+	}
 	before := x.effects.Load()
 	assertCut(t, c, "PUT", "/key", "v")
 	assert.Equal(t, x.effects.Load(), before+1)
-	_, body, err = dial(t, x.Address(), "127.0.0.1").do("PUT", "/key", "v", patience)
+	_, body, err := dial(t, x.Address(), "127.0.0.1").do("PUT", "/key", "v", patience)
 	assert.NilError(t, err)
 	assert.Equal(t, body, "answer")
 }
@@ -225,6 +230,25 @@
 	assertAnswers(t, dial(t, x.Address(), "127.0.0.3"))
 }
 
+// Guards against a partition that the client is told of by a closed
+// connection, and against one that heals the connections it broke.
+func TestSilenceClientsByAddress(t *testing.T) {
+	x := start(t)
+	old, spared := dial(t, x.Address(), "127.0.0.2"), dial(t, x.Address(), "127.0.0.3")
+	assertAnswers(t, old)
+	assert.NilError(t, x.SetFault(Fault{SilenceClients: []netip.Addr{netip.MustParseAddr("127.0.0.2")}}))
+	fresh := dial(t, x.Address(), "127.0.0.2")
+	for range 2 {
+		for _, c := range []*client{old, fresh} {
+			_, _, err := c.do("GET", "/x", "", quiet)
+			assert.Assert(t, isTimeout(err), "%v", err)
+		}
+		assertAnswers(t, spared)
+		assert.NilError(t, x.SetFault(Fault{}))
+	}
+	assertAnswers(t, dial(t, x.Address(), "127.0.0.2"))
+}
+
 // Guards against misspelled switches that silently do nothing.
 func TestBadFaultsAreRejected(t *testing.T) {
 	x := start(t)
--- a/standin/fault/server.go
+++ b/standin/fault/server.go
@@ -67,6 +67,7 @@
 	changed   chan struct{} // closed and replaced when fault changes
 	conns     map[*conn]struct{}
 	closing   bool
+	crashing  bool      // state is being dropped
 	downUntil time.Time // after a crash
 	counters  Counters
 }
@@ -186,6 +187,7 @@
 		return err
 	}
 	f.RefuseClients = slices.Clone(f.RefuseClients)
+	f.SilenceClients = slices.Clone(f.SilenceClients)
 	s.mu.Lock()
 	s.fault = f
 	close(s.changed)
@@ -193,11 +195,9 @@
 	s.abortWhere(func(c *conn) bool {
 		return c != except && !c.control && (f.Down || slices.Contains(f.RefuseClients, c.client))
 	})
-	if f.Silent {
-		for c := range s.conns {
-			if c != except && !c.control {
-				c.silent.Store(true)
-			}
+	for c := range s.conns {
+		if c != except && !c.control && (f.Silent || slices.Contains(f.SilenceClients, c.client)) {
+			c.silent.Store(true)
 		}
 	}
 	s.mu.Unlock()
@@ -239,6 +239,7 @@
 		return nil, false
 	}
 	if !onControl {
+		c.silent.Store(slices.Contains(s.fault.SilenceClients, c.client))
 		s.counters.Connections++
 	}
 	s.conns[c] = struct{}{}
@@ -247,7 +248,7 @@
 
 // refuses reports whether a new connection is closed. The caller holds s.mu.
 func (s *Server) refuses(client netip.Addr) bool {
-	return s.fault.Down || s.options.Clock.Now().Before(s.downUntil) ||
+	return s.fault.Down || s.crashing || s.options.Clock.Now().Before(s.downUntil) ||
 		slices.Contains(s.fault.RefuseClients, client)
 }
 
@@ -303,21 +304,31 @@
 	s.spoilAnswer(ctx)
 }
 
-// crash closes everything if the body contains the marker.
+// crash closes everything if the body contains the marker. The state is
+// dropped before any connection closes, so that a client that notices the
+// crash cannot find the old state.
 func (s *Server) crash(ctx *fasthttp.RequestCtx) bool {
 	s.mu.Lock()
+	if s.crashing {
+		s.mu.Unlock()
+		return true
+	}
 	marker := s.fault.CrashMarker
 	if marker == "" || !bytes.Contains(ctx.PostBody(), []byte(marker)) {
 		s.mu.Unlock()
 		return false
 	}
 	s.counters.CrashArrival++
-	s.downUntil = s.options.Clock.Now().Add(time.Duration(s.fault.CrashTime))
-	s.abortWhere(func(c *conn) bool { return !c.control })
+	s.crashing = true
 	s.mu.Unlock()
 	if s.options.Crashed != nil {
 		s.options.Crashed()
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashing = false
+	s.downUntil = s.options.Clock.Now().Add(time.Duration(s.fault.CrashTime))
+	s.abortWhere(func(c *conn) bool { return !c.control })
 	return true
 }
 
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -23,8 +23,12 @@
 	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
 }
 
-// patience bounds the wait for something that must happen.
-const patience = 5 * time.Second
+// patience bounds the wait for something that must happen, and quiet the wait
+// for something that must not.
+const (
+	patience = 5 * time.Second
+	quiet    = 50 * time.Millisecond
+)
 
 func start(t *testing.T, o Options) *Server {
 	t.Helper()
@@ -189,16 +193,34 @@
 }
 
 // Guards against an outage that ends with all leases lapsed at once: under a
-// new leader each has its full TTL again.
-func TestSessionsSurviveDown(t *testing.T) {
-	clock := clockwork.NewFakeClock()
-	s := start(t, Options{Clock: clock})
-	id := session(t, s, `{"TTL": "3s"}`)
-	assert.NilError(t, s.SetFault(fault.Fault{Down: true}))
-	clock.Advance(10 * time.Minute)
-	assert.NilError(t, s.SetFault(fault.Fault{}))
-	clock.Advance(2 * time.Second)
-	assert.Equal(t, do(t, s, "PUT", "/v1/session/renew/"+id, "").status, 200)
+// new leader each has its full TTL again, unless the option says otherwise.
+func TestSessionsInAnOutage(t *testing.T) {
+	for name, c := range map[string]struct {
+		lapse  bool
+		status int
+	}{
+		"full TTL afterwards": {false, 200},
+		"lapse while down":    {true, 404},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			s := start(t, Options{Clock: clock, LapseWhileDown: c.lapse})
+			id := session(t, s, `{"TTL": "3s"}`)
+			assert.NilError(t, s.SetFault(fault.Fault{Down: true}))
+			clock.Advance(10 * time.Minute)
+			wait, lapsed := quiet, int64(0)
+			if c.lapse {
+				wait, lapsed = patience, 1
+			}
+			for end := time.Now().Add(wait); s.Stats().Lapsed == 0 && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			assert.Equal(t, s.Stats().Lapsed, lapsed)
+			assert.NilError(t, s.SetFault(fault.Fault{}))
+			clock.Advance(2 * time.Second)
+			assert.Equal(t, do(t, s, "PUT", "/v1/session/renew/"+id, "").status, c.status)
+		})
+	}
 }
 
 // Guards against watchers that miss a change, or that keys outside of their
