Test the limits service with seven hosts and two faults at a time

The fleet runs in synctest bubbles, so its clock is fake and its latencies are exact. The checker fails on a host that credits transfers twice.

--- /dev/null
+++ b/app/limits/fleet_test.go
@@ -0,0 +1,341 @@
+package limits
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
+
+	"mimosarelay/core/config"
+	"mimosarelay/core/model"
+	"mimosarelay/core/store"
+	"mimosarelay/io/peer/peerpb"
+)
+
+const (
+	hostCount = 7
+	oneWay    = 1500 * time.Microsecond
+	// rightLapses and removedAfter follow LeaseTTL of 3 s less the margin, and
+	// the time until other members saw the lease expire.
+	rightLapses  = 2500 * time.Millisecond
+	removedAfter = 4 * time.Second
+)
+
+var errLost = errors.New("message lost")
+
+// memoryStore keeps the key Shares. It is slow, loses answers and is down as
+// told.
+type memoryStore struct {
+	store.Store
+	mu      sync.Mutex
+	entry   store.Entry
+	down    bool
+	loseOne bool
+}
+
+func (m *memoryStore) Get(context.Context, string) (store.Entry, error) {
+	time.Sleep(2 * time.Millisecond)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return store.Entry{}, store.ErrUnavailable
+	}
+	if m.entry.Version == 0 {
+		return store.Entry{}, store.ErrNotFound
+	}
+	return m.entry, nil
+}
+
+func (m *memoryStore) Put(_ context.Context, key string, value []byte, prev store.Version) (store.Version, error) {
+	time.Sleep(2 * time.Millisecond)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case m.down:
+		return 0, store.ErrUnavailable
+	case m.entry.Version != prev:
+		return 0, store.ErrConflict
+	}
+	m.entry = store.Entry{Key: key, Value: value, Version: prev + 1}
+	if m.loseOne {
+		m.loseOne = false
+		return 0, store.ErrUnknown
+	}
+	return m.entry.Version, nil
+}
+
+// node is one process of a host.
+type node struct {
+	fleet    *testFleet
+	host     model.HostID
+	process  model.Incarnation
+	service  *Service
+	cut      bool // neither peers nor store reachable
+	dead     bool
+	removed  bool      // its lease was seen to expire
+	rightEnd time.Time // zero while the lease is renewed
+}
+
+// testFleet runs seven hosts in a synctest bubble. A coordinator stands in for
+// the membership.
+type testFleet struct {
+	t           *testing.T
+	random      *rand.Rand
+	mu          sync.Mutex
+	nodes       map[model.HostID]*node
+	epoch       model.Epoch
+	reports     map[model.HostID]EntryReport
+	store       *memoryStore
+	document    *config.Document
+	faulty      bool // messages are lost, doubled and late
+	creditTwice bool // the wrong variant
+	started     int
+	wg          sync.WaitGroup
+	done        chan struct{}
+}
+
+func newTestFleet(t *testing.T, seed uint64, document *config.Document) *testFleet {
+	f := &testFleet{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), nodes: map[model.HostID]*node{},
+		reports: map[model.HostID]EntryReport{}, store: &memoryStore{}, document: document, done: make(chan struct{}),
+	}
+	for i := range hostCount {
+		f.start(model.HostID(fmt.Sprintf("h%d", i)))
+	}
+	f.newEpoch()
+	f.wg.Go(f.watch)
+	return f
+}
+
+func (f *testFleet) close() {
+	close(f.done)
+	f.wg.Wait()
+	for _, n := range f.nodes {
+		n.service.Close()
+	}
+}
+
+func (f *testFleet) start(h model.HostID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.started++
+	n := &node{fleet: f, host: h, process: model.Incarnation(fmt.Sprint("p", f.started))}
+	n.service = New(Options{
+		Host: h, Clock: clockwork.NewRealClock(), Store: f.store, Peers: n, MayAct: n.mayAct,
+		Silent: func(h model.HostID) bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			other := f.nodes[h]
+			return other.dead || other.cut
+		},
+	})
+	n.service.ContractsChanged(f.document)
+	f.nodes[h] = n
+}
+
+func (f *testFleet) float() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.Float64()
+}
+
+func (f *testFleet) node(h model.HostID) *node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[h]
+}
+
+func (n *node) mayAct() bool {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	return !n.dead && (n.rightEnd.IsZero() || time.Now().Before(n.rightEnd))
+}
+
+func (n *node) reachable() bool {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	return !n.dead && !n.cut
+}
+
+// MoveShare implements Peers with the faults of the fleet.
+func (n *node) MoveShare(ctx context.Context, address string, r *peerpb.MoveShareRequest) (*peerpb.MoveShareResponse, error) {
+	f := n.fleet
+	time.Sleep(oneWay)
+	to := f.node(model.HostID(address))
+	fault := f.float()
+	if !f.faulty {
+		fault = 1
+	}
+	if !n.reachable() || !to.reachable() || fault < 0.05 {
+		<-ctx.Done()
+		return nil, errLost
+	}
+	response, err := to.service.HandleMoveShare(ctx, proto.Clone(r).(*peerpb.MoveShareRequest))
+	if err != nil {
+		return nil, err
+	}
+	switch {
+	case fault < 0.10: // the answer is lost
+		<-ctx.Done()
+		return nil, errLost
+	case fault < 0.15: // the answer is late
+		time.Sleep(time.Duration(f.float() * float64(400*time.Millisecond)))
+	case fault < 0.20: // the request is doubled
+		if response, err = to.service.HandleMoveShare(ctx, r); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(oneWay)
+	if f.creditTwice {
+		n.creditAgain(r, response)
+	}
+	return response, nil
+}
+
+// creditAgain credits an answer under a second id, as a host would that does
+// not remember the ids it credited.
+func (n *node) creditAgain(request *peerpb.MoveShareRequest, response *peerpb.MoveShareResponse) {
+	again := proto.Clone(response).(*peerpb.MoveShareResponse)
+	again.TransferId += " again"
+	s := n.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := model.WorkspaceID(request.GetWorkspace())
+	if s.ledger.Ask(s.ledger.Epoch(), again.TransferId, id) == nil {
+		s.credit(id, &peerState{}, again)
+	}
+}
+
+// newEpoch makes a membership of the hosts that are not removed, and lets each
+// reachable one enter it after a delay of its own.
+func (f *testFleet) newEpoch() {
+	f.mu.Lock()
+	f.epoch++
+	m := Membership{Epoch: f.epoch}
+	var nodes []*node
+	for i := range hostCount {
+		n := f.nodes[model.HostID(fmt.Sprintf("h%d", i))]
+		if n.removed {
+			continue
+		}
+		if !n.dead && !n.cut {
+			nodes = append(nodes, n)
+		}
+		m.Members = append(m.Members, Member{Host: n.host, Incarnation: n.process, PeerAddress: string(n.host)})
+	}
+	f.mu.Unlock()
+	for _, n := range nodes {
+		delay := time.Duration(f.float() * float64(500*time.Millisecond))
+		f.wg.Go(func() {
+			time.Sleep(delay)
+			own := m
+			own.Incarnation = n.process
+			n.service.EpochChanged(own)
+			f.report(n, m.Epoch)
+		})
+	}
+}
+
+func (f *testFleet) report(n *node, epoch model.Epoch) {
+	holdings := n.service.Holdings(epoch)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if holdings != nil && !n.dead && !n.cut {
+		f.reports[n.host] = EntryReport{Host: n.host, Incarnation: n.process, Epoch: epoch, Holdings: holdings}
+	}
+}
+
+// watch delivers the control keys to the hosts that reach the store.
+func (f *testFleet) watch() {
+	for {
+		select {
+		case <-f.done:
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
+		f.store.mu.Lock()
+		down, shares := f.store.down, f.store.entry
+		f.store.mu.Unlock()
+		if down {
+			continue
+		}
+		f.mu.Lock()
+		var entries []store.Entry
+		for h, r := range f.reports {
+			value, err := json.Marshal(r)
+			if err != nil {
+				f.t.Error(err)
+			}
+			entries = append(entries, store.Entry{Key: EnterPrefix + string(h), Value: value})
+		}
+		var nodes []*node
+		for _, n := range f.nodes {
+			if !n.dead && !n.cut {
+				nodes = append(nodes, n)
+			}
+		}
+		f.mu.Unlock()
+		for _, n := range nodes {
+			n.service.EntriesChanged(entries)
+			if shares.Version > 0 {
+				n.service.SharesChanged([]store.Entry{shares})
+			}
+		}
+	}
+}
+
+// kill ends the process of a host; the others remove it later.
+func (f *testFleet) kill(h model.HostID) {
+	n := f.node(h)
+	f.mu.Lock()
+	n.dead = true
+	f.mu.Unlock()
+	n.service.Close()
+	time.Sleep(removedAfter)
+	f.remove(n)
+}
+
+func (f *testFleet) remove(n *node) {
+	f.mu.Lock()
+	n.removed = true
+	f.mu.Unlock()
+	f.newEpoch()
+}
+
+// isolate cuts a host off and lets it rejoin under a new incarnation. Its old
+// process keeps trying to act.
+func (f *testFleet) isolate(h model.HostID, d time.Duration) {
+	n := f.node(h)
+	f.mu.Lock()
+	n.cut = true
+	n.rightEnd = time.Now().Add(rightLapses)
+	f.mu.Unlock()
+	time.Sleep(max(d, removedAfter))
+	f.remove(n)
+	time.Sleep(time.Second)
+	n.service.Close()
+	f.start(h)
+	f.newEpoch()
+}
+
+// total returns the shares that the hosts of the newest epoch hold.
+func (f *testFleet) total(id model.WorkspaceID) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var sum int64
+	for _, n := range f.nodes {
+		n.service.mu.Lock()
+		if n.service.ledger.Epoch() == f.epoch && n.service.member && !n.dead {
+			sum += n.service.ledger.Held(id)
+		}
+		n.service.mu.Unlock()
+	}
+	return sum
+}
--- /dev/null
+++ b/app/limits/limits_test.go
@@ -0,0 +1,293 @@
+package limits
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"mimosarelay/core/config"
+	"mimosarelay/core/escrow"
+	"mimosarelay/core/model"
+)
+
+func TestMain(m *testing.M) {
+	// The wrong variant of TestCheckerFindsDoubleCredit logs thousands of lines.
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	goleak.VerifyTestMain(m)
+}
+
+// contracts cover a burst that seven hosts can't divide into whole tokens, and
+// rates that keep all hosts busy.
+var contracts = &config.Document{Workspaces: []config.Workspace{
+	{Name: "one", Rate: 1, Burst: 1},
+	{Name: "small", Rate: 5, Burst: 3},
+	{Name: "medium", Rate: 20, Burst: 20},
+	{Name: "large", Rate: 100, Burst: 50},
+}}
+
+// checker records admissions and verifies the bound over every interval.
+type checker struct {
+	mu       sync.Mutex
+	admitted map[model.WorkspaceID][]time.Time
+	refused  map[model.WorkspaceID][]time.Time
+}
+
+func newChecker() *checker {
+	return &checker{admitted: map[model.WorkspaceID][]time.Time{}, refused: map[model.WorkspaceID][]time.Time{}}
+}
+
+func (c *checker) admit(n *node, id model.WorkspaceID) {
+	arrived := time.Now()
+	err := n.service.Admit(context.Background(), id)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		c.admitted[id] = append(c.admitted[id], time.Now())
+		return
+	}
+	c.refused[id] = append(c.refused[id], arrived)
+}
+
+// check reports whether some interval of t has more than burst + rate × t
+// admissions. With n(j) = j+1 - rate × t(j), the admissions from i to j exceed
+// the bound if n(j) - (n(i)-1) > burst, so the least n(i) decides.
+func (c *checker) check(document *config.Document) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range document.Workspaces {
+		least := math.Inf(1)
+		times := c.admitted[w.Name]
+		for j, at := range times {
+			v := float64(j) - w.Rate*at.Sub(times[0]).Seconds()
+			least = min(least, v)
+			if over := v + 1 - least - w.Burst; over > 1e-6 {
+				return fmt.Errorf("workspace %q: %.3f requests above burst + rate × t at %v", w.Name, over, at.Sub(times[0]))
+			}
+		}
+	}
+	return nil
+}
+
+// load sends each workspace at factor × rate for the duration. route chooses
+// the host of the i-th request.
+func load(f *testFleet, c *checker, factor float64, d time.Duration, route func(i int) model.HostID) {
+	var wg sync.WaitGroup
+	for _, w := range f.document.Workspaces {
+		wg.Go(func() {
+			pause := time.Duration(float64(time.Second) / (w.Rate * factor))
+			var calls sync.WaitGroup
+			for i := 0; time.Duration(i)*pause < d; i++ {
+				n := f.node(route(i))
+				calls.Go(func() { c.admit(n, w.Name) })
+				time.Sleep(pause)
+			}
+			calls.Wait()
+		})
+	}
+	wg.Wait()
+}
+
+func host(i int) model.HostID { return model.HostID(fmt.Sprintf("h%d", i%hostCount)) }
+
+func oneHost(int) model.HostID { return "h3" }
+
+// Guards against refusals within the rate: when all callers use one host, and
+// when they move from host to host, so that shares have to follow.
+func TestWithinRateIsNeverRefused(t *testing.T) {
+	cases := map[string]struct {
+		factor float64
+		route  func(i int) model.HostID
+	}{
+		"one host, full rate":            {1, oneHost},
+		"host changes with each request": {0.9, host},
+		"host changes seldom":            {0.95, func(i int) model.HostID { return host(i / 37) }},
+		"two hosts":                      {0.9, func(i int) model.HostID { return host(i % 2 * 5) }},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(t, 1, contracts)
+				defer f.close()
+				time.Sleep(5 * time.Second) // buckets fill
+				c := newChecker()
+				load(f, c, tc.factor, time.Minute, tc.route)
+				for id, times := range c.refused {
+					t.Errorf("workspace %q: %d refused, %d admitted", id, len(times), len(c.admitted[id]))
+				}
+				assert.NilError(t, c.check(contracts))
+			})
+		})
+	}
+}
+
+// Guards against a dead host whose shares stay lost: 10 s after its death, no
+// request within the rate is refused.
+func TestDeadHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 2, contracts)
+		defer f.close()
+		time.Sleep(5 * time.Second)
+		c := newChecker()
+		died := time.Now()
+		f.wg.Go(func() { f.kill("h0") })
+		load(f, c, 0.9, 40*time.Second, func(i int) model.HostID { return host(1 + i%6) })
+		for id, times := range c.refused {
+			for _, at := range times {
+				if at.Sub(died) > 10*time.Second {
+					t.Errorf("workspace %q refused %v after the death", id, at.Sub(died))
+				}
+			}
+		}
+		assert.NilError(t, c.check(contracts))
+		for _, w := range contracts.Workspaces {
+			assert.Equal(t, f.total(w.Name), escrow.Whole)
+		}
+	})
+}
+
+// storm runs an overload under random faults, two at a time, and returns the
+// result of the checker and the least number of admissions.
+func storm(t *testing.T, seed uint64, twice bool) (result error, least int) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, seed, contracts)
+		defer f.close()
+		f.faulty, f.creditTwice = true, twice
+		c := newChecker()
+		var faults sync.WaitGroup
+		for lane := range 2 {
+			faults.Go(func() { f.faults(lane, 50*time.Second) })
+		}
+		load(f, c, 3, time.Minute, func(i int) model.HostID { return host(int(f.float() * hostCount)) })
+		faults.Wait()
+		result = c.check(contracts)
+		least = math.MaxInt
+		for _, w := range contracts.Workspaces {
+			least = min(least, len(c.admitted[w.Name]))
+			if sum := f.total(w.Name); sum > escrow.Whole && !twice {
+				t.Errorf("workspace %q: shares sum to %d", w.Name, sum)
+			}
+		}
+	})
+	return result, least
+}
+
+// faults injects one fault after the other. Each lane has hosts of its own, so
+// that two faults overlap and never hit the same host.
+func (f *testFleet) faults(lane int, d time.Duration) {
+	end := time.Now().Add(d)
+	for time.Now().Before(end) {
+		h := host(2*int(f.float()*3) + lane)
+		switch r := f.float(); {
+		case r < 0.35:
+			f.kill(h)
+			f.start(h)
+			f.newEpoch()
+		case r < 0.7:
+			f.isolate(h, time.Duration(f.float()*float64(8*time.Second)))
+		case r < 0.85:
+			f.setStore(true, false)
+			time.Sleep(time.Duration(f.float() * float64(5*time.Second)))
+			f.setStore(false, true)
+		default:
+			f.newEpoch()
+		}
+		time.Sleep(time.Duration(f.float() * float64(2*time.Second)))
+	}
+}
+
+func (f *testFleet) setStore(down, loseOne bool) {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	f.store.down, f.store.loseOne = down, loseOne
+}
+
+// Guards against more than burst + rate × t admissions in any interval, through
+// two faults at a time.
+func TestBoundHoldsUnderFaults(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			err, least := storm(t, seed, false)
+			assert.NilError(t, err)
+			assert.Assert(t, least > 0)
+		})
+	}
+}
+
+// Guards against a checker that can't fail: it must find a host that credits
+// transfers twice.
+func TestCheckerFindsDoubleCredit(t *testing.T) {
+	err, _ := storm(t, 1, true)
+	assert.ErrorContains(t, err, "above burst")
+	t.Log(err)
+}
+
+// Guards against tokens that a contract change up and down mints.
+func TestContractChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 3, contracts)
+		defer f.close()
+		time.Sleep(5 * time.Second)
+		larger := &config.Document{}
+		for _, w := range contracts.Workspaces {
+			w.Rate, w.Burst = 2*w.Rate, 2*w.Burst
+			larger.Workspaces = append(larger.Workspaces, w)
+		}
+		f.wg.Go(func() {
+			for i := range 20 {
+				time.Sleep(time.Second)
+				for h := range hostCount {
+					f.node(host(h)).service.ContractsChanged([]*config.Document{larger, contracts}[i%2])
+				}
+			}
+		})
+		c := newChecker()
+		load(f, c, 4, 25*time.Second, host)
+		assert.NilError(t, c.check(larger))
+	})
+}
+
+// Guards against tokens spent without the right to act, and against refusals
+// that do not say that the call did not run.
+func TestRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 4, contracts)
+		defer f.close()
+		time.Sleep(5 * time.Second)
+		s := f.node("h1").service
+		refusal := func(id model.WorkspaceID, kind error) *model.Refusal {
+			err := s.Admit(context.Background(), id)
+			var r *model.Refusal
+			assert.Assert(t, errors.As(err, &r), "%v", err)
+			assert.ErrorIs(t, err, kind)
+			assert.Equal(t, r.Ran, model.RanNo)
+			return r
+		}
+		refusal("nobody", model.ErrForbidden)
+		assert.NilError(t, s.Admit(context.Background(), "one"))
+		c := newChecker()
+		for range 3 {
+			f.wg.Go(func() { c.admit(f.node("h1"), "one") })
+		}
+		synctest.Wait()
+		assert.Assert(t, refusal("one", model.ErrRateLimited).RetryAfter > 0)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		defer cancel()
+		time.Sleep(2 * time.Second)
+		assert.NilError(t, s.Admit(context.Background(), "one"))
+		assert.ErrorIs(t, s.Admit(ctx, "one"), context.DeadlineExceeded)
+		n := f.node("h1")
+		f.mu.Lock()
+		n.rightEnd = time.Now()
+		f.mu.Unlock()
+		refusal("large", model.ErrNoRight)
+	})
+}
