Stop two busy hosts from passing shares back and forth

At exactly the rate, with callers that change host each 0.37 s, 117 of 6,000 requests were refused in 60 s: hosts with waiting requests moved up to 200 whole shares in 6 s between them, and each move loses the refill during its flight. A giver with waiting requests now adds no spare part, keeps its share while its own refill serves it soon, and is asked again only after a pause if it had no tokens.

The tests within the rate now run at exactly the rate instead of 0.9 to 0.95 of it.

--- a/app/limits/gather.go
+++ b/app/limits/gather.go
@@ -26,6 +26,12 @@
 	maxPause = 320 * time.Millisecond
 )
 
+// soonPart divides LimitWait into the time within which a waiting request keeps
+// its share because refill alone serves it. Without this bound, two hosts with
+// waiting requests moved up to 33 times the whole share per second between them
+// and lost the refill during each move.
+const soonPart = 4
+
 // peerState is what this host remembers of a peer for one workspace and epoch.
 type peerState struct {
 	// open is the id of a transfer whose answer was lost. It is asked for
@@ -191,6 +197,11 @@
 	}
 	state.pause = 0
 	state.next = now
+	if r.GetMicroTokens() == 0 {
+		// Asking again at once for ever smaller parts cost up to 1,000
+		// messages per second and brought no token.
+		state.next = now.Add(minPause)
+	}
 }
 
 func (p *peerState) backOff(now time.Time) {
@@ -265,12 +276,14 @@
 func (s *Service) giver(ws *workspace, now time.Time, asker model.HostID, want int64) limit.Giver {
 	level := ws.bucket.Level(now)
 	own := int64(len(ws.waiters))*limit.Token - level
+	refill, ok := ws.bucket.Wait(now, limit.Token)
+	soon := ok && refill <= s.options.LimitWait/soonPart
 	return limit.Giver{
 		Contract: ws.bucket.Contract(),
 		Fraction: ws.bucket.Fraction(),
 		Level:    level,
 		Demand:   ws.demand.Rate(now),
 		Waiting:  len(ws.waiters),
-		Yields:   level < limit.Token && limit.Yields(own, want, string(s.options.Host), string(asker)),
+		Yields:   !soon && limit.Yields(own, want, string(s.options.Host), string(asker)),
 	}
 }
--- a/app/limits/limits_test.go
+++ b/app/limits/limits_test.go
@@ -104,13 +104,12 @@
 // when they move from host to host, so that shares have to follow.
 func TestWithinRateIsNeverRefused(t *testing.T) {
 	cases := map[string]struct {
-		factor float64
-		route  func(i int) model.HostID
+		route func(i int) model.HostID
 	}{
-		"one host, full rate":            {1, oneHost},
-		"host changes with each request": {0.9, host},
-		"host changes seldom":            {0.95, func(i int) model.HostID { return host(i / 37) }},
-		"two hosts":                      {0.9, func(i int) model.HostID { return host(i % 2 * 5) }},
+		"one host":                       {oneHost},
+		"host changes with each request": {host},
+		"host changes seldom":            {func(i int) model.HostID { return host(i / 37) }},
+		"two hosts":                      {func(i int) model.HostID { return host(i % 2 * 5) }},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -119,7 +118,7 @@
 				defer f.close()
 				time.Sleep(5 * time.Second) // buckets fill
 				c := newChecker()
-				load(f, c, tc.factor, time.Minute, tc.route)
+				load(f, c, 1, time.Minute, tc.route)
 				for id, times := range c.refused {
 					t.Errorf("workspace %q: %d refused, %d admitted", id, len(times), len(c.admitted[id]))
 				}
@@ -131,7 +130,13 @@
 
 // Guards against a dead host whose shares stay lost: 10 s after its death, no
 // request within the rate is refused.
-func TestDeadHost(t *testing.T) {
+func TestDeadHost(t *testing.T) { deadHost(t, 0.9) }
+
+// Guards against the same at exactly the rate, where nothing makes up for the
+// tokens lost with the dead host and the refill lost in transfers.
+func TestDeadHostAtFullRate(t *testing.T) { deadHost(t, 1) }
+
+func deadHost(t *testing.T, factor float64) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(t, 2, contracts)
 		defer f.close()
@@ -139,7 +144,7 @@
 		c := newChecker()
 		died := time.Now()
 		f.wg.Go(func() { f.kill("h0") })
-		load(f, c, 0.9, 40*time.Second, func(i int) model.HostID { return host(1 + i%6) })
+		load(f, c, factor, 40*time.Second, func(i int) model.HostID { return host(1 + i%6) })
 		for id, times := range c.refused {
 			for _, at := range times {
 				if at.Sub(died) > 10*time.Second {
@@ -148,6 +153,7 @@
 			}
 		}
 		assert.NilError(t, c.check(contracts))
+		time.Sleep(time.Second) // transfers in flight arrive
 		for _, w := range contracts.Workspaces {
 			assert.Equal(t, f.total(w.Name), escrow.Whole)
 		}
@@ -155,8 +161,8 @@
 }
 
 // storm runs an overload under random faults, two at a time, and returns the
-// result of the checker and the least number of admissions.
-func storm(t *testing.T, seed uint64, twice bool) (result error, least int) {
+// least number of admissions of a workspace and the result of the checker.
+func storm(t *testing.T, seed uint64, twice bool) (least int, result error) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(t, seed, contracts)
 		defer f.close()
@@ -166,7 +172,7 @@
 		for lane := range 2 {
 			faults.Go(func() { f.faults(lane, 50*time.Second) })
 		}
-		load(f, c, 3, time.Minute, func(i int) model.HostID { return host(int(f.float() * hostCount)) })
+		load(f, c, 3, time.Minute, func(int) model.HostID { return host(int(f.float() * hostCount)) })
 		faults.Wait()
 		result = c.check(contracts)
 		least = math.MaxInt
@@ -177,7 +183,7 @@
 			}
 		}
 	})
-	return result, least
+	return least, result
 }
 
 // faults injects one fault after the other. Each lane has hosts of its own, so
@@ -215,7 +221,7 @@
 func TestBoundHoldsUnderFaults(t *testing.T) {
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			err, least := storm(t, seed, false)
+			least, err := storm(t, seed, false)
 			assert.NilError(t, err)
 			assert.Assert(t, least > 0)
 		})
@@ -225,7 +231,7 @@
 // Guards against a checker that can't fail: it must find a host that credits
 // transfers twice.
 func TestCheckerFindsDoubleCredit(t *testing.T) {
-	err, _ := storm(t, 1, true)
+	_, err := storm(t, 1, true)
 	assert.ErrorContains(t, err, "above burst")
 	t.Log(err)
 }
@@ -263,22 +269,22 @@
 		defer f.close()
 		time.Sleep(5 * time.Second)
 		s := f.node("h1").service
-		refusal := func(id model.WorkspaceID, kind error) *model.Refusal {
+		refusal := func(id model.WorkspaceID, kind error) time.Duration {
 			err := s.Admit(context.Background(), id)
 			var r *model.Refusal
 			assert.Assert(t, errors.As(err, &r), "%v", err)
 			assert.ErrorIs(t, err, kind)
 			assert.Equal(t, r.Ran, model.RanNo)
-			return r
+			return r.RetryAfter
 		}
-		refusal("nobody", model.ErrForbidden)
+		assert.Equal(t, refusal("nobody", model.ErrForbidden), time.Duration(0))
 		assert.NilError(t, s.Admit(context.Background(), "one"))
 		c := newChecker()
 		for range 3 {
 			f.wg.Go(func() { c.admit(f.node("h1"), "one") })
 		}
 		synctest.Wait()
-		assert.Assert(t, refusal("one", model.ErrRateLimited).RetryAfter > 0)
+		assert.Assert(t, refusal("one", model.ErrRateLimited) > 0)
 		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
 		defer cancel()
 		time.Sleep(2 * time.Second)
@@ -288,6 +294,6 @@
 		f.mu.Lock()
 		n.rightEnd = time.Now()
 		f.mu.Unlock()
-		refusal("large", model.ErrNoRight)
+		assert.Equal(t, refusal("large", model.ErrNoRight), time.Duration(0))
 	})
 }
--- a/core/limit/give.go
+++ b/core/limit/give.go
@@ -55,7 +55,9 @@
 
 // Give returns the fraction and the micro tokens to hand to an asker that
 // misses want micro tokens: enough to hold the tokens it wants, and half of
-// what the giver's own demand leaves over, so that shares follow demand.
+// what the giver's own demand leaves over, so that shares follow demand. A
+// giver with waiting requests of its own adds no such half, because two busy
+// hosts would pass it back and forth and lose the refill of each passage.
 func Give(g Giver, want int64) (fraction, microTokens int64) {
 	if want <= 0 || g.Fraction <= 0 {
 		return 0, 0
@@ -63,7 +65,10 @@
 	keep := g.keep()
 	needed := min(g.Contract.Fraction(want), g.Fraction-keep)
 	spare := g.Fraction - needed - max(keep, g.forecast())
-	fraction = max(0, needed) + max(0, spare)/2
+	fraction = max(0, needed)
+	if g.Waiting == 0 {
+		fraction += max(0, spare) / 2
+	}
 	if fraction == 0 {
 		return 0, 0
 	}
