--- a/app/limits/limits_test.go
+++ b/app/limits/limits_test.go
@@ -308,3 +308,29 @@
 		assert.Equal(t, refusal("large", model.ErrNoRight), time.Duration(0))
 	})
 }
+
+// Guards against a host that keeps its holdings after it was removed and joined
+// again, when others were granted them.
+func TestRemovedHostDropsHoldings(t *testing.T) {
+	cases := map[string]struct {
+		process model.Incarnation
+		want    int
+	}{
+		"same incarnation": {"p2", len(contracts.Workspaces)},
+		"joined again":     {"p9", 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(t, 5, contracts)
+				defer f.close()
+				time.Sleep(5 * time.Second)
+				s := f.node("h1").service
+				s.EpochChanged(Membership{
+					Epoch: 2, Incarnation: tc.process, Members: []Member{{Host: "h1", Incarnation: tc.process}},
+				})
+				assert.Equal(t, len(s.Holdings(2)), tc.want)
+			})
+		})
+	}
+}
