--- /dev/null
+++ b/io/operator/server_test.go
@@ -0,0 +1,315 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"mimosarelay/app/contracts"
+	"mimosarelay/core/model"
+	"mimosarelay/core/store"
+)
+
+const (
+	credential = "operator-credential-1"
+	document   = "Revision: 3\nWorkspaces: []\nTargets: []\n"
+)
+
+// backend records what it was asked for and answers with err.
+type backend struct {
+	err     error
+	missing []model.HostID
+	asked   []string
+}
+
+func (b *backend) note(format string, args ...any) {
+	b.asked = append(b.asked, fmt.Sprintf(format, args...))
+}
+
+func (b *backend) CurrentDocument() (model.Revision, []byte) { return 3, []byte(document) }
+
+func (b *backend) Apply(_ context.Context, d []byte, base model.Revision) (model.Revision, error) {
+	b.note("apply %d bytes on %d", len(d), base)
+	return base + 1, b.err
+}
+
+func (b *backend) Grant(_ context.Context, w model.WorkspaceID, id model.KeyID) (string, model.Revision, error) {
+	b.note("grant %s %s", w, id)
+	return "mr_secret", 4, b.err
+}
+
+func (b *backend) Withdraw(_ context.Context, id model.KeyID) (model.Revision, error) {
+	b.note("withdraw %s", id)
+	return 4, b.err
+}
+
+func (b *backend) History(context.Context) ([]contracts.HistoryEntry, error) {
+	return []contracts.HistoryEntry{{Revision: 3}}, b.err
+}
+
+func (b *backend) HistoryDocument(_ context.Context, r model.Revision) ([]byte, error) {
+	b.note("history %d", r)
+	return []byte(document), b.err
+}
+
+func (b *backend) InEffect(_ context.Context, r model.Revision) []model.HostID {
+	b.note("wait %d", r)
+	return b.missing
+}
+
+func (b *backend) Status(context.Context) (any, error) { return map[string]int{"Hosts": 2}, b.err }
+func (b *backend) Dump(context.Context) (any, error)   { panic("broken dump") }
+
+func (b *backend) Drain(context.Context) error {
+	b.note("drain")
+	return b.err
+}
+
+func (b *backend) Gone(_ context.Context, h model.HostID) error {
+	b.note("gone %s", h)
+	return b.err
+}
+
+func (b *backend) LiftSuspect(_ context.Context, f model.Fingerprint) error {
+	b.note("lift %s", f)
+	return b.err
+}
+
+func (b *backend) Ready() error { return b.err }
+
+// fixture is a running server with its log.
+type fixture struct {
+	*backend
+	url  string
+	file string
+	log  *bytes.Buffer
+}
+
+func start(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{backend: &backend{}, log: &bytes.Buffer{}, file: filepath.Join(t.TempDir(), "credential")}
+	assert.NilError(t, os.WriteFile(f.file, []byte(credential+"\n"), 0o600))
+	s, err := New(Options{
+		Backend: f.backend, CredentialFile: f.file, Wait: time.Second,
+		Log:     slog.New(slog.NewTextHandler(f.log, nil)),
+		Metrics: func(c *fasthttp.RequestCtx) { c.SetBodyString("requests 1\n") },
+	})
+	assert.NilError(t, err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	f.url = "http://" + l.Addr().String()
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(l) }()
+	t.Cleanup(func() {
+		assert.NilError(t, s.Shutdown(context.Background()))
+		assert.NilError(t, <-done)
+	})
+	return f
+}
+
+// reply is an answer whose body was read.
+type reply struct {
+	StatusCode int
+	Header     http.Header
+}
+
+// ask sends a request on a connection of its own.
+func (f *fixture) ask(t *testing.T, method, path, body, token string) (reply, string) {
+	t.Helper()
+	q, err := http.NewRequestWithContext(t.Context(), method, f.url+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	q.Close = true
+	if token != "" {
+		q.Header.Set("Authorization", token)
+	}
+	a, err := http.DefaultClient.Do(q)
+	assert.NilError(t, err)
+	defer a.Body.Close()
+	text, err := io.ReadAll(a.Body)
+	assert.NilError(t, err)
+	return reply{StatusCode: a.StatusCode, Header: a.Header}, string(text)
+}
+
+// TestMain looks for leaked goroutines. Two of fasthttp sleep past the end of
+// a server: the clock of the Date header and the cleaner of idle workers.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m,
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"))
+}
+
+// Guards against an operation that reaches the wrong part of the backend.
+func TestOperations(t *testing.T) {
+	const keyBody = `{"Workspace":"w","ID":"k"}`
+	for name, c := range map[string]struct {
+		method, path, body string
+		status             int
+		answer, asked      string
+	}{
+		"get":          {"GET", "/operator/v1/config", "", 200, document, ""},
+		"put":          {"PUT", "/operator/v1/config?base=3", document, 200, `{"Revision":4,"Waited":false,"InEffect":false,"Missing":null}`, "apply 39 bytes on 3"},
+		"put and wait": {"PUT", "/operator/v1/config?base=3&wait=true", document, 200, `{"Revision":4,"Waited":true,"InEffect":true,"Missing":null}`, "apply 39 bytes on 3,wait 4"},
+		"history":      {"GET", "/operator/v1/config/history", "", 200, `{"Revisions":[{"Revision":3,"At":"0001-01-01T00:00:00Z"}]}`, ""},
+		"old document": {"GET", "/operator/v1/config/history/2", "", 200, document, "history 2"},
+		"validate":     {"POST", "/operator/v1/config/validate", document, 200, `{"Revision":3,"Changes":null}`, ""},
+		"grant":        {"POST", "/operator/v1/keys", keyBody, 201, `{"Secret":"mr_secret","Revision":4,`, "grant w k"},
+		"withdraw":     {"DELETE", "/operator/v1/keys/k?wait=true", "", 200, `{"Revision":4,"Waited":true`, "withdraw k,wait 4"},
+		"status":       {"GET", "/operator/v1/status", "", 200, `{"Hosts":2}`, ""},
+		"drain":        {"POST", "/operator/v1/drain", "", 202, `{"Done":true}`, "drain"},
+		"gone":         {"POST", "/operator/v1/gone/h7", "", 200, `{"Done":true}`, "gone h7"},
+		"lift":         {"DELETE", "/operator/v1/suspects/ab12", "", 200, `{"Done":true}`, "lift ab12"},
+		"metrics":      {"GET", "/metrics", "", 200, "requests 1", ""},
+		"ready":        {"GET", "/readyz", "", 200, `{"Ready":true}`, ""},
+		"health":       {"GET", "/healthz", "", 200, `{"Healthy":true}`, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := start(t)
+			a, text := f.ask(t, c.method, c.path, c.body, "Bearer "+credential)
+			assert.Equal(t, a.StatusCode, c.status, text)
+			assert.Assert(t, strings.HasPrefix(text, c.answer), text)
+			assert.Equal(t, strings.Join(f.asked, ","), c.asked)
+		})
+	}
+}
+
+// Guards against operations without the credential, and against a credential
+// in the log.
+func TestCredentialIsRequired(t *testing.T) {
+	f := start(t)
+	for _, token := range []string{"", "Bearer", "Bearer ", "Bearer wrong", "Basic " + credential, credential, "Bearer " + credential + "1"} {
+		for _, r := range [][2]string{
+			{"GET", "/operator/v1/config"},
+			{"PUT", "/operator/v1/config?base=0"},
+			{"POST", "/operator/v1/keys"},
+			{"DELETE", "/operator/v1/keys/k"},
+			{"GET", "/operator/v1/dump"},
+			{"POST", "/operator/v1/drain"},
+			{"GET", "/metrics"},
+		} {
+			a, text := f.ask(t, r[0], r[1], document, token)
+			assert.Equal(t, a.StatusCode, 401, "%s with %q: %s", r[1], token, text)
+			assert.Equal(t, a.Header.Get("Content-Type"), "application/problem+json")
+		}
+	}
+	assert.Equal(t, len(f.asked), 0)
+	assert.NilError(t, os.WriteFile(f.file, []byte("another-credential"), 0o600))
+	a, _ := f.ask(t, "GET", "/operator/v1/status", "", "Bearer "+credential)
+	assert.Equal(t, a.StatusCode, 401, "the old credential still works")
+	a, _ = f.ask(t, "GET", "/operator/v1/status", "", "Bearer another-credential")
+	assert.Equal(t, a.StatusCode, 200)
+	assert.NilError(t, os.Remove(f.file))
+	a, _ = f.ask(t, "GET", "/operator/v1/status", "", "Bearer another-credential")
+	assert.Equal(t, a.StatusCode, 503)
+	assert.Assert(t, !strings.Contains(f.log.String(), credential) && !strings.Contains(f.log.String(), "another"), f.log.String())
+}
+
+// Guards against an answer that claims more than is known about a change.
+func TestErrorsOfChanges(t *testing.T) {
+	for name, c := range map[string]struct {
+		err      error
+		status   int
+		accepted Accepted
+		detail   string
+	}{
+		"conflict":    {&contracts.ConflictError{Base: 3, Current: 5}, 409, AcceptedNo, "based on revision 3, the current revision is 5"},
+		"unknown":     {fmt.Errorf("%w: %w", contracts.ErrUnknownOutcome, store.ErrUnavailable), 504, AcceptedUnknown, "unknown"},
+		"store down":  {fmt.Errorf("reading: %w", store.ErrUnavailable), 503, AcceptedNo, "unavailable"},
+		"key exists":  {contracts.ErrKeyExists, 409, AcceptedNo, "key exists"},
+		"not found":   {model.ErrNotFound, 404, AcceptedNo, "not found"},
+		"bad request": {model.ErrBadRequest, 400, AcceptedNo, "malformed"},
+		"unforeseen":  {errors.New("odd"), 500, AcceptedUnknown, "odd"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := start(t)
+			f.err = c.err
+			for _, r := range [][3]string{
+				{"PUT", "/operator/v1/config?base=3&wait=true", document},
+				{"POST", "/operator/v1/keys?wait=true", `{"Workspace":"w","ID":"k"}`},
+				{"DELETE", "/operator/v1/keys/k?wait=true", ""},
+			} {
+				a, text := f.ask(t, r[0], r[1], r[2], "Bearer "+credential)
+				var p Problem
+				assert.NilError(t, json.Unmarshal([]byte(text), &p))
+				assert.Equal(t, a.StatusCode, c.status)
+				assert.Equal(t, p.Status, c.status)
+				assert.Equal(t, p.Accepted, c.accepted)
+				assert.Assert(t, strings.Contains(p.Detail, c.detail) && p.RequestID != "", text)
+				assert.Equal(t, p.Current != nil, name == "conflict")
+			}
+			assert.Assert(t, !strings.Contains(strings.Join(f.asked, ","), "wait"))
+		})
+	}
+}
+
+func TestBadRequests(t *testing.T) {
+	f := start(t)
+	for name, c := range map[string]struct {
+		method, path, body string
+		status             int
+		detail             string
+	}{
+		"no base":        {"PUT", "/operator/v1/config", document, 400, "must be a revision"},
+		"negative base":  {"PUT", "/operator/v1/config?base=-1", document, 400, "must be a revision"},
+		"wait":           {"PUT", "/operator/v1/config?base=3&wait=maybe", document, 400, "must be true or false"},
+		"faulty":         {"POST", "/operator/v1/config/validate", "Workspaces: []\nTarget: 1\n", 422, `"Line":2,"Field":"Target"`},
+		"too large":      {"POST", "/operator/v1/config/validate", strings.Repeat("#", store.MaxValue+1), 422, "at most 1048576 are allowed"},
+		"unknown member": {"POST", "/operator/v1/keys", `{"Workspace":"w","Id2":"k"}`, 400, "unknown field"},
+		"two values":     {"POST", "/operator/v1/keys", `{} {}`, 400, "text after"},
+		"no id":          {"DELETE", "/operator/v1/keys/", "", 404, "no such path"},
+		"method":         {"DELETE", "/operator/v1/config", "", 405, "allowed are GET, PUT"},
+		"path":           {"GET", "/operator/v2/config", "", 404, "no such path"},
+		"panic":          {"GET", "/operator/v1/dump", "", 500, "internal error"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, text := f.ask(t, c.method, c.path, c.body, "Bearer "+credential)
+			assert.Equal(t, a.StatusCode, c.status, text)
+			assert.Assert(t, strings.Contains(text, c.detail), text)
+		})
+	}
+	assert.Equal(t, len(f.asked), 0)
+	f.err = errors.New("store not read yet")
+	a, text := f.ask(t, "GET", "/readyz", "", "")
+	assert.Equal(t, a.StatusCode, 503)
+	assert.Assert(t, strings.Contains(text, "store not read yet"))
+	f.err = nil
+	f.missing = []model.HostID{"h2"}
+	_, text = f.ask(t, "PUT", "/operator/v1/config?base=3&wait=true", document, "Bearer "+credential)
+	assert.Equal(t, text, `{"Revision":4,"Waited":true,"InEffect":false,"Missing":["h2"]}`+"\n")
+}
+
+// Guards against an endless body, and against headers of an unreadable request
+// in the log or the answer.
+func TestUnreadableRequests(t *testing.T) {
+	f := start(t)
+	for name, c := range map[string]struct{ lines, want string }{
+		"huge body": {"PUT /operator/v1/config?base=0 HTTP/1.1\r\nHost: a\r\nContent-Length: 999999999\r\n\r\n", "413"},
+		"no HTTP":   {"PUT / HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " + credential + "\r\n broken\r\nx y\r\n\r\n", "400"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c2, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+			assert.NilError(t, err)
+			defer func() { assert.Check(t, c2.Close()) }()
+			_, err = io.WriteString(c2, c.lines)
+			assert.NilError(t, err)
+			answer, err := io.ReadAll(c2)
+			assert.NilError(t, err)
+			assert.Assert(t, strings.HasPrefix(string(answer), "HTTP/1.1 "+c.want), string(answer))
+			assert.Assert(t, !strings.Contains(string(answer)+f.log.String(), credential))
+		})
+	}
+}
