Add the operator commands

Cause: the operator API had no client.

Change: config validate, apply, get, diff and history, key grant and withdraw, status, dump and drain, one file each.

--- a/cmd/root.go
+++ b/cmd/root.go
@@ -26,6 +26,6 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
-	root.AddCommand(newVersion())
+	root.AddCommand(newConfig(), newKey(), newStatus(), newDump(), newDrain(), newVersion())
 	return root
 }
