Bound the time that a configuration file can cost

Cause: the YAML parser needs time that grows with the square of the fields of a mapping and of list elements; 500,000 empty list elements or 350,000 fields kept it busy for more than 20 s.

Change: a file may have 1,000 fields per mapping and 100,000 list elements; at most 1,000 faults are listed and the others counted. References between sections are looked up in maps.

--- a/core/config/decode.go
+++ b/core/config/decode.go
@@ -21,6 +21,14 @@
 // recursive, and a stack overflow cannot be recovered from.
 const maxNesting = 64
 
+// Bounds of the number of fields in one mapping and of list elements in a
+// file. The time of the parser grows with the square of both: 16,000 fields of
+// one mapping took 0.4 s, and 350,000 took more than 20 s.
+const (
+	maxFields   = 1000
+	maxElements = 100_000
+)
+
 var durationType = reflect.TypeFor[time.Duration]()
 
 // Decode reads strict YAML into the struct that dst points to. Fields are
@@ -93,30 +101,77 @@
 	return body, true
 }
 
-// supported rejects the features of YAML that are not part of the format and
-// nesting that could overflow the stack of the parser.
+// supported rejects the features of YAML that are not part of the format, and
+// shapes that would cost the parser too much time or stack.
 func (r *Report) supported(tokens token.Tokens) bool {
-	depth := 0
+	var u usage
 	for _, t := range tokens {
 		switch t.Type {
 		case token.AnchorType, token.AliasType, token.MergeKeyType, token.TagType, token.MappingKeyType, token.DirectiveType:
 			r.add(t.Position.Line, "", fmt.Sprintf("%q: anchors, aliases, tags, directives, merge keys and complex keys are not allowed", t.Value))
 			return false
-		case token.SequenceStartType, token.MappingStartType:
-			depth++
-		case token.SequenceEndType, token.MappingEndType:
-			depth--
 		}
-		deep := depth > maxNesting || t.Position.IndentNum > maxNesting
-		deep = deep || t.Type == token.SequenceEntryType && t.Position.Column > maxNesting
-		if deep {
-			r.add(t.Position.Line, "", fmt.Sprintf("nested too deeply; at most %d levels and columns of indentation are allowed", maxNesting))
+		if problem := u.count(t); problem != "" {
+			r.add(t.Position.Line, "", problem)
 			return false
 		}
 	}
 	return true
 }
 
+// usage counts what the bounds above limit.
+type usage struct {
+	elements int
+	// block holds the fields of the open block mappings by the column of
+	// their keys.
+	block [maxNesting + 2]int
+	// flow holds the fields of the open collections in braces or brackets.
+	flow []int
+}
+
+// count adds a token and returns which bound it exceeds, or "".
+func (u *usage) count(t *token.Token) string {
+	fields := 0
+	switch t.Type {
+	case token.SequenceStartType, token.MappingStartType:
+		u.flow = append(u.flow, 0)
+	case token.SequenceEndType, token.MappingEndType:
+		u.flow = u.flow[:max(len(u.flow)-1, 0)]
+	case token.CollectEntryType:
+		u.elements++
+	case token.SequenceEntryType:
+		u.elements++
+		clear(u.block[min(t.Position.Column+1, len(u.block)):])
+	case token.MappingValueType:
+		fields = u.countField(t)
+	}
+	deep := len(u.flow) > maxNesting || t.Position.IndentNum > maxNesting
+	switch {
+	case deep, t.Type == token.SequenceEntryType && t.Position.Column > maxNesting:
+		return fmt.Sprintf("nested too deeply; at most %d levels and columns of indentation are allowed", maxNesting)
+	case fields > maxFields:
+		return fmt.Sprintf("too many fields; at most %d are allowed in a mapping", maxFields)
+	case u.elements > maxElements:
+		return fmt.Sprintf("too many list elements; at most %d are allowed in a file", maxElements)
+	}
+	return ""
+}
+
+// countField returns the number of fields so far in the mapping of the colon.
+func (u *usage) countField(colon *token.Token) int {
+	if n := len(u.flow); n > 0 {
+		u.flow[n-1]++
+		return u.flow[n-1]
+	}
+	column := 0
+	if colon.Prev != nil {
+		column = min(colon.Prev.Position.Column, len(u.block)-1)
+	}
+	clear(u.block[column+1:])
+	u.block[column]++
+	return u.block[column]
+}
+
 // fill sets v from the node.
 func (r *Report) fill(path string, n ast.Node, v reflect.Value) {
 	switch {
--- a/core/config/fault.go
+++ b/core/config/fault.go
@@ -68,12 +68,20 @@
 	return false
 }
 
+// maxFaults bounds the listed faults, so that the answer to a file of the
+// wrong kind stays small. Those beyond it are counted.
+const maxFaults = 1000
+
 // Err returns the collected Faults, or nil if there are none.
 func (r *Report) Err() error {
 	if len(r.faults) == 0 {
 		return nil
 	}
 	sort.SliceStable(r.faults, func(i, j int) bool { return r.faults[i].Line < r.faults[j].Line })
+	if n := len(r.faults); n > maxFaults {
+		last := Fault{File: r.file, Line: r.faults[maxFaults].Line, Problem: fmt.Sprintf("%d further faults are not listed", n-maxFaults)}
+		return append(r.faults[:maxFaults:maxFaults], last)
+	}
 	return r.faults
 }
 
--- a/core/config/parse_test.go
+++ b/core/config/parse_test.go
@@ -176,6 +176,48 @@
 	assert.ErrorContains(t, err, "a.yaml:1: Targets: missing")
 }
 
+// Guards against files that keep the parser busy for more than a few seconds:
+// without the bounds, "fields" and "elements" took more than 20 s each.
+func TestParseBoundsItsWork(t *testing.T) {
+	for name, c := range map[string]struct{ text, problem string }{
+		"fields":         {strings.Repeat("a:\n", 300_000), "too many fields"},
+		"fields, braces": {strings.Repeat("a: {}\n", 150_000), "too many fields"},
+		"fields, lists":  {strings.Repeat("a:\n- b\n", 100_000), "too many fields"},
+		"flow fields":    {"{" + strings.Repeat("a: 1,", 99_000) + "}", "too many fields"},
+		"elements":       {strings.Repeat("-\n", 500_000), "too many list elements"},
+		"flow elements":  {"a: [" + strings.Repeat("b,", 500_000) + "]", "too many list elements"},
+		"size":           {strings.Repeat("#\n", 600_000), "at most 1048576 are allowed"},
+		"many faults":    {"Workspaces: [" + strings.Repeat("a,", 5000) + "]\nTargets: []", "4000 further faults are not listed"},
+		"block nesting":  {strings.Repeat("- ", 100_000), "nested too deeply"},
+		"indentation":    {"a:\n" + strings.Repeat(" ", 100) + "b: 1", "nested too deeply"},
+		"mapping braces": {"a: " + strings.Repeat("{b: ", 1000), "nested too deeply"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := Parse([]byte(c.text), "a.yaml")
+			var faults Faults
+			assert.Assert(t, errors.As(err, &faults))
+			assert.Assert(t, strings.Contains(faults[len(faults)-1].Problem, c.problem), "%s", faults[len(faults)-1].Problem)
+		})
+	}
+}
+
+// Guards against bounds that reject a system of the size to design for.
+func TestParseAcceptsLargeDocuments(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("Workspaces:\n")
+	for i := range 740 {
+		fmt.Fprintf(&b, "- Name: w%d\n  Keys:\n  - {ID: k%d, Hash: \"%s\"}\n  Rate: 5\n  Burst: 9\n", i, i, zeroHash)
+		b.WriteString("  Budget:\n    Tokens: 9\n    Calls: 9\n    Lifetime: 1h\n")
+	}
+	b.WriteString("Targets:\n")
+	for i := range 2400 {
+		fmt.Fprintf(&b, "- Name: t%d\n  Kind: Engine\n  Address: 127.0.%d.%d:80\n  Zone: z\n  Models: [a, b, c]\n  MaxInFlight: 4\n", i, i/250, i%250)
+	}
+	d, err := Parse([]byte(b.String()), "a.yaml")
+	assert.NilError(t, err)
+	assert.Equal(t, len(d.Workspaces)+len(d.Targets), 740+2400)
+}
+
 // Guards against hashes in dumps and logs.
 func TestHashIsHidden(t *testing.T) {
 	k := Key{ID: "k1", Hash: zeroHash}
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -54,9 +54,42 @@
 	return nil
 }
 
+// references holds what the document defines. A nil map stands for a section
+// with faults, in which a name may be missing only because of them.
+type references struct {
+	kinds  map[model.TargetID]TargetKind
+	models map[model.ModelID]bool
+	routes map[model.RouteID]bool
+}
+
+func (d *Document) targetReferences(f *references) {
+	f.kinds = map[model.TargetID]TargetKind{}
+	f.models = map[model.ModelID]bool{}
+	for _, t := range d.Targets {
+		f.kinds[t.Name] = t.Kind
+		for _, m := range t.Models {
+			f.models[m] = true
+		}
+	}
+}
+
+func (d *Document) routeReferences(f *references) {
+	f.routes = map[model.RouteID]bool{}
+	for _, t := range d.Routes {
+		f.routes[t.Name] = true
+	}
+}
+
 func (d *Document) validate(r *Report) {
+	f := &references{}
 	d.validateTargets(r)
-	d.validateRoutes(r)
+	if !r.Broken("Targets") {
+		d.targetReferences(f)
+	}
+	d.validateRoutes(r, f)
+	if !r.Broken("Routes") {
+		d.routeReferences(f)
+	}
 	keys := map[string]string{}
 	names := map[string]string{}
 	for i := range d.Workspaces {
@@ -65,7 +98,7 @@
 		checkName(r, p+".Name", string(w.Name), names)
 		w.validateLimits(r, p)
 		w.validateKeys(r, p, keys)
-		d.validateGrants(r, p, w)
+		w.validateGrants(r, p, f)
 	}
 }
 
@@ -105,12 +138,12 @@
 }
 
 // validateGrants checks that granted models and routes exist.
-func (d *Document) validateGrants(r *Report, path string, w *Workspace) {
+func (w *Workspace) validateGrants(r *Report, path string, f *references) {
 	models := map[string]string{}
 	for i, m := range w.Models {
 		p := fmt.Sprintf("%s.Models[%d]", path, i)
 		checkModel(r, p, m, models)
-		if !r.Broken("Targets") && !d.serves(m) {
+		if f.models != nil && !f.models[m] {
 			r.Addf(p, "no engine among the targets serves model %q", m)
 		}
 	}
@@ -118,19 +151,12 @@
 	for i, id := range w.Routes {
 		p := fmt.Sprintf("%s.Routes[%d]", path, i)
 		checkName(r, p, string(id), routes)
-		known := slices.ContainsFunc(d.Routes, func(t Route) bool { return t.Name == id })
-		if !r.Broken("Routes") && !known {
+		if f.routes != nil && !f.routes[id] {
 			r.Addf(p, "route %q does not exist", id)
 		}
 	}
 }
 
-func (d *Document) serves(m model.ModelID) bool {
-	return slices.ContainsFunc(d.Targets, func(t Target) bool {
-		return t.Kind == Engine && slices.Contains(t.Models, m)
-	})
-}
-
 func (d *Document) validateTargets(r *Report) {
 	names := map[string]string{}
 	addresses := map[string]string{}
@@ -186,20 +212,20 @@
 	}
 }
 
-func (d *Document) validateRoutes(r *Report) {
+func (d *Document) validateRoutes(r *Report, f *references) {
 	names := map[string]string{}
 	for i := range d.Routes {
 		p := fmt.Sprintf("Routes[%d]", i)
 		t := &d.Routes[i]
 		checkName(r, p+".Name", string(t.Name), names)
-		d.validateRouteTargets(r, p, t)
+		t.validateTargets(r, p, f)
 		methods := map[string]string{}
 		for j, m := range t.Methods {
-			f := fmt.Sprintf("%s.Methods[%d]", p, j)
+			field := fmt.Sprintf("%s.Methods[%d]", p, j)
 			if !slices.Contains(strings.Fields(allowedMethods), m) {
-				r.Addf(f, "%q is not allowed; it must be one of %s", m, allowedMethods)
+				r.Addf(field, "%q is not allowed; it must be one of %s", m, allowedMethods)
 			}
-			unique(r, f, m, methods)
+			unique(r, field, m, methods)
 		}
 		if t.Timeout < 0 || t.Timeout > maxTimeout {
 			r.Addf(p+".Timeout", "%v is not allowed; it must be from 0s (which means %v) to %v", t.Timeout, DefaultRouteTimeout, maxTimeout)
@@ -207,7 +233,7 @@
 	}
 }
 
-func (d *Document) validateRouteTargets(r *Report, path string, t *Route) {
+func (t *Route) validateTargets(r *Report, path string, f *references) {
 	if len(t.Targets) == 0 {
 		r.Addf(path+".Targets", "a route needs at least one target of kind Service")
 	}
@@ -215,14 +241,15 @@
 	for i, id := range t.Targets {
 		p := fmt.Sprintf("%s.Targets[%d]", path, i)
 		unique(r, p, string(id), seen)
-		at := slices.IndexFunc(d.Targets, func(t Target) bool { return t.Name == id })
+		if f.kinds == nil {
+			continue
+		}
+		kind, ok := f.kinds[id]
 		switch {
-		case r.Broken("Targets"):
-			// The target may be missing only because of the other fault.
-		case at < 0:
+		case !ok:
 			r.Addf(p, "target %q does not exist", id)
-		case d.Targets[at].Kind != Service:
-			r.Addf(p, "target %q is of kind %s; a route needs targets of kind Service", id, d.Targets[at].Kind)
+		case kind != Service:
+			r.Addf(p, "target %q is of kind %s; a route needs targets of kind Service", id, kind)
 		}
 	}
 }
