Test a lost request next to an equal change of another operator

Cause: no test failed when stored documents lacked their unique change id.

Change: a test in which one operator's request is lost while another makes the same change.

--- a/app/contracts/contracts_test.go
+++ b/app/contracts/contracts_test.go
@@ -152,6 +152,21 @@
 	}
 }
 
+// Guards against an operator who takes the equal change of another one for his
+// own, although his request was lost.
+func TestApplyLostRequestAndEqualChange(t *testing.T) {
+	f := newStore()
+	s, other := newService(f), newService(f)
+	apply(t, s, 1, 0)
+	f.onPut = func() {
+		f.onPut = nil
+		apply(t, other, 2, 1)
+		f.putFault = lostRequest
+	}
+	_, err := s.Apply(t.Context(), document(2), 1)
+	assert.ErrorIs(t, err, ErrConflict)
+}
+
 func TestApplyRejects(t *testing.T) {
 	f := newStore()
 	s := newService(f)
--- a/core/config/parse_test.go
+++ b/core/config/parse_test.go
@@ -176,8 +176,8 @@
 	assert.ErrorContains(t, err, "a.yaml:1: Targets: missing")
 }
 
-// Guards against files that keep the parser busy for more than a few seconds:
-// without the bounds, "fields" and "elements" took more than 20 s each.
+// Guards against files that keep the parser busy: without the bounds, 350,000
+// fields and 500,000 elements took more than 20 s each.
 func TestParseBoundsItsWork(t *testing.T) {
 	for name, c := range map[string]struct{ text, problem string }{
 		"fields":         {strings.Repeat("a:\n", 300_000), "too many fields"},
