Check the debug log of the operator server for the credential

Cause: the test read only lines of level info, so it passed in a trial without SecureErrorLogMessage.

Change: the test logs at level debug into a locked buffer.

Conclusion: the test fails in a trial without SecureErrorLogMessage and passes under the race detector with it.

--- a/io/operator/server_test.go
+++ b/io/operator/server_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -92,21 +93,39 @@
 
 func (b *backend) Ready() error { return b.err }
 
+// lockedBuffer collects log lines while the server runs.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.String()
+}
+
 // fixture is a running server with its log.
 type fixture struct {
 	*backend
 	url  string
 	file string
-	log  *bytes.Buffer
+	log  *lockedBuffer
 }
 
 func start(t *testing.T) *fixture {
 	t.Helper()
-	f := &fixture{backend: &backend{}, log: &bytes.Buffer{}, file: filepath.Join(t.TempDir(), "credential")}
+	f := &fixture{backend: &backend{}, log: &lockedBuffer{}, file: filepath.Join(t.TempDir(), "credential")}
 	assert.NilError(t, os.WriteFile(f.file, []byte(credential+"\n"), 0o600))
 	s, err := New(Options{
 		Backend: f.backend, CredentialFile: f.file, Wait: time.Second,
-		Log:     slog.New(slog.NewTextHandler(f.log, nil)),
+		Log:     slog.New(slog.NewTextHandler(f.log, &slog.HandlerOptions{Level: slog.LevelDebug})),
 		Metrics: func(c *fasthttp.RequestCtx) { c.SetBodyString("requests 1\n") },
 	})
 	assert.NilError(t, err)
