--- a/cmd/root.go
+++ b/cmd/root.go
@@ -26,7 +26,6 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
-	root.AddCommand(newVersion())
-	root.AddCommand(newStandin())
+	root.AddCommand(newConfig(), newKey(), newStatus(), newDump(), newDrain(), newStandin(), newVersion())
 	return root
 }
