io/disk: add segments for copies in the data folder

Hosts with a disk keep copies of other owners' records across restarts. Frames carry a checksum; recovery cuts a torn tail of the newest segment and refuses damage elsewhere; concurrent appends share one fsync.

A test run showed an older head replacing a newer one on the disk, because two replication requests of one program were written in the other order. Enqueue now fixes the order under the same lock as the copy in memory.

--- a/app/programs/fault_test.go
+++ b/app/programs/fault_test.go
@@ -12,6 +12,7 @@
 
 	"mimosarelay/core/model"
 	"mimosarelay/core/program"
+	"mimosarelay/io/disk"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -270,6 +271,39 @@
 	assert.ErrorIs(t, err, ErrStaleEpoch)
 }
 
+// Guards against copies that are acknowledged as durable but missing after a
+// restart of the host with the data folder.
+func TestCopiesOnDisk(t *testing.T) {
+	path := t.TempDir()
+	folder, err := disk.Open(path)
+	assert.NilError(t, err)
+	w := newWorld(t, 3, func(m Member, o *Options) {
+		if m.Host == "b1" {
+			o.Disk = folder
+		}
+	})
+	_, err = w.call(w.hosts[0], spec(1, false))
+	assert.NilError(t, err)
+	until(t, "copy of the finished call", func() bool { return len(w.hosts[1].s.copies.list(all)) >= 2 })
+	r, err := w.hosts[1].s.HandleReplicate(context.Background(), replicateOf(w.last["a0"]))
+	assert.NilError(t, err)
+	assert.Assert(t, r.GetOnDisk())
+	assert.NilError(t, folder.Close())
+
+	folder, err = disk.Open(path)
+	assert.NilError(t, err)
+	again := newReplicas(folder)
+	assert.NilError(t, again.load())
+	root := testKey
+	e := w.hosts[2].s.revive(root, again.trees[root])
+	assert.Equal(t, len(e.tree.History(root.Program)), 1)
+	assert.NilError(t, again.expire(w.clock.Now().Add(100*time.Hour)))
+	assert.NilError(t, folder.Load(func(k string, _ []byte) error { return fmt.Errorf("record %s was not deleted", k) }))
+	assert.NilError(t, folder.Close())
+}
+
+func all(model.Shard) bool { return true }
+
 // Guards against a sub-agent that does not draw on its root, an order wait
 // without end, a duplicate that runs, and callbacks for live programs.
 func TestProgramRules(t *testing.T) {
--- a/app/programs/programs.go
+++ b/app/programs/programs.go
@@ -88,7 +88,8 @@
 }
 
 // Service owns the programs of a host. Lock order: Service.mu, then entry.mu,
-// then replicas.mu, then journal.mu. No lock is held during I/O.
+// then replicas.mu, then journal.mu. No lock is held during I/O, except that
+// replicas.mu waits while io/disk starts or compacts a segment.
 type Service struct {
 	o       Options
 	pool    pond.Pool
@@ -96,6 +97,7 @@
 	copies  *replicas
 	ctx     context.Context
 	cancel  context.CancelFunc
+	loaded  atomic.Bool    // the data folder was read
 	work    sync.WaitGroup // background goroutines
 	epoch   atomic.Uint64  // of topology; readable under entry.mu
 
@@ -138,6 +140,7 @@
 	if err := s.copies.load(); err != nil {
 		return err
 	}
+	s.loaded.Store(true)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(s.ctx, cancel)
@@ -211,7 +214,9 @@
 			s.journal.forget(e.root)
 		}
 	}
-	s.copies.expire(cut)
+	if err := s.copies.expire(cut); err != nil {
+		s.o.Log.Warn("expired copies not deleted from the data folder", "Error", err)
+	}
 }
 
 func (s *Service) entries() []*entry {
--- a/app/programs/replicas.go
+++ b/app/programs/replicas.go
@@ -7,6 +7,7 @@
 
 	"mimosarelay/core/model"
 	"mimosarelay/core/program"
+	"mimosarelay/io/disk"
 )
 
 // replica is the copy of a tree that another host owns.
@@ -44,28 +45,37 @@
 	})
 }
 
-// store keeps records, durably if there is a data folder.
+// store keeps records, durably if there is a data folder. The order on the disk
+// is that in memory: replication requests of one tree may arrive reordered.
 func (c *replicas) store(records []program.Record) error {
+	c.mu.Lock()
+	fresh := c.merge(records)
+	wait := func() error { return nil }
 	if c.disk != nil {
-		out := make([]DiskRecord, len(records))
-		for i, r := range records {
-			out[i] = DiskRecord{Key: diskKey(r.ID), Data: r.Data}
-		}
-		if err := c.disk.Append(out); err != nil {
-			return err
+		out := make([]disk.Record, len(fresh))
+		for i, r := range fresh {
+			out[i] = disk.Record{Key: diskKey(r.ID), Data: r.Data}
 		}
+		wait = c.disk.Enqueue(out)
 	}
-	c.put(records)
-	return nil
+	c.mu.Unlock()
+	return wait()
 }
 
 func diskKey(i program.ID) string {
 	return fmt.Sprintf("%q/%q/%q/%d/%d", i.Root.Workspace, i.Root.Program, i.Content.Program, i.Content.Call, i.Part)
 }
 
+// put keeps records in memory only.
 func (c *replicas) put(records []program.Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.merge(records)
+}
+
+// merge keeps the newer records and returns those. Needs c.mu.
+func (c *replicas) merge(records []program.Record) []program.Record {
+	var fresh []program.Record
 	for _, r := range records {
 		t := c.trees[r.ID.Root]
 		if t == nil {
@@ -74,8 +84,10 @@
 		}
 		if old, ok := t.records[r.ID]; !ok || r.Newer(old) {
 			t.records[r.ID] = r
+			fresh = append(fresh, r)
 		}
 	}
+	return fresh
 }
 
 // list returns the copies of the wanted shards.
@@ -95,25 +107,25 @@
 }
 
 // expire drops the copies of programs that ended before cut.
-func (c *replicas) expire(cut time.Time) {
+func (c *replicas) expire(cut time.Time) error {
 	c.mu.Lock()
-	var gone []DiskRecord
+	var gone []disk.Record
 	for root, t := range c.trees {
 		head, ok := t.records[program.ID{Root: root}]
 		if !ok || head.Expiry.IsZero() || !head.Expiry.Before(cut) {
 			continue
 		}
 		for id := range t.records {
-			gone = append(gone, DiskRecord{Key: diskKey(id)})
+			gone = append(gone, disk.Record{Key: diskKey(id)})
 		}
 		delete(c.trees, root)
 	}
-	c.mu.Unlock()
+	wait := func() error { return nil }
 	if c.disk != nil && len(gone) > 0 {
-		// A deletion that fails leaves an expired record, which the next load
-		// and sweep drop again.
-		_ = c.disk.Append(gone)
+		wait = c.disk.Enqueue(gone)
 	}
+	c.mu.Unlock()
+	return wait()
 }
 
 func (c *replicas) count() int {
--- a/app/programs/takeover.go
+++ b/app/programs/takeover.go
@@ -16,6 +16,8 @@
 // ErrStaleEpoch reports a request of another epoch than this host's.
 var ErrStaleEpoch = errors.New("request of another epoch")
 
+var errNotLoaded = errors.New("data folder is not loaded yet")
+
 // EpochChanged adopts a new membership. old is the zero Topology at the first
 // one. Shards that the host gains are loaded in the background.
 func (s *Service) EpochChanged(old, cur Topology) {
@@ -130,6 +132,9 @@
 // store for records, and installs what it found. It returns the roots that are
 // busy elsewhere.
 func (s *Service) loadOnce(ctx context.Context, t Topology, shards map[model.Shard]bool, only map[model.ProgramKey]bool) (map[model.ProgramKey]bool, error) {
+	if !s.loaded.Load() {
+		return nil, errNotLoaded
+	}
 	busy := map[model.ProgramKey]bool{}
 	found := newReplicas(nil)
 	want := slices.Sorted(maps.Keys(shards))
@@ -208,7 +213,9 @@
 // under the new epoch.
 func (s *Service) install(ctx context.Context, t Topology, shards map[model.Shard]bool, only, busy map[model.ProgramKey]bool, found *replicas) error {
 	cut := s.o.Clock.Now().Add(-s.o.Retention)
-	found.expire(cut)
+	if err := found.expire(cut); err != nil {
+		return err
+	}
 	loaded := map[model.ProgramKey]*entry{}
 	for root, copied := range found.trees {
 		if busy[root] || only != nil && !only[root] {
@@ -342,6 +349,9 @@
 	if sender.GetEpoch() < own || exact && sender.GetEpoch() != own || own == 0 {
 		return fmt.Errorf("%w: %s is at %d, this host at %d", ErrStaleEpoch, sender.GetHost(), sender.GetEpoch(), own)
 	}
+	if !s.loaded.Load() {
+		return errNotLoaded
+	}
 	return nil
 }
 
--- a/app/programs/topology.go
+++ b/app/programs/topology.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"mimosarelay/core/model"
+	"mimosarelay/io/disk"
 	"mimosarelay/io/peer/peerpb"
 )
 
@@ -99,18 +100,12 @@
 	TakeShards(ctx context.Context, address string, r *peerpb.TakeShardsRequest) (*peerpb.TakeShardsResponse, error)
 }
 
-// Disk keeps replicas in the data folder. Append returns after the records are
-// durable. Implemented by io/disk.
+// Disk keeps copies in the data folder. Implemented by io/disk.
 type Disk interface {
-	// Append stores records; key identifies a record that replaces an older
-	// one of the same key.
-	Append(records []DiskRecord) error
+	// Enqueue fixes the order of records; the returned function waits until
+	// all queued so far are durable. A record replaces the older one of its
+	// key; nil data deletes it.
+	Enqueue(records []disk.Record) func() error
 	// Load calls visit for the newest record of each key.
 	Load(visit func(key string, data []byte) error) error
 }
-
-// DiskRecord is one record for the data folder. Nil Data deletes the key.
-type DiskRecord struct {
-	Key  string
-	Data []byte
-}
--- a/app/programs/world_test.go
+++ b/app/programs/world_test.go
@@ -122,6 +122,8 @@
 	epoch model.Epoch
 	last  map[model.HostID]Topology
 
+	change []func(Member, *Options)
+
 	mu   sync.Mutex
 	hits map[string]int // requests that reached the target
 }
@@ -168,13 +170,15 @@
 
 // newWorld starts hosts a0, b1, c2, a3, ... in three zones. Host a0 owns all
 // shards until it leaves, then the next host in order does.
-func newWorld(t *testing.T, n int) *world {
+func newWorld(t *testing.T, n int, change ...func(Member, *Options)) *world {
 	w := &world{
 		t:     t,
 		clock: clockwork.NewFakeClockAt(time.Date(2026, 1, 2, 0, 0, 0, 0, time.UTC)),
 		store: &memStore{values: map[string]store.Entry{}},
 		last:  map[model.HostID]Topology{},
 		hits:  map[string]int{},
+
+		change: change,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	for i := range n {
@@ -203,13 +207,17 @@
 
 func (w *world) start(ctx context.Context, m Member) *host {
 	h := &host{Member: m}
-	h.s = New(Options{
+	o := Options{
 		Store:  hostStore{w.store, h},
 		Peers:  link{w, h},
 		Clock:  w.clock,
 		MayAct: h.reachable,
 		Budget: func(model.WorkspaceID) program.Budget { return program.Budget{Tokens: 10000} },
-	})
+	}
+	for _, f := range w.change {
+		f(m, &o)
+	}
+	h.s = New(o)
 	w.hosts = append(w.hosts, h)
 	go func() { _ = h.s.Run(ctx) }()
 	return h
--- /dev/null
+++ b/io/disk/disk.go
@@ -0,0 +1,431 @@
+// Package disk keeps records in append-only segments under the data folder.
+//
+// A segment is a sequence of frames: length of the payload (4 bytes, big
+// endian), xxhash64 of the payload (8 bytes, big endian), payload. A payload
+// is the length of the key (uvarint), the key, a kind byte and the data. The
+// newest frame of a key counts.
+package disk
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	frameHeader  = 12
+	maxPayload   = 8 << 20  // a longer length is damage: records are at most 1 MiB
+	segmentLimit = 16 << 20 // bytes after which a new segment starts
+	compactRatio = 2        // compaction starts when segments hold more than this times the live bytes
+	lockName     = "LOCK"
+	segmentGlob  = "*.segment"
+
+	kindPut    = 0
+	kindDelete = 1
+)
+
+// Sentinel errors.
+var (
+	// ErrLocked reports a folder that another process uses.
+	ErrLocked = errors.New("data folder is in use by another process")
+	// ErrDamaged reports a bad frame before the end of the newest segment.
+	ErrDamaged = errors.New("damaged segment")
+	// ErrTooLarge reports a record above the size of a frame.
+	ErrTooLarge = errors.New("record too large")
+)
+
+// Record is one value. Nil Data deletes the key.
+type Record struct {
+	Key  string
+	Data []byte
+}
+
+type place struct {
+	segment *segment
+	offset  int64 // of the frame
+	size    int64 // of the frame
+}
+
+type segment struct {
+	number int
+	file   *os.File
+	size   int64
+	live   int64 // bytes of frames that no newer frame replaces
+}
+
+// Folder is an open data folder. All methods are safe for concurrent use.
+type Folder struct {
+	path  string
+	lock  *os.File
+	limit int64
+	sync  func(*os.File) error
+	cut   int64
+
+	mu       sync.Mutex // guards all fields below, and is not held during I/O of flush
+	flushed  *sync.Cond
+	segments []*segment // oldest first; the last one is written to
+	index    map[string]place
+	queue    []Record
+	queued   uint64 // records ever queued
+	durable  uint64 // records ever flushed
+	flushing bool
+	failed   error // the first failed write; no append is accepted after it
+	closed   bool
+}
+
+// Open opens or creates a data folder. It fails with ErrLocked if another
+// process uses it. A torn frame at the end of the newest segment is cut off.
+func Open(path string) (*Folder, error) { return open(path, segmentLimit, (*os.File).Sync) }
+
+func open(path string, limit int64, flush func(*os.File) error) (*Folder, error) {
+	if err := os.MkdirAll(path, 0o700); err != nil {
+		return nil, fmt.Errorf("data folder: %w", err)
+	}
+	lock, err := os.OpenFile(filepath.Join(path, lockName), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("data folder: %w", err)
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = lock.Close()
+		return nil, fmt.Errorf("%w: %s", ErrLocked, path)
+	}
+	f := &Folder{path: path, lock: lock, limit: limit, sync: flush, index: map[string]place{}}
+	f.flushed = sync.NewCond(&f.mu)
+	if err := f.recover(); err != nil {
+		f.closeFiles()
+		return nil, err
+	}
+	return f, nil
+}
+
+// Truncated returns the number of bytes that recovery cut off.
+func (f *Folder) Truncated() int64 { return f.cut }
+
+func (f *Folder) recover() error {
+	names, err := filepath.Glob(filepath.Join(f.path, segmentGlob))
+	if err != nil {
+		return fmt.Errorf("data folder: %w", err)
+	}
+	slices.Sort(names)
+	for i, name := range names {
+		if err := f.recoverSegment(name, i == len(names)-1); err != nil {
+			return err
+		}
+	}
+	if len(f.segments) == 0 {
+		return f.addSegment()
+	}
+	return nil
+}
+
+func (f *Folder) recoverSegment(name string, newest bool) error {
+	g := &segment{}
+	if _, err := fmt.Sscanf(filepath.Base(name), "%d.segment", &g.number); err != nil {
+		return fmt.Errorf("data folder: unexpected file %s", name)
+	}
+	var err error
+	if g.file, err = os.OpenFile(name, os.O_RDWR, 0o600); err != nil {
+		return fmt.Errorf("data folder: %w", err)
+	}
+	f.segments = append(f.segments, g)
+	for {
+		r, size, err := readFrame(g.file, g.size)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if errors.Is(err, ErrDamaged) && newest {
+			return f.truncate(g)
+		}
+		if err != nil {
+			return fmt.Errorf("%s at byte %d: %w", name, g.size, err)
+		}
+		f.note(r, place{g, g.size, size})
+		g.size += size
+	}
+}
+
+// truncate cuts the newest segment after its last whole frame.
+func (f *Folder) truncate(g *segment) error {
+	info, err := g.file.Stat()
+	if err != nil {
+		return fmt.Errorf("data folder: %w", err)
+	}
+	f.cut = info.Size() - g.size
+	if err := g.file.Truncate(g.size); err != nil {
+		return fmt.Errorf("data folder: %w", err)
+	}
+	return f.sync(g.file)
+}
+
+// note makes a frame the newest of its key. Needs f.mu, except in recovery.
+func (f *Folder) note(r Record, p place) {
+	if old, ok := f.index[r.Key]; ok {
+		old.segment.live -= old.size
+	}
+	if r.Data == nil {
+		delete(f.index, r.Key)
+		return
+	}
+	f.index[r.Key] = p
+	p.segment.live += p.size
+}
+
+func (f *Folder) addSegment() error {
+	number := 1
+	if n := len(f.segments); n > 0 {
+		number = f.segments[n-1].number + 1
+	}
+	name := filepath.Join(f.path, fmt.Sprintf("%08d.segment", number))
+	file, err := os.OpenFile(name, os.O_CREATE|os.O_EXCL|os.O_RDWR, 0o600)
+	if err != nil {
+		return fmt.Errorf("data folder: %w", err)
+	}
+	f.segments = append(f.segments, &segment{number: number, file: file})
+	return f.syncFolder()
+}
+
+func (f *Folder) syncFolder() error {
+	d, err := os.Open(f.path)
+	if err != nil {
+		return fmt.Errorf("data folder: %w", err)
+	}
+	return errors.Join(f.sync(d), d.Close())
+}
+
+func appendFrame(out []byte, r Record) []byte {
+	payload := binary.AppendUvarint(nil, uint64(len(r.Key)))
+	payload = append(payload, r.Key...)
+	kind := byte(kindPut)
+	if r.Data == nil {
+		kind = kindDelete
+	}
+	payload = append(payload, kind)
+	payload = append(payload, r.Data...)
+	out = binary.BigEndian.AppendUint32(out, uint32(len(payload)))
+	out = binary.BigEndian.AppendUint64(out, xxhash.Sum64(payload))
+	return append(out, payload...)
+}
+
+// readFrame reads one frame and returns its size. It fails with io.EOF at the
+// end of the file and with ErrDamaged for a torn or altered frame.
+func readFrame(file io.ReaderAt, offset int64) (Record, int64, error) {
+	var header [frameHeader]byte
+	n, err := file.ReadAt(header[:], offset)
+	if n == 0 && errors.Is(err, io.EOF) {
+		return Record{}, 0, io.EOF
+	}
+	if n < frameHeader {
+		return Record{}, 0, readError(err)
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size > maxPayload {
+		return Record{}, 0, fmt.Errorf("%w: frame of %d bytes", ErrDamaged, size)
+	}
+	payload := make([]byte, size)
+	if n, err := file.ReadAt(payload, offset+frameHeader); n < len(payload) {
+		return Record{}, 0, readError(err)
+	}
+	if xxhash.Sum64(payload) != binary.BigEndian.Uint64(header[4:]) {
+		return Record{}, 0, fmt.Errorf("%w: checksum does not match", ErrDamaged)
+	}
+	length, k := binary.Uvarint(payload)
+	if k <= 0 || length >= uint64(len(payload)-k) {
+		return Record{}, 0, fmt.Errorf("%w: key does not fit", ErrDamaged)
+	}
+	r := Record{Key: string(payload[k : k+int(length)])}
+	rest := payload[k+int(length):]
+	if rest[0] == kindPut {
+		r.Data = rest[1:]
+	}
+	return r, frameHeader + int64(size), nil
+}
+
+func readError(err error) error {
+	if errors.Is(err, io.EOF) {
+		return fmt.Errorf("%w: frame is cut off", ErrDamaged)
+	}
+	return err
+}
+
+// Append stores records and returns after they are on the disk. Concurrent
+// calls share one fsync. After a failed write the folder accepts no more.
+func (f *Folder) Append(records []Record) error { return f.Enqueue(records)() }
+
+// Enqueue fixes the position of records after all that were queued before. The
+// returned function waits until all of these are on the disk; it must be
+// called.
+func (f *Folder) Enqueue(records []Record) func() error {
+	for _, r := range records {
+		if len(r.Key)+len(r.Data) > maxPayload-binary.MaxVarintLen64-1 {
+			err := fmt.Errorf("%w: %q has %d bytes", ErrTooLarge, r.Key, len(r.Data))
+			return func() error { return err }
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return func() error { return os.ErrClosed }
+	}
+	f.queue = append(f.queue, records...)
+	f.queued += uint64(len(records))
+	mine := f.queued
+	return func() error { return f.wait(mine) }
+}
+
+// wait returns when the first n queued records are on the disk. One of the
+// waiters writes for all.
+func (f *Folder) wait(n uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for f.durable < n && f.failed == nil {
+		if f.flushing {
+			f.flushed.Wait()
+			continue
+		}
+		f.flush()
+	}
+	if f.durable >= n {
+		return nil
+	}
+	return f.failed
+}
+
+// flush writes the queue. Needs f.mu, which it releases during I/O.
+func (f *Folder) flush() {
+	records := f.queue
+	f.queue = nil
+	f.flushing = true
+	g := f.segments[len(f.segments)-1]
+	f.mu.Unlock()
+	var out []byte
+	places := make([]place, len(records))
+	for i, r := range records {
+		start := len(out)
+		out = appendFrame(out, r)
+		places[i] = place{g, g.size + int64(start), int64(len(out) - start)}
+	}
+	_, err := g.file.WriteAt(out, g.size)
+	if err == nil {
+		err = f.sync(g.file)
+	}
+	f.mu.Lock()
+	f.flushing = false
+	f.flushed.Broadcast()
+	if err != nil {
+		f.failed = fmt.Errorf("write segment %d: %w", g.number, err)
+		return
+	}
+	g.size += int64(len(out))
+	f.durable += uint64(len(records))
+	for i, r := range records {
+		f.note(r, places[i])
+	}
+	if err := f.maintain(g); err != nil {
+		f.failed = err
+	}
+}
+
+// maintain starts a new segment and compacts the oldest one when due. Needs
+// f.mu and no flush under way.
+func (f *Folder) maintain(g *segment) error {
+	if g.size < f.limit {
+		return nil
+	}
+	if err := f.addSegment(); err != nil {
+		return err
+	}
+	var size, live int64
+	for _, g := range f.segments {
+		size += g.size
+		live += g.live
+	}
+	if size <= compactRatio*live+f.limit {
+		return nil
+	}
+	return f.compactOldest()
+}
+
+// compactOldest moves the live records of the oldest segment to the newest and
+// deletes it. Deletions in it can go: only older segments held those keys.
+func (f *Folder) compactOldest() error {
+	old := f.segments[0]
+	target := f.segments[len(f.segments)-1]
+	var out []byte
+	moved := map[string]place{}
+	for key, p := range f.index {
+		if p.segment != old {
+			continue
+		}
+		r, _, err := readFrame(old.file, p.offset)
+		if err != nil {
+			return fmt.Errorf("compact segment %d: %w", old.number, err)
+		}
+		start := len(out)
+		out = appendFrame(out, r)
+		moved[key] = place{target, target.size + int64(start), int64(len(out) - start)}
+	}
+	if _, err := target.file.WriteAt(out, target.size); err != nil {
+		return fmt.Errorf("compact segment %d: %w", old.number, err)
+	}
+	if err := f.sync(target.file); err != nil {
+		return fmt.Errorf("compact segment %d: %w", old.number, err)
+	}
+	target.size += int64(len(out))
+	target.live += int64(len(out))
+	for key, p := range moved {
+		f.index[key] = p
+	}
+	f.segments = f.segments[1:]
+	_ = old.file.Close() // its records are durable elsewhere
+	if err := os.Remove(old.file.Name()); err != nil {
+		return fmt.Errorf("compact segment %d: %w", old.number, err)
+	}
+	return f.syncFolder()
+}
+
+// Load calls visit for the newest record of each key, in no particular order,
+// and stops at its first error. visit must not call the folder.
+func (f *Folder) Load(visit func(key string, data []byte) error) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for key, p := range f.index {
+		r, _, err := readFrame(p.segment.file, p.offset)
+		if err != nil {
+			return fmt.Errorf("segment %d at byte %d: %w", p.segment.number, p.offset, err)
+		}
+		if err := visit(key, r.Data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Close waits for writes under way and releases the folder.
+func (f *Folder) Close() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return nil
+	}
+	f.closed = true
+	for f.flushing || f.failed == nil && f.durable < f.queued {
+		f.flushed.Wait()
+	}
+	f.closeFiles()
+	return f.failed
+}
+
+func (f *Folder) closeFiles() {
+	for _, g := range f.segments {
+		_ = g.file.Close() // every acknowledged write was synced
+	}
+	_ = f.lock.Close()
+}
--- /dev/null
+++ b/io/disk/disk_test.go
@@ -0,0 +1,157 @@
+package disk
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// noSync spares the disk of the test machine where no crash is simulated.
+func noSync(*os.File) error { return nil }
+
+func contents(t require, f *Folder) map[string]string {
+	out := map[string]string{}
+	assert.NilError(t, f.Load(func(k string, d []byte) error { out[k] = string(d); return nil }))
+	return out
+}
+
+type require interface {
+	assert.TestingT
+	Helper()
+}
+
+// Guards against records lost or revived by replacement, deletion, compaction
+// and reopening, and against segments that are never compacted.
+func TestFolderProperties(t *testing.T) {
+	base := t.TempDir()
+	runs := 0
+	rapid.Check(t, func(r *rapid.T) {
+		runs++
+		path := filepath.Join(base, fmt.Sprint(runs))
+		const limit = 400
+		f, err := open(path, limit, noSync)
+		assert.NilError(r, err)
+		want := map[string]string{}
+		for i := range rapid.IntRange(1, 80).Draw(r, "steps") {
+			key := fmt.Sprint("k", rapid.IntRange(0, 6).Draw(r, "key"))
+			switch rapid.IntRange(0, 5).Draw(r, "action") {
+			case 0:
+				assert.NilError(r, f.Append([]Record{{Key: key}}))
+				delete(want, key)
+			case 1:
+				assert.NilError(r, f.Close())
+				f, err = open(path, limit, noSync)
+				assert.NilError(r, err)
+			default:
+				data := bytes.Repeat([]byte{byte('a' + i%20)}, rapid.IntRange(0, 60).Draw(r, "size"))
+				assert.NilError(r, f.Append([]Record{{key, data}}))
+				want[key] = string(data)
+			}
+			assert.DeepEqual(r, contents(r, f), want)
+		}
+		assert.Assert(r, len(f.segments) <= 10, "%d segments", len(f.segments))
+		assert.NilError(r, f.Close())
+	})
+}
+
+// Guards against a torn tail that hides whole records before it, or that makes
+// later appends unreadable, for a cut at every byte.
+func TestTornTail(t *testing.T) {
+	source := t.TempDir()
+	f, err := Open(source)
+	assert.NilError(t, err)
+	assert.NilError(t, f.Append([]Record{{"a", []byte("first")}}))
+	whole := f.segments[0].size
+	assert.NilError(t, f.Append([]Record{{"b", []byte("second")}}))
+	assert.NilError(t, f.Close())
+	data, err := os.ReadFile(filepath.Join(source, "00000001.segment"))
+	assert.NilError(t, err)
+	for n := whole; n < int64(len(data)); n++ {
+		path := filepath.Join(t.TempDir(), fmt.Sprint(n))
+		assert.NilError(t, os.Mkdir(path, 0o700))
+		assert.NilError(t, os.WriteFile(filepath.Join(path, "00000001.segment"), data[:n], 0o600))
+		f, err := Open(path)
+		assert.NilError(t, err)
+		assert.Equal(t, f.Truncated(), n-whole)
+		assert.NilError(t, f.Append([]Record{{"c", []byte("third")}}))
+		assert.NilError(t, f.Close())
+		f, err = Open(path)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, contents(t, f), map[string]string{"a": "first", "c": "third"})
+		assert.NilError(t, f.Close())
+	}
+}
+
+// Guards against silently dropping damaged records of an older segment.
+func TestDamagedOlderSegment(t *testing.T) {
+	path := t.TempDir()
+	f, err := open(path, 1, (*os.File).Sync)
+	assert.NilError(t, err)
+	assert.NilError(t, f.Append([]Record{{"a", []byte("first")}}))
+	assert.NilError(t, f.Close())
+	name := filepath.Join(path, "00000001.segment")
+	data, err := os.ReadFile(name)
+	assert.NilError(t, err)
+	data[len(data)-1] ^= 1
+	assert.NilError(t, os.WriteFile(name, data, 0o600))
+	_, err = Open(path)
+	assert.ErrorIs(t, err, ErrDamaged)
+}
+
+// Guards against two processes writing one folder.
+func TestLock(t *testing.T) {
+	path := t.TempDir()
+	f, err := Open(path)
+	assert.NilError(t, err)
+	_, err = Open(path)
+	assert.ErrorIs(t, err, ErrLocked)
+	assert.NilError(t, f.Close())
+	assert.ErrorIs(t, f.Append([]Record{{Key: "a"}}), os.ErrClosed)
+}
+
+// Guards against an older record that replaces a newer one because its write
+// was waited for later.
+func TestEnqueueOrder(t *testing.T) {
+	f, err := Open(t.TempDir())
+	assert.NilError(t, err)
+	older := f.Enqueue([]Record{{"a", []byte("older")}})
+	newer := f.Enqueue([]Record{{"a", []byte("newer")}})
+	assert.NilError(t, newer())
+	assert.NilError(t, older())
+	assert.DeepEqual(t, contents(t, f), map[string]string{"a": "newer"})
+	assert.NilError(t, f.Close())
+}
+
+// Guards against an append that is acknowledged but missing when many run at
+// once, and against appends accepted after a failed write.
+func TestConcurrentAppends(t *testing.T) {
+	path := t.TempDir()
+	f, err := open(path, 1000, (*os.File).Sync)
+	assert.NilError(t, err)
+	var group sync.WaitGroup
+	want := map[string]string{}
+	for i := range 100 {
+		key := fmt.Sprint("k", i)
+		want[key] = key
+		group.Go(func() { assert.Check(t, f.Append([]Record{{key, []byte(key)}})) })
+	}
+	group.Wait()
+	assert.DeepEqual(t, slices.Sorted(maps.Keys(contents(t, f))), slices.Sorted(maps.Keys(want)))
+	for _, g := range f.segments {
+		assert.NilError(t, g.file.Close())
+	}
+	for range 2 {
+		err = f.Append([]Record{{"late", []byte("x")}})
+		assert.Assert(t, errors.Is(err, os.ErrClosed), "%v", err)
+	}
+	assert.NilError(t, f.lock.Close())
+}
