app/programs: test late writes, pauses during Started and blocked takeovers

Cause: the fault runs did not cover a write to the store that arrives after the removal of its host, nor a takeover with the store or a member missing.

--- a/app/programs/fault_test.go
+++ b/app/programs/fault_test.go
@@ -140,8 +140,8 @@
 		owner = w.hosts[2]
 	}
 	if f.frozen {
+		w.hosts[0].lapsed.Store(true)
 		w.hosts[0].frozen.Store(false)
-		w.hosts[0].s.o.MayAct = func() bool { return false } // its lease has lapsed
 		_, err := w.call(w.hosts[0], spec(2, f.idempotent))
 		note(err == nil, err)
 	}
@@ -192,6 +192,61 @@
 	assert.ErrorContains(t, v.check(), "arrived 2 times")
 }
 
+// Guards against an owner that reports a call as done by a write to the store
+// that its successor has not seen, after it was frozen during Finish.
+func TestLateWriteDoesNotCommit(t *testing.T) {
+	w := newWorld(t, 5)
+	ctx := context.Background()
+	old := w.hosts[0]
+	d, err := old.s.Begin(ctx, spec(1, false))
+	assert.NilError(t, err)
+	run := d.(*Run)
+	assert.NilError(t, run.Started(ctx))
+	old.frozen.Store(true)
+	w.enter()
+	_, err = w.call(w.hosts[1], spec(1, false))
+	assert.ErrorIs(t, err, model.ErrOutcomeUnknown)
+	old.lapsed.Store(true)
+	old.frozen.Store(false)
+	assert.Equal(t, ran(t, run.Finish(ctx, answer(1))), model.RanYes)
+	until(t, "late write", func() bool { return old.s.journal.idle() })
+	o, err := w.hosts[1].s.Outcome(testKey, 1)
+	assert.NilError(t, err)
+	assert.Equal(t, o.State, program.Unknown)
+}
+
+// Guards against sending after a pause during the commit of Started.
+func TestPausedWhileStarting(t *testing.T) {
+	w := newWorld(t, 5)
+	d, err := w.hosts[0].s.Begin(context.Background(), spec(1, false))
+	assert.NilError(t, err)
+	w.hosts[0].lapsed.Store(true)
+	assert.Equal(t, ran(t, d.(*Run).Started(context.Background())), model.RanNo)
+}
+
+// Guards against a new owner that serves before it asked the store, or a
+// member that has not entered the epoch.
+func TestTakeoverWaits(t *testing.T) {
+	w := newWorld(t, 4)
+	_, err := w.call(w.hosts[0], spec(1, false))
+	assert.NilError(t, err)
+	w.hosts[0].dead.Store(true)
+	w.store.set(func(m *memStore) { m.down = true })
+	w.enter()
+	try := func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+		defer cancel()
+		_, err := w.hosts[1].s.Begin(ctx, spec(1, false))
+		return err
+	}
+	assert.Equal(t, ran(t, try()), model.RanNo)
+	w.hosts[3].dead.Store(true) // still a member
+	w.store.set(func(m *memStore) { m.down = false })
+	assert.Equal(t, ran(t, try()), model.RanNo)
+	w.hosts[3].dead.Store(false)
+	until(t, "takeover", func() bool { return try() == nil })
+}
+
 // Guards against a call that is refused although peers can commit it during a
 // store outage, or that is sent although neither peers nor store can.
 func TestCommitPaths(t *testing.T) {
--- a/app/programs/world_test.go
+++ b/app/programs/world_test.go
@@ -29,7 +29,6 @@
 	version store.Version
 	down    bool
 	lose    int // answers of the next writes to lose
-	puts    int
 }
 
 func (m *memStore) set(f func(*memStore)) {
@@ -78,7 +77,6 @@
 		return 0, store.ErrConflict
 	}
 	m.version++
-	m.puts++
 	m.values[key] = store.Entry{Key: key, Value: slices.Clone(value), Version: m.version}
 	if m.lose > 0 {
 		m.lose--
@@ -106,6 +104,7 @@
 	s      *Service
 	dead   atomic.Bool  // neither sends nor receives
 	frozen atomic.Bool  // as dead, and without the right to act
+	lapsed atomic.Bool  // removed from the membership without knowing it
 	mute   atomic.Int32 // answers of this host to lose
 }
 
@@ -211,7 +210,7 @@
 		Store:  hostStore{w.store, h},
 		Peers:  link{w, h},
 		Clock:  w.clock,
-		MayAct: h.reachable,
+		MayAct: func() bool { return h.reachable() && !h.lapsed.Load() },
 		Budget: func(model.WorkspaceID) program.Budget { return program.Budget{Tokens: 10000} },
 	}
 	for _, f := range w.change {
