app/programs: remove journals of former members after the takeover

A second trial showed that the fallback to another zone was untested; the commit cases now have four and two zones.

--- a/app/programs/fault_test.go
+++ b/app/programs/fault_test.go
@@ -253,16 +253,19 @@
 	cases := map[string]struct {
 		prepare func(*world)
 		ok      bool
+		zones   int
 	}{
-		"store down":                 {func(w *world) { w.store.set(func(m *memStore) { m.down = true }) }, true},
-		"store down, one peer dead":  {func(w *world) { w.store.set(func(m *memStore) { m.down = true }); w.hosts[1].dead.Store(true) }, true},
-		"all peers dead":             {func(w *world) { w.killPeers() }, true},
-		"all peers dead, lost write": {func(w *world) { w.killPeers(); w.store.set(func(m *memStore) { m.lose = 2 }) }, true},
-		"nothing left":               {func(w *world) { w.killPeers(); w.store.set(func(m *memStore) { m.down = true }) }, false},
+		"store down":                 {func(w *world) { w.store.set(func(m *memStore) { m.down = true }) }, true, 3},
+		"store down, one peer dead":  {func(w *world) { w.store.set(func(m *memStore) { m.down = true }); w.hosts[1].dead.Store(true) }, true, 3},
+		"store down, one zone dead":  {func(w *world) { w.store.set(func(m *memStore) { m.down = true }); w.hosts[1].dead.Store(true) }, true, 4},
+		"store down, two zones only": {func(w *world) { w.store.set(func(m *memStore) { m.down = true }) }, false, 2},
+		"all peers dead":             {func(w *world) { w.killPeers() }, true, 3},
+		"all peers dead, lost write": {func(w *world) { w.killPeers(); w.store.set(func(m *memStore) { m.lose = 2 }) }, true, 3},
+		"nothing left":               {func(w *world) { w.killPeers(); w.store.set(func(m *memStore) { m.down = true }) }, false, 3},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			w := newWorld(t, 5)
+			w := newZones(t, 5, c.zones)
 			_, err := w.call(w.hosts[0], spec(1, false))
 			assert.NilError(t, err)
 			c.prepare(w)
@@ -432,7 +435,6 @@
 	})
 	assert.Equal(t, len(turns), calls)
 	until(t, "removal of the dead host's journal", func() bool {
-		next.s.sweepJournals(ctx, next.s.current())
 		w.store.mu.Lock()
 		defer w.store.mu.Unlock()
 		return len(w.store.values) <= 2
--- a/app/programs/takeover.go
+++ b/app/programs/takeover.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"mimosarelay/core/model"
 	"mimosarelay/core/program"
@@ -16,6 +17,10 @@
 // ErrStaleEpoch reports a request of another epoch than this host's.
 var ErrStaleEpoch = errors.New("request of another epoch")
 
+// maxSweepPause bounds the reads of all journals while segments of former
+// members remain.
+const maxSweepPause = time.Minute
+
 var errNotLoaded = errors.New("data folder is not loaded yet")
 
 // EpochChanged adopts a new membership. old is the zero Topology at the first
@@ -115,7 +120,7 @@
 		case err != nil:
 			s.o.Log.Warn("takeover incomplete", "Epoch", t.Epoch, "Error", err)
 		case len(busy) == 0:
-			s.sweepJournals(ctx, t)
+			s.cleanJournals(ctx, t)
 			return
 		default:
 			only = busy
@@ -282,12 +287,33 @@
 	return e
 }
 
+// cleanJournals removes the segments of former members once all new owners have
+// written their programs, or the epoch changes.
+func (s *Service) cleanJournals(ctx context.Context, t Topology) {
+	pause := sweepEvery
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.o.Clock.After(pause):
+		}
+		left, err := s.sweepJournals(ctx, t)
+		if err != nil {
+			s.o.Log.Warn("journals of former members not removed", "Epoch", t.Epoch, "Error", err)
+		} else if left == 0 {
+			return
+		}
+		pause = min(2*pause, maxSweepPause)
+	}
+}
+
 // sweepJournals deletes segments of former members whose programs all have a
-// newer head in the journal of a member, or are past their retention.
-func (s *Service) sweepJournals(ctx context.Context, t Topology) {
+// newer head in the journal of a member, or are past their retention. It
+// returns the number of segments that must stay.
+func (s *Service) sweepJournals(ctx context.Context, t Topology) (int, error) {
 	entries, err := s.listJournals(ctx)
 	if err != nil {
-		return
+		return 0, err
 	}
 	live := map[program.ID]program.Version{}
 	dead := map[string][]program.Record{}
@@ -308,16 +334,20 @@
 		}
 	}
 	cut := s.o.Clock.Now().Add(-s.o.Retention)
+	left := 0
 	for key, records := range dead {
 		needed := slices.ContainsFunc(records, func(r program.Record) bool {
 			expired := r.ID.IsHead() && !r.Expiry.IsZero() && r.Expiry.Before(cut)
 			head := live[program.ID{Root: r.ID.Root}]
 			return !expired && head.Epoch() <= r.Version.Epoch()
 		})
-		if !needed {
-			_ = s.o.Store.Delete(ctx, key, versions[key]) // another member may have been faster
+		if needed {
+			left++
+			continue
 		}
+		_ = s.o.Store.Delete(ctx, key, versions[key]) // another member may have been faster
 	}
+	return left, nil
 }
 
 // HandleReplicate keeps copies of records of another owner.
--- a/app/programs/world_test.go
+++ b/app/programs/world_test.go
@@ -170,6 +170,10 @@
 // newWorld starts hosts a0, b1, c2, a3, ... in three zones. Host a0 owns all
 // shards until it leaves, then the next host in order does.
 func newWorld(t *testing.T, n int, change ...func(Member, *Options)) *world {
+	return newZones(t, n, 3, change...)
+}
+
+func newZones(t *testing.T, n, zones int, change ...func(Member, *Options)) *world {
 	w := &world{
 		t:     t,
 		clock: clockwork.NewFakeClockAt(time.Date(2026, 1, 2, 0, 0, 0, 0, time.UTC)),
@@ -181,7 +185,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	for i := range n {
-		zone := string(rune('a' + i%3))
+		zone := string(rune('a' + i%zones))
 		name := fmt.Sprintf("%s%d", zone, i)
 		w.start(ctx, Member{Host: model.HostID(name), Incarnation: "1", Zone: model.Zone(zone), Address: name})
 	}
