--- a/app/programs/fault_test.go
+++ b/app/programs/fault_test.go
@@ -175,6 +175,7 @@
 // reservations when the owner is lost at any step of a call, alone or with the
 // store, a replica and answers.
 func TestOwnerLost(t *testing.T) {
+	t.Parallel()
 	for _, f := range faults() {
 		t.Run(f.name(), func(t *testing.T) {
 			t.Parallel()
@@ -185,6 +186,7 @@
 
 // Shows that the check fails when Started is not committed before sending.
 func TestCheckerFindsUncommittedStart(t *testing.T) {
+	t.Parallel()
 	wrong := func(r *Run, _ context.Context) error {
 		return r.change(func(tr *program.Tree) error { return tr.Start(r.id, r.n) })
 	}
@@ -195,6 +197,7 @@
 // Guards against an owner that reports a call as done by a write to the store
 // that its successor has not seen, after it was frozen during Finish.
 func TestLateWriteDoesNotCommit(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 5)
 	ctx := context.Background()
 	old := w.hosts[0]
@@ -217,6 +220,7 @@
 
 // Guards against sending after a pause during the commit of Started.
 func TestPausedWhileStarting(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 5)
 	d, err := w.hosts[0].s.Begin(context.Background(), spec(1, false))
 	assert.NilError(t, err)
@@ -227,6 +231,7 @@
 // Guards against a new owner that serves before it asked the store, or a
 // member that has not entered the epoch.
 func TestTakeoverWaits(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 4)
 	_, err := w.call(w.hosts[0], spec(1, false))
 	assert.NilError(t, err)
@@ -250,6 +255,7 @@
 // Guards against a call that is refused although peers can commit it during a
 // store outage, or that is sent although neither peers nor store can.
 func TestCommitPaths(t *testing.T) {
+	t.Parallel()
 	cases := map[string]struct {
 		prepare func(*world)
 		ok      bool
@@ -265,6 +271,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			w := newZones(t, 5, c.zones)
 			_, err := w.call(w.hosts[0], spec(1, false))
 			assert.NilError(t, err)
@@ -289,6 +296,7 @@
 // Guards against a handover that interrupts a running call or serves its
 // program at two hosts.
 func TestHandover(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 4)
 	ctx := context.Background()
 	_, err := w.call(w.hosts[0], spec(1, false))
@@ -320,6 +328,7 @@
 
 // Guards against copies accepted from, or given to, a host of an older epoch.
 func TestStaleEpoch(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 3)
 	old := w.last["a0"]
 	w.enter()
@@ -332,6 +341,7 @@
 // Guards against copies that are acknowledged as durable but missing after a
 // restart of the host with the data folder.
 func TestCopiesOnDisk(t *testing.T) {
+	t.Parallel()
 	path := t.TempDir()
 	folder, err := disk.Open(path)
 	assert.NilError(t, err)
@@ -365,6 +375,7 @@
 // Guards against a sub-agent that does not draw on its root, an order wait
 // without end, a duplicate that runs, and callbacks for live programs.
 func TestProgramRules(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 3)
 	s := w.hosts[0].s
 	ended := make(chan model.ProgramKey, 4)
@@ -413,6 +424,7 @@
 // Guards against a journal that grows with the number of commits, and against
 // records lost by overwriting and compacting segments.
 func TestJournalBounded(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 1)
 	const calls = 150
 	for n := model.CallNumber(1); n <= calls; n++ {
