--- a/app/programs/fault_test.go
+++ b/app/programs/fault_test.go
@@ -12,6 +12,7 @@
 
 	"mimosarelay/core/model"
 	"mimosarelay/core/program"
+	"mimosarelay/io/disk"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -139,8 +140,8 @@
 		owner = w.hosts[2]
 	}
 	if f.frozen {
+		w.hosts[0].lapsed.Store(true)
 		w.hosts[0].frozen.Store(false)
-		w.hosts[0].s.o.MayAct = func() bool { return false } // its lease has lapsed
 		_, err := w.call(w.hosts[0], spec(2, f.idempotent))
 		note(err == nil, err)
 	}
@@ -174,6 +175,7 @@
 // reservations when the owner is lost at any step of a call, alone or with the
 // store, a replica and answers.
 func TestOwnerLost(t *testing.T) {
+	t.Parallel()
 	for _, f := range faults() {
 		t.Run(f.name(), func(t *testing.T) {
 			t.Parallel()
@@ -184,6 +186,7 @@
 
 // Shows that the check fails when Started is not committed before sending.
 func TestCheckerFindsUncommittedStart(t *testing.T) {
+	t.Parallel()
 	wrong := func(r *Run, _ context.Context) error {
 		return r.change(func(tr *program.Tree) error { return tr.Start(r.id, r.n) })
 	}
@@ -191,22 +194,85 @@
 	assert.ErrorContains(t, v.check(), "arrived 2 times")
 }
 
+// Guards against an owner that reports a call as done by a write to the store
+// that its successor has not seen, after it was frozen during Finish.
+func TestLateWriteDoesNotCommit(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 5)
+	ctx := context.Background()
+	old := w.hosts[0]
+	d, err := old.s.Begin(ctx, spec(1, false))
+	assert.NilError(t, err)
+	run := d.(*Run)
+	assert.NilError(t, run.Started(ctx))
+	old.frozen.Store(true)
+	w.enter()
+	_, err = w.call(w.hosts[1], spec(1, false))
+	assert.ErrorIs(t, err, model.ErrOutcomeUnknown)
+	old.lapsed.Store(true)
+	old.frozen.Store(false)
+	assert.Equal(t, ran(t, run.Finish(ctx, answer(1))), model.RanYes)
+	until(t, "late write", func() bool { return old.s.journal.idle() })
+	o, err := w.hosts[1].s.Outcome(testKey, 1)
+	assert.NilError(t, err)
+	assert.Equal(t, o.State, program.Unknown)
+}
+
+// Guards against sending after a pause during the commit of Started.
+func TestPausedWhileStarting(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 5)
+	d, err := w.hosts[0].s.Begin(context.Background(), spec(1, false))
+	assert.NilError(t, err)
+	w.hosts[0].lapsed.Store(true)
+	assert.Equal(t, ran(t, d.(*Run).Started(context.Background())), model.RanNo)
+}
+
+// Guards against a new owner that serves before it asked the store, or a
+// member that has not entered the epoch.
+func TestTakeoverWaits(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 4)
+	_, err := w.call(w.hosts[0], spec(1, false))
+	assert.NilError(t, err)
+	w.hosts[0].dead.Store(true)
+	w.store.set(func(m *memStore) { m.down = true })
+	w.enter()
+	try := func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+		defer cancel()
+		_, err := w.hosts[1].s.Begin(ctx, spec(1, false))
+		return err
+	}
+	assert.Equal(t, ran(t, try()), model.RanNo)
+	w.hosts[3].dead.Store(true) // still a member
+	w.store.set(func(m *memStore) { m.down = false })
+	assert.Equal(t, ran(t, try()), model.RanNo)
+	w.hosts[3].dead.Store(false)
+	until(t, "takeover", func() bool { return try() == nil })
+}
+
 // Guards against a call that is refused although peers can commit it during a
 // store outage, or that is sent although neither peers nor store can.
 func TestCommitPaths(t *testing.T) {
+	t.Parallel()
 	cases := map[string]struct {
 		prepare func(*world)
 		ok      bool
+		zones   int
 	}{
-		"store down":                 {func(w *world) { w.store.set(func(m *memStore) { m.down = true }) }, true},
-		"store down, one peer dead":  {func(w *world) { w.store.set(func(m *memStore) { m.down = true }); w.hosts[1].dead.Store(true) }, true},
-		"all peers dead":             {func(w *world) { w.killPeers() }, true},
-		"all peers dead, lost write": {func(w *world) { w.killPeers(); w.store.set(func(m *memStore) { m.lose = 2 }) }, true},
-		"nothing left":               {func(w *world) { w.killPeers(); w.store.set(func(m *memStore) { m.down = true }) }, false},
+		"store down":                 {func(w *world) { w.store.set(func(m *memStore) { m.down = true }) }, true, 3},
+		"store down, one peer dead":  {func(w *world) { w.store.set(func(m *memStore) { m.down = true }); w.hosts[1].dead.Store(true) }, true, 3},
+		"store down, one zone dead":  {func(w *world) { w.store.set(func(m *memStore) { m.down = true }); w.hosts[1].dead.Store(true) }, true, 4},
+		"store down, two zones only": {func(w *world) { w.store.set(func(m *memStore) { m.down = true }) }, false, 2},
+		"all peers dead":             {func(w *world) { w.killPeers() }, true, 3},
+		"all peers dead, lost write": {func(w *world) { w.killPeers(); w.store.set(func(m *memStore) { m.lose = 2 }) }, true, 3},
+		"nothing left":               {func(w *world) { w.killPeers(); w.store.set(func(m *memStore) { m.down = true }) }, false, 3},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			w := newWorld(t, 5)
+			t.Parallel()
+			w := newZones(t, 5, c.zones)
 			_, err := w.call(w.hosts[0], spec(1, false))
 			assert.NilError(t, err)
 			c.prepare(w)
@@ -230,6 +296,7 @@
 // Guards against a handover that interrupts a running call or serves its
 // program at two hosts.
 func TestHandover(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 4)
 	ctx := context.Background()
 	_, err := w.call(w.hosts[0], spec(1, false))
@@ -261,6 +328,7 @@
 
 // Guards against copies accepted from, or given to, a host of an older epoch.
 func TestStaleEpoch(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 3)
 	old := w.last["a0"]
 	w.enter()
@@ -270,9 +338,44 @@
 	assert.ErrorIs(t, err, ErrStaleEpoch)
 }
 
+// Guards against copies that are acknowledged as durable but missing after a
+// restart of the host with the data folder.
+func TestCopiesOnDisk(t *testing.T) {
+	t.Parallel()
+	path := t.TempDir()
+	folder, err := disk.Open(path)
+	assert.NilError(t, err)
+	w := newWorld(t, 3, func(m Member, o *Options) {
+		if m.Host == "b1" {
+			o.Disk = folder
+		}
+	})
+	_, err = w.call(w.hosts[0], spec(1, false))
+	assert.NilError(t, err)
+	until(t, "copy of the finished call", func() bool { return len(w.hosts[1].s.copies.list(all)) >= 2 })
+	r, err := w.hosts[1].s.HandleReplicate(context.Background(), replicateOf(w.last["a0"]))
+	assert.NilError(t, err)
+	assert.Assert(t, r.GetOnDisk())
+	assert.NilError(t, folder.Close())
+
+	folder, err = disk.Open(path)
+	assert.NilError(t, err)
+	again := newReplicas(folder)
+	assert.NilError(t, again.load())
+	root := testKey
+	e := w.hosts[2].s.revive(root, again.trees[root])
+	assert.Equal(t, len(e.tree.History(root.Program)), 1)
+	assert.NilError(t, again.expire(w.clock.Now().Add(100*time.Hour)))
+	assert.NilError(t, folder.Load(func(k string, _ []byte) error { return fmt.Errorf("record %s was not deleted", k) }))
+	assert.NilError(t, folder.Close())
+}
+
+func all(model.Shard) bool { return true }
+
 // Guards against a sub-agent that does not draw on its root, an order wait
 // without end, a duplicate that runs, and callbacks for live programs.
 func TestProgramRules(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 3)
 	s := w.hosts[0].s
 	ended := make(chan model.ProgramKey, 4)
@@ -321,6 +424,7 @@
 // Guards against a journal that grows with the number of commits, and against
 // records lost by overwriting and compacting segments.
 func TestJournalBounded(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 1)
 	const calls = 150
 	for n := model.CallNumber(1); n <= calls; n++ {
@@ -343,7 +447,6 @@
 	})
 	assert.Equal(t, len(turns), calls)
 	until(t, "removal of the dead host's journal", func() bool {
-		next.s.sweepJournals(ctx, next.s.current())
 		w.store.mu.Lock()
 		defer w.store.mu.Unlock()
 		return len(w.store.values) <= 2
--- a/app/programs/world_test.go
+++ b/app/programs/world_test.go
@@ -29,7 +29,6 @@
 	version store.Version
 	down    bool
 	lose    int // answers of the next writes to lose
-	puts    int
 }
 
 func (m *memStore) set(f func(*memStore)) {
@@ -78,7 +77,6 @@
 		return 0, store.ErrConflict
 	}
 	m.version++
-	m.puts++
 	m.values[key] = store.Entry{Key: key, Value: slices.Clone(value), Version: m.version}
 	if m.lose > 0 {
 		m.lose--
@@ -106,6 +104,7 @@
 	s      *Service
 	dead   atomic.Bool  // neither sends nor receives
 	frozen atomic.Bool  // as dead, and without the right to act
+	lapsed atomic.Bool  // removed from the membership without knowing it
 	mute   atomic.Int32 // answers of this host to lose
 }
 
@@ -122,6 +121,8 @@
 	epoch model.Epoch
 	last  map[model.HostID]Topology
 
+	change []func(Member, *Options)
+
 	mu   sync.Mutex
 	hits map[string]int // requests that reached the target
 }
@@ -168,17 +169,23 @@
 
 // newWorld starts hosts a0, b1, c2, a3, ... in three zones. Host a0 owns all
 // shards until it leaves, then the next host in order does.
-func newWorld(t *testing.T, n int) *world {
+func newWorld(t *testing.T, n int, change ...func(Member, *Options)) *world {
+	return newZones(t, n, 3, change...)
+}
+
+func newZones(t *testing.T, n, zones int, change ...func(Member, *Options)) *world {
 	w := &world{
 		t:     t,
 		clock: clockwork.NewFakeClockAt(time.Date(2026, 1, 2, 0, 0, 0, 0, time.UTC)),
 		store: &memStore{values: map[string]store.Entry{}},
 		last:  map[model.HostID]Topology{},
 		hits:  map[string]int{},
+
+		change: change,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	for i := range n {
-		zone := string(rune('a' + i%3))
+		zone := string(rune('a' + i%zones))
 		name := fmt.Sprintf("%s%d", zone, i)
 		w.start(ctx, Member{Host: model.HostID(name), Incarnation: "1", Zone: model.Zone(zone), Address: name})
 	}
@@ -203,13 +210,17 @@
 
 func (w *world) start(ctx context.Context, m Member) *host {
 	h := &host{Member: m}
-	h.s = New(Options{
+	o := Options{
 		Store:  hostStore{w.store, h},
 		Peers:  link{w, h},
 		Clock:  w.clock,
-		MayAct: h.reachable,
+		MayAct: func() bool { return h.reachable() && !h.lapsed.Load() },
 		Budget: func(model.WorkspaceID) program.Budget { return program.Budget{Tokens: 10000} },
-	})
+	}
+	for _, f := range w.change {
+		f(m, &o)
+	}
+	h.s = New(o)
 	w.hosts = append(w.hosts, h)
 	go func() { _ = h.s.Run(ctx) }()
 	return h
