core/placement, app/placement: add queues and choice of targets

Cause: calls need a bounded number of places per target, a fair order of waiting calls and a choice of target that reuses cached prefixes.

--- /dev/null
+++ b/app/placement/views.go
@@ -0,0 +1,53 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"mimosarelay/core/model"
+	"mimosarelay/core/placement"
+)
+
+// views holds the current membership and the ones it replaced less than delay
+// ago.
+type views struct {
+	delay   time.Duration
+	current []model.HostID // sorted; nil before the first update
+	old     []view
+}
+
+type view struct {
+	hosts []model.HostID
+	until time.Time
+}
+
+// update takes over the membership and reports whether any part may have
+// changed.
+func (v *views) update(now time.Time, hosts []model.HostID) bool {
+	kept := slices.DeleteFunc(v.old, func(x view) bool { return !now.Before(x.until) })
+	changed := len(kept) < len(v.old)
+	v.old = kept
+	if v.current != nil && slices.Equal(v.current, hosts) {
+		return changed
+	}
+	hosts = slices.Clone(hosts)
+	slices.Sort(hosts)
+	if v.current != nil && slices.Equal(v.current, hosts) {
+		return changed
+	}
+	if v.current != nil {
+		v.old = append(v.old, view{hosts: v.current, until: now.Add(v.delay)})
+	}
+	v.current = append([]model.HostID{}, hosts...)
+	return true
+}
+
+// part is the smallest part of the views: a lower one counts at once, a higher
+// one after the delay.
+func (v *views) part(self model.HostID, target model.TargetID, limit int) int {
+	part := placement.Part(v.current, self, target, limit)
+	for _, x := range v.old {
+		part = min(part, placement.Part(x.hosts, self, target, limit))
+	}
+	return part
+}
--- /dev/null
+++ b/core/placement/choose.go
@@ -0,0 +1,126 @@
+package placement
+
+import (
+	"time"
+
+	"mimosarelay/core/model"
+)
+
+// Target is what the scheduler needs to know of a target.
+type Target struct {
+	ID     model.TargetID
+	Models []model.ModelID
+	// Limit bounds the calls in flight from this host. A target with limit 0
+	// gets no call.
+	Limit int
+	// Skip takes the target out of use for now, for example because it
+	// refuses connections. Its waiting calls wait on.
+	Skip bool
+}
+
+// Load is a target's report of its load.
+type Load struct {
+	// At is the time that the report describes, by this host's clock.
+	At time.Time
+	// Running and Waiting count the calls of all hosts.
+	Running int
+	Waiting int
+}
+
+// target is the state of a target at this host.
+type target struct {
+	Target
+	inFlight map[CallID]*call
+	classes  []*class
+	free     bool // as counted in the classes
+	load     Load
+	ended    []time.Time // ends since load.At of calls that it includes
+	held     int         // programs held through a pause
+	lost     time.Time   // when the target last lost its cache
+}
+
+func (t *target) hasRoom() bool { return !t.Skip && len(t.inFlight) < t.Limit }
+
+// calls returns the corrected number of calls at the target.
+func (t *target) calls() float64 {
+	n := t.load.Running + t.load.Waiting - len(t.ended)
+	for _, c := range t.inFlight {
+		if c.started.After(t.load.At) {
+			n++
+		}
+	}
+	return float64(max(n, len(t.inFlight)))
+}
+
+// report replaces the load unless a newer one is known.
+func (t *target) report(l Load) {
+	if l.At.Before(t.load.At) {
+		return
+	}
+	t.load = l
+	kept := t.ended[:0]
+	for _, at := range t.ended {
+		if at.After(l.At) {
+			kept = append(kept, at)
+		}
+	}
+	t.ended = kept
+}
+
+func (t *target) end(c *call, now time.Time) {
+	delete(t.inFlight, c.id)
+	if !t.load.At.IsZero() && !c.started.After(t.load.At) {
+		t.ended = append(t.ended, now)
+	}
+}
+
+// choose returns a target of the class with room. There is at least one.
+func (s *Scheduler) choose(c *class, k *call, now time.Time) *target {
+	if p, ok := s.options.Choice.(CacheAware); ok {
+		return s.chooseCached(c, k, p, now)
+	}
+	for {
+		t := c.targets[c.next%len(c.targets)]
+		c.next = (c.next + 1) % len(c.targets)
+		if t.free {
+			return t
+		}
+	}
+}
+
+type scored struct {
+	target *target
+	calls  float64
+	cost   float64
+}
+
+func (s *Scheduler) chooseCached(c *class, k *call, p CacheAware, now time.Time) *target {
+	cached := s.cached(&k.request, now)
+	prompt := s.expected(&k.request)
+	s.scratch = s.scratch[:0]
+	lowest := 0.0
+	for _, t := range c.targets {
+		if !t.free {
+			continue
+		}
+		calls := t.calls()
+		load := calls + s.heldLoad(t)
+		cost := float64(prompt-min(cached.at(t.ID), prompt)) + load*p.CallCost
+		if len(s.scratch) == 0 || cost < lowest {
+			lowest = cost
+		}
+		s.scratch = append(s.scratch, scored{target: t, calls: calls, cost: cost})
+	}
+	near := s.scratch[:0]
+	for _, x := range s.scratch {
+		if x.cost <= lowest+p.Slack {
+			near = append(near, x)
+		}
+	}
+	a := near[s.random.IntN(len(near))]
+	b := near[s.random.IntN(len(near))]
+	if b.calls < a.calls || b.calls == a.calls && b.cost < a.cost {
+		return b.target
+	}
+	return a.target
+}
--- /dev/null
+++ b/core/placement/policy.go
@@ -0,0 +1,145 @@
+package placement
+
+import "time"
+
+// Order decides which waiting call runs next: FirstCome or FairShare.
+type Order interface{ isOrder() }
+
+// FirstCome runs calls in order of arrival. It is the baseline of FairShare.
+type FirstCome struct{}
+
+// FairShare gives each workspace with waiting calls a part of the capacity in
+// proportion to the Weight of its contract, counted in tokens. Within a
+// workspace, the program with the least attained service runs first, except
+// that calls that waited AgeBound run before all younger ones, oldest first.
+type FairShare struct {
+	// AgeBound is the wait after which a call no longer yields to calls of
+	// programs with less attained service; 0 means 5 s.
+	AgeBound time.Duration
+	// OutputWeight is the cost of a completion token in prompt tokens; 0
+	// means 2.
+	OutputWeight float64
+}
+
+func (FirstCome) isOrder() {}
+func (FairShare) isOrder() {}
+
+// Choice decides at which free target a call runs: RoundRobin or CacheAware.
+type Choice interface{ isChoice() }
+
+// RoundRobin takes the free targets in turn. It is the baseline of CacheAware.
+type RoundRobin struct{}
+
+// CacheAware weighs the prompt tokens that a target would have to compute
+// against its load. The load is the target's last report, plus the calls that
+// this host sent since, less those that ended since. Of the targets whose cost
+// is at most Slack above the lowest, two are drawn at random and the less
+// loaded one is taken, so that hosts with the same reports do not all choose
+// the same target.
+type CacheAware struct {
+	// CallCost is the number of prompt tokens that weigh as much as one call
+	// at the target; 0 means 512.
+	CallCost float64
+	// Slack is the difference in prompt tokens within which targets count as
+	// equal; 0 means 256.
+	Slack float64
+}
+
+func (RoundRobin) isChoice() {}
+func (CacheAware) isChoice() {}
+
+// Retention decides whether a program stays with the target that holds its
+// prefix while it pauses for tools: NoRetention or HoldThroughPause.
+type Retention interface{ isRetention() }
+
+// NoRetention keeps no program at a target. It is the baseline of
+// HoldThroughPause.
+type NoRetention struct{}
+
+// HoldThroughPause holds a program at its target between two calls if the
+// expected pause is at most PauseFactor times the time to compute the prefix
+// again. The expected pause is a moving average of the program's pauses. A
+// held program counts as HeldLoad calls when other programs choose a target,
+// and its next call waits for a full target for up to the time that computing
+// the prefix elsewhere would take.
+type HoldThroughPause struct {
+	// TokenTime is the time to compute one prompt token; 0 means 100 µs.
+	TokenTime time.Duration
+	// PauseFactor compares memory held idle with recomputation; 0 means 4.
+	PauseFactor float64
+	// HeldLoad is the load of a held program, in calls; 0 means 0.25.
+	HeldLoad float64
+}
+
+func (NoRetention) isRetention()      {}
+func (HoldThroughPause) isRetention() {}
+
+// Defaults of the policies. They are starting points that were not tuned by
+// measurement.
+const (
+	defaultAgeBound     = 5 * time.Second
+	defaultOutputWeight = 2
+	defaultCallCost     = 512 // prompt tokens
+	defaultSlack        = 256 // prompt tokens
+	defaultTokenTime    = 100 * time.Microsecond
+	defaultPauseFactor  = 4
+	defaultHeldLoad     = 0.25 // calls
+)
+
+// Options configures a Scheduler. Nil policies mean FairShare, CacheAware and
+// HoldThroughPause.
+type Options struct {
+	Order     Order
+	Choice    Choice
+	Retention Retention
+	// Seed initializes the random choices.
+	Seed uint64
+}
+
+func (o Options) withDefaults() Options {
+	switch p := o.Order.(type) {
+	case nil:
+		o.Order = FairShare{}.withDefaults()
+	case FairShare:
+		o.Order = p.withDefaults()
+	}
+	switch p := o.Choice.(type) {
+	case nil:
+		o.Choice = CacheAware{}.withDefaults()
+	case CacheAware:
+		o.Choice = p.withDefaults()
+	}
+	switch p := o.Retention.(type) {
+	case nil:
+		o.Retention = HoldThroughPause{}.withDefaults()
+	case HoldThroughPause:
+		o.Retention = p.withDefaults()
+	}
+	return o
+}
+
+func (p FairShare) withDefaults() FairShare {
+	setDefault(&p.AgeBound, defaultAgeBound)
+	setDefault(&p.OutputWeight, defaultOutputWeight)
+	return p
+}
+
+func (p CacheAware) withDefaults() CacheAware {
+	setDefault(&p.CallCost, defaultCallCost)
+	setDefault(&p.Slack, defaultSlack)
+	return p
+}
+
+func (p HoldThroughPause) withDefaults() HoldThroughPause {
+	setDefault(&p.TokenTime, defaultTokenTime)
+	setDefault(&p.PauseFactor, defaultPauseFactor)
+	setDefault(&p.HeldLoad, defaultHeldLoad)
+	return p
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/core/placement/prefix.go
@@ -0,0 +1,133 @@
+package placement
+
+import (
+	"container/list"
+	"time"
+
+	"mimosarelay/core/model"
+)
+
+const (
+	// maxPrefixes bounds the index, to about 10 MB.
+	maxPrefixes = 1 << 16
+	// leading and trailing bound the prefixes of a prompt that are looked up.
+	// The leading ones are shared between programs, such as system prompts.
+	// The previous call of a program ends a few messages before the end.
+	leading  = 4
+	trailing = 32
+	// holders bounds the targets remembered for one prefix.
+	holders = 4
+)
+
+// prefixIndex remembers which targets recently computed which prefixes. The
+// least recently used prefixes are dropped first.
+type prefixIndex struct {
+	byHash map[uint64]*list.Element
+	recent *list.List // *prefix, most recently used first
+}
+
+type prefix struct {
+	hash    uint64
+	tokens  model.Tokens
+	targets [holders]holder
+}
+
+type holder struct {
+	target *target
+	used   time.Time
+}
+
+func newPrefixIndex() prefixIndex {
+	return prefixIndex{byHash: map[uint64]*list.Element{}, recent: list.New()}
+}
+
+// add records that a target holds a prefix.
+func (x *prefixIndex) add(hash uint64, tokens model.Tokens, t *target, now time.Time) {
+	e := x.byHash[hash]
+	if e == nil {
+		e = x.recent.PushFront(&prefix{hash: hash})
+		x.byHash[hash] = e
+	}
+	x.recent.MoveToFront(e)
+	p := e.Value.(*prefix)
+	p.tokens = tokens
+	oldest := 0
+	for i, h := range p.targets {
+		if h.target == t {
+			oldest = i
+			break
+		}
+		if h.used.Before(p.targets[oldest].used) {
+			oldest = i
+		}
+	}
+	p.targets[oldest] = holder{target: t, used: now}
+	for x.recent.Len() > maxPrefixes {
+		last := x.recent.Back()
+		delete(x.byHash, last.Value.(*prefix).hash)
+		x.recent.Remove(last)
+	}
+}
+
+// hits is the number of cached tokens of one prompt at the few targets that
+// have any.
+type hits []hit
+
+type hit struct {
+	target model.TargetID
+	tokens model.Tokens
+}
+
+func (h hits) at(id model.TargetID) model.Tokens {
+	for _, x := range h {
+		if x.target == id {
+			return x.tokens
+		}
+	}
+	return 0
+}
+
+// cached finds the targets that hold a prefix of the request, longest first.
+func (s *Scheduler) cached(r *Request, now time.Time) hits {
+	s.hits = s.hits[:0]
+	n := len(r.Prefixes)
+	for i := n - 1; i >= max(leading, n-trailing); i-- {
+		s.addHits(r.Prefixes[i], now)
+	}
+	for i := min(leading, n) - 1; i >= 0; i-- {
+		s.addHits(r.Prefixes[i], now)
+	}
+	return s.hits
+}
+
+// maxPrefixAge is the time after which an unused prefix counts as evicted.
+const maxPrefixAge = 10 * time.Minute
+
+func (s *Scheduler) addHits(hash uint64, now time.Time) {
+	e := s.index.byHash[hash]
+	if e == nil {
+		return
+	}
+	p := e.Value.(*prefix)
+	for _, h := range p.targets {
+		if h.target == nil || !h.used.After(h.target.lost) || now.Sub(h.used) > maxPrefixAge {
+			continue
+		}
+		if s.hits.at(h.target.ID) == 0 {
+			s.hits = append(s.hits, hit{target: h.target.ID, tokens: p.tokens})
+		}
+	}
+}
+
+// remember records the prefixes of a call that was sent to a target. Tokens of
+// the leading prefixes are estimated from their share of the messages.
+func (s *Scheduler) remember(r *Request, prompt model.Tokens, t *target, now time.Time) {
+	n := len(r.Prefixes)
+	if n == 0 {
+		return
+	}
+	for i := 0; i < min(leading, n-1); i++ {
+		s.index.add(r.Prefixes[i], prompt*model.Tokens(i+1)/model.Tokens(n), t, now)
+	}
+	s.index.add(r.Prefixes[n-1], prompt, t, now)
+}
--- /dev/null
+++ b/core/placement/scheduler.go
@@ -0,0 +1,486 @@
+package placement
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"mimosarelay/core/model"
+)
+
+// ErrNoTarget reports a call that no configured target may run.
+var ErrNoTarget = errors.New("no target can run the call")
+
+// Grant lets a waiting call run at a target.
+type Grant struct {
+	Call   CallID
+	Target model.TargetID
+}
+
+// share is the service that a workspace received.
+type share struct {
+	workspace model.WorkspaceID
+	weight    float64
+	// virtual is the service in prompt tokens divided by the weight.
+	virtual float64
+	calls   int // waiting and running
+}
+
+// Scheduler holds the waiting and running calls of one host. It is not safe
+// for concurrent use.
+type Scheduler struct {
+	options  Options
+	random   *rand.Rand
+	sequence uint64
+	targets  map[model.TargetID]*target
+	sorted   []*target // by id
+	classes  map[classKey]*class
+	waiting  map[CallID]*call
+	running  map[CallID]*call
+	shares   map[model.WorkspaceID]*share
+	all      *share  // stands for all workspaces with FirstCome
+	virtual  float64 // of the workspace that was served last
+	// scale is the mean of actual prompt tokens by Request.Prompt, which is an
+	// upper bound.
+	scale    float64
+	programs map[model.ProgramKey]*program
+	swept    time.Time
+	holds    []*program
+	pinned   []*call
+	index    prefixIndex
+	scratch  []scored
+	hits     hits
+}
+
+// NewScheduler returns a Scheduler without targets.
+func NewScheduler(o Options) *Scheduler {
+	return &Scheduler{
+		options:  o.withDefaults(),
+		random:   rand.New(rand.NewPCG(o.Seed, 0)),
+		targets:  map[model.TargetID]*target{},
+		classes:  map[classKey]*class{},
+		waiting:  map[CallID]*call{},
+		running:  map[CallID]*call{},
+		shares:   map[model.WorkspaceID]*share{},
+		all:      &share{weight: 1},
+		scale:    1,
+		programs: map[model.ProgramKey]*program{},
+		index:    newPrefixIndex(),
+	}
+}
+
+// SetTargets replaces the targets. Calls in flight at a target that is no
+// longer listed stay counted until they are released.
+func (s *Scheduler) SetTargets(now time.Time, list []Target) []Grant {
+	targets := make(map[model.TargetID]*target, len(list))
+	for _, x := range list {
+		t := s.targets[x.ID]
+		if t == nil {
+			t = &target{inFlight: map[CallID]*call{}}
+		}
+		t.Target = x
+		targets[x.ID] = t
+	}
+	for id, t := range s.targets {
+		if targets[id] == nil {
+			t.Limit = 0
+			t.Models = nil
+			t.lost = now
+			if len(t.inFlight) > 0 {
+				targets[id] = t
+			}
+		}
+	}
+	s.targets = targets
+	s.sorted = slices.SortedFunc(maps.Values(targets), func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
+	for _, t := range s.sorted {
+		t.classes = nil
+	}
+	for _, c := range s.classes {
+		s.attach(c)
+	}
+	return s.fillAll(now)
+}
+
+// SetWeight sets the weight of a workspace, which must be positive. Without a
+// call it is 1.
+func (s *Scheduler) SetWeight(w model.WorkspaceID, weight float64) {
+	s.share(w).weight = weight
+}
+
+// attach finds the targets of a class.
+func (s *Scheduler) attach(c *class) {
+	c.targets = c.targets[:0]
+	c.free = 0
+	for _, t := range s.sorted {
+		if !c.serves(t) {
+			continue
+		}
+		c.targets = append(c.targets, t)
+		t.classes = append(t.classes, c)
+		t.free = t.hasRoom()
+		if t.free {
+			c.free++
+		}
+	}
+}
+
+// refresh updates the classes of a target after a change of its state.
+func (t *target) refresh() {
+	free := t.hasRoom()
+	if free == t.free {
+		return
+	}
+	t.free = free
+	for _, c := range t.classes {
+		if free {
+			c.free++
+		} else {
+			c.free--
+		}
+	}
+}
+
+func (s *Scheduler) class(key classKey, r *Request) *class {
+	c := s.classes[key]
+	if c == nil {
+		c = &class{key: key, candidates: r.Candidates, exclude: r.Exclude, byName: map[model.WorkspaceID]*lane{}}
+		s.classes[key] = c
+		s.attach(c)
+	}
+	return c
+}
+
+// tidy drops an empty class that few calls share.
+func (s *Scheduler) tidy(c *class) {
+	if len(c.lanes) > 0 || c.key.exclude == "" && c.key.pin == "" {
+		return
+	}
+	delete(s.classes, c.key)
+	for _, t := range c.targets {
+		// fill may be reading the old slice.
+		t.classes = slices.DeleteFunc(slices.Clone(t.classes), func(x *class) bool { return x == c })
+	}
+}
+
+func (s *Scheduler) share(w model.WorkspaceID) *share {
+	sh := s.shares[w]
+	if sh == nil {
+		sh = &share{workspace: w, weight: 1, virtual: s.virtual}
+		s.shares[w] = sh
+	}
+	return sh
+}
+
+// laneShare is the share whose lane a call joins.
+func (s *Scheduler) laneShare(w model.WorkspaceID) *share {
+	if _, ok := s.options.Order.(FairShare); ok {
+		return s.share(w)
+	}
+	return s.all
+}
+
+// Add queues a call. It fails with ErrNoTarget if no target is configured for
+// it, apart from those it excludes. Ids must be unique.
+func (s *Scheduler) Add(now time.Time, id CallID, r Request) ([]Grant, error) {
+	if s.waiting[id] != nil || s.running[id] != nil {
+		return nil, fmt.Errorf("call %d is already queued", id)
+	}
+	c := s.class(keyOf(&r), &r)
+	if len(c.targets) == 0 {
+		s.tidyUnused(c)
+		return nil, ErrNoTarget
+	}
+	s.sequence++
+	k := &call{id: id, request: r, sequence: s.sequence, arrived: now}
+	var p *program
+	if r.Program != "" {
+		p = s.program(r.key())
+		p.resume(now)
+		p.active++
+		k.attained = p.attained
+	}
+	sh := s.share(r.Workspace)
+	if sh.calls == 0 { // an idle workspace saves up no service
+		sh.virtual = max(sh.virtual, s.virtual)
+	}
+	sh.calls++
+	if t, ends := s.pin(p, c, now); t != nil {
+		k.pinEnds = ends
+		key := c.key
+		key.pin = t.ID
+		c = s.class(key, &r)
+		s.pinned = append(s.pinned, k)
+	}
+	if p != nil {
+		p.unhold()
+	}
+	s.waiting[id] = k
+	s.enqueue(c, k)
+	return s.fill(now, []*class{c}), nil
+}
+
+func (s *Scheduler) tidyUnused(c *class) {
+	if len(c.lanes) == 0 {
+		delete(s.classes, c.key)
+	}
+}
+
+func (s *Scheduler) enqueue(c *class, k *call) {
+	k.class = c
+	k.done = false
+	c.lane(s.laneShare(k.request.Workspace)).add(k)
+}
+
+// dequeue takes a call out of its class.
+func (s *Scheduler) dequeue(k *call) {
+	c := k.class
+	c.leave(c.byName[s.laneShare(k.request.Workspace).workspace], k)
+	s.tidy(c)
+}
+
+func (s *Scheduler) program(key model.ProgramKey) *program {
+	p := s.programs[key]
+	if p == nil {
+		p = &program{}
+		s.programs[key] = p
+	}
+	return p
+}
+
+// fill grants waiting calls of the classes while their targets have room.
+func (s *Scheduler) fill(now time.Time, classes []*class) []Grant {
+	var grants []Grant
+	for {
+		var from *class
+		var next *lane
+		for _, c := range classes {
+			if c.free == 0 || len(c.lanes) == 0 {
+				continue
+			}
+			if l := c.first(s.options.Order, now); next == nil || before(l, next, s.options.Order, now) {
+				from, next = c, l
+			}
+		}
+		if next == nil {
+			return grants
+		}
+		k := next.head(s.options.Order, now)
+		grants = append(grants, s.grant(now, from, k))
+	}
+}
+
+func (s *Scheduler) fillAll(now time.Time) []Grant {
+	return s.fill(now, slices.SortedFunc(maps.Values(s.classes), compareClasses))
+}
+
+func compareClasses(a, b *class) int {
+	return cmp.Or(
+		cmp.Compare(a.key.model, b.key.model),
+		cmp.Compare(a.key.candidates, b.key.candidates),
+		cmp.Compare(a.key.exclude, b.key.exclude),
+		cmp.Compare(a.key.pin, b.key.pin),
+	)
+}
+
+// grant starts a call at a target of the class with room.
+func (s *Scheduler) grant(now time.Time, c *class, k *call) Grant {
+	t := s.choose(c, k, now)
+	s.dequeue(k)
+	delete(s.waiting, k.id)
+	s.running[k.id] = k
+	k.target = t
+	k.started = now
+	t.inFlight[k.id] = k
+	t.refresh()
+	sh := s.share(k.request.Workspace)
+	s.virtual = max(s.virtual, sh.virtual)
+	prompt := s.expected(&k.request)
+	k.charged = float64(prompt)
+	sh.virtual += k.charged / sh.weight
+	s.remember(&k.request, prompt, t, now)
+	return Grant{Call: k.id, Target: t.ID}
+}
+
+// Cancel takes a waiting call out of the queue. It returns false if the call
+// does not wait, for example because it was granted.
+func (s *Scheduler) Cancel(id CallID) bool {
+	k := s.waiting[id]
+	if k == nil {
+		return false
+	}
+	delete(s.waiting, id)
+	s.dequeue(k)
+	s.leave(k, time.Time{})
+	return true
+}
+
+// leave ends the use of the shared records by a call.
+func (s *Scheduler) leave(k *call, ended time.Time) *program {
+	s.share(k.request.Workspace).calls--
+	if k.request.Program == "" {
+		return nil
+	}
+	p := s.program(k.request.key())
+	p.active--
+	if !ended.IsZero() {
+		p.ended = ended
+	}
+	return p
+}
+
+// Release ends a granted call. A second release of the same call changes
+// nothing.
+func (s *Scheduler) Release(now time.Time, id CallID, u Usage) []Grant {
+	k := s.running[id]
+	if k == nil {
+		return nil
+	}
+	delete(s.running, id)
+	t := k.target
+	t.end(k, now)
+	served := s.service(u)
+	if u.Failed {
+		served = max(served, k.charged) // the target worked without reporting it
+	}
+	s.learn(&k.request, u)
+	sh := s.share(k.request.Workspace)
+	sh.virtual += (served - k.charged) / sh.weight
+	p := s.leave(k, now)
+	if p != nil {
+		p.attained += served
+	}
+	if !u.Failed && u.Prompt > 0 {
+		s.remember(&k.request, u.Prompt, t, now)
+		if p != nil && p.active == 0 {
+			s.hold(p, t, u.Prompt+u.Completion, now)
+		}
+	}
+	t.refresh()
+	return s.fill(now, t.classes)
+}
+
+// service returns the cost of a call in prompt tokens. Cached tokens are free.
+func (s *Scheduler) service(u Usage) float64 {
+	weight := float64(defaultOutputWeight)
+	if p, ok := s.options.Order.(FairShare); ok {
+		weight = p.OutputWeight
+	}
+	return float64(max(u.Prompt-u.Cached, 0)) + weight*float64(u.Completion)
+}
+
+// scaleWeight is the weight of the last call in the mean.
+const scaleWeight = 0.02
+
+// learn compares the bound of a prompt with its actual size.
+func (s *Scheduler) learn(r *Request, u Usage) {
+	if u.Prompt <= 0 || r.Prompt <= 0 {
+		return
+	}
+	ratio := min(float64(u.Prompt)/float64(r.Prompt), 1)
+	s.scale += scaleWeight * (ratio - s.scale)
+}
+
+// expected estimates the prompt tokens of a call.
+func (s *Scheduler) expected(r *Request) model.Tokens {
+	return model.Tokens(s.scale * float64(r.Prompt))
+}
+
+// Report takes over a target's report of its load.
+func (s *Scheduler) Report(id model.TargetID, l Load) {
+	if t := s.targets[id]; t != nil {
+		t.report(l)
+	}
+}
+
+// Skip takes a target out of use or into use again.
+func (s *Scheduler) Skip(now time.Time, id model.TargetID, skip bool) []Grant {
+	t := s.targets[id]
+	if t == nil {
+		return nil
+	}
+	t.Skip = skip
+	t.refresh()
+	return s.fill(now, t.classes)
+}
+
+// LostCache tells that a target restarted and holds no prefix any more.
+func (s *Scheduler) LostCache(now time.Time, id model.TargetID) {
+	if t := s.targets[id]; t != nil {
+		t.lost = now
+	}
+}
+
+// EndProgram forgets a program.
+func (s *Scheduler) EndProgram(key model.ProgramKey) {
+	p := s.programs[key]
+	if p == nil {
+		return
+	}
+	p.unhold()
+	if p.active == 0 {
+		delete(s.programs, key)
+	}
+}
+
+// sweepInterval is the time between two searches for programs to forget.
+const sweepInterval = time.Minute
+
+// Tick handles the passing of time: the ends of holds and of waits for a
+// particular target. It is called about every 100 ms.
+func (s *Scheduler) Tick(now time.Time) []Grant {
+	s.endHolds(now)
+	moved := s.endPins(now)
+	if now.Sub(s.swept) >= sweepInterval {
+		s.swept = now
+		for key, p := range s.programs {
+			if p.active == 0 && now.Sub(p.ended) >= forgetProgram {
+				p.unhold()
+				delete(s.programs, key)
+			}
+		}
+	}
+	if !moved {
+		return nil
+	}
+	return s.fillAll(now)
+}
+
+// endPins moves calls that waited long enough for the target of their program
+// to the queue for all targets.
+func (s *Scheduler) endPins(now time.Time) bool {
+	moved := false
+	kept := s.pinned[:0]
+	for _, k := range s.pinned {
+		switch {
+		case k.done:
+		case now.Before(k.pinEnds) && !k.class.stuck():
+			kept = append(kept, k)
+		default:
+			key := k.class.key
+			key.pin = ""
+			s.dequeue(k)
+			again := *k // the queues of the old class may still refer to k
+			s.waiting[k.id] = &again
+			s.enqueue(s.class(key, &again.request), &again)
+			moved = true
+		}
+	}
+	clear(s.pinned[len(kept):])
+	s.pinned = kept
+	return moved
+}
+
+// stuck reports whether no target of the class is in use.
+func (c *class) stuck() bool {
+	for _, t := range c.targets {
+		if !t.Skip && t.Limit > 0 {
+			return false
+		}
+	}
+	return true
+}
