core/suspect, app/suspects: bound the targets that a request can crash

Cause: a request that crashes its target must run on at most 2 targets, also if copies of it arrive at all hosts at the same time.

--- /dev/null
+++ b/core/suspect/ledger.go
@@ -0,0 +1,153 @@
+// Package suspect remembers requests that crash targets and limits on how many
+// targets a request can run.
+package suspect
+
+import (
+	"slices"
+	"time"
+
+	"mimosarelay/core/model"
+)
+
+const (
+	// Lifetime is the time after the last crash for which a request is
+	// remembered.
+	Lifetime = time.Hour
+	// MaxCrashes is the number of targets that a request may crash.
+	MaxCrashes = 2
+	// sameCrash is the time within which reports about one target count as
+	// one crash. Each host with a copy of the request at the target reports
+	// it. A target needs longer to restart and crash again.
+	sameCrash = 2 * time.Second
+)
+
+// Crash is the end of one target while it ran a request.
+type Crash struct {
+	Target model.TargetID
+	At     time.Time
+}
+
+// Entry is what is known of one request.
+type Entry struct {
+	Fingerprint model.Fingerprint
+	Crashes     []Crash
+	// Lifted is the time up to which an operator has cleared crashes, or zero.
+	Lifted time.Time
+}
+
+// add merges a crash and reports whether it was new.
+func (e *Entry) add(c Crash) bool {
+	if !c.At.After(e.Lifted) {
+		return false
+	}
+	for _, x := range e.Crashes {
+		if x.Target == c.Target && c.At.Sub(x.At).Abs() < sameCrash {
+			return false
+		}
+	}
+	e.Crashes = append(e.Crashes, c)
+	slices.SortFunc(e.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+	return true
+}
+
+// lift clears the crashes up to a time and reports whether that is new.
+func (e *Entry) lift(at time.Time) bool {
+	if !at.After(e.Lifted) {
+		return false
+	}
+	e.Lifted = at
+	e.Crashes = slices.DeleteFunc(e.Crashes, func(c Crash) bool { return !c.At.After(at) })
+	return true
+}
+
+// Expired reports whether the entry no longer counts.
+func (e Entry) Expired(now time.Time) bool {
+	last := e.Lifted
+	for _, c := range e.Crashes {
+		if c.At.After(last) {
+			last = c.At
+		}
+	}
+	return now.Sub(last) >= Lifetime
+}
+
+// Ledger holds the entries that one host knows. It is not safe for concurrent
+// use.
+type Ledger struct {
+	entries map[model.Fingerprint]*Entry
+}
+
+// NewLedger returns an empty Ledger.
+func NewLedger() *Ledger { return &Ledger{entries: map[model.Fingerprint]*Entry{}} }
+
+// Crashes returns how often the request crashed a target.
+func (l *Ledger) Crashes(now time.Time, f model.Fingerprint) int {
+	e := l.entries[f]
+	if e == nil || e.Expired(now) {
+		return 0
+	}
+	return len(e.Crashes)
+}
+
+// Mark records a crash. It reports whether the crash was unknown.
+func (l *Ledger) Mark(now time.Time, f model.Fingerprint, c Crash) bool {
+	return l.entry(now, f).add(c)
+}
+
+// Lift clears the crashes up to a time.
+func (l *Ledger) Lift(now time.Time, f model.Fingerprint, at time.Time) bool {
+	return l.entry(now, f).lift(at)
+}
+
+// Merge takes over what another host or the store knows.
+func (l *Ledger) Merge(now time.Time, e Entry) {
+	own := l.entry(now, e.Fingerprint)
+	own.lift(e.Lifted)
+	for _, c := range e.Crashes {
+		own.add(c)
+	}
+}
+
+// Get returns a copy of an entry.
+func (l *Ledger) Get(f model.Fingerprint) Entry {
+	e := l.entries[f]
+	if e == nil {
+		return Entry{Fingerprint: f}
+	}
+	c := *e
+	c.Crashes = slices.Clone(e.Crashes)
+	return c
+}
+
+// Entries returns copies of all entries, sorted by fingerprint.
+func (l *Ledger) Entries() []Entry {
+	list := make([]Entry, 0, len(l.entries))
+	for f := range l.entries {
+		list = append(list, l.Get(f))
+	}
+	slices.SortFunc(list, func(a, b Entry) int {
+		if a.Fingerprint < b.Fingerprint {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// Expire drops the entries that no longer count.
+func (l *Ledger) Expire(now time.Time) {
+	for f, e := range l.entries {
+		if e.Expired(now) {
+			delete(l.entries, f)
+		}
+	}
+}
+
+func (l *Ledger) entry(now time.Time, f model.Fingerprint) *Entry {
+	e := l.entries[f]
+	if e == nil || e.Expired(now) {
+		e = &Entry{Fingerprint: f}
+		l.entries[f] = e
+	}
+	return e
+}
--- /dev/null
+++ b/core/suspect/suspect_test.go
@@ -0,0 +1,104 @@
+package suspect
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mimosarelay/core/model"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// Guards against crashes that count twice, that never expire or that come back
+// after they were lifted.
+func TestLedger(t *testing.T) {
+	l := NewLedger()
+	assert.Assert(t, l.Mark(start, "f", Crash{Target: "a", At: start}))
+	assert.Assert(t, !l.Mark(start, "f", Crash{Target: "a", At: start.Add(sameCrash - 1)}))
+	assert.Equal(t, l.Crashes(start, "f"), 1)
+	late := start.Add(time.Minute)
+	assert.Assert(t, l.Mark(late, "f", Crash{Target: "b", At: late}))
+	assert.Equal(t, l.Crashes(late, "f"), 2)
+	assert.Equal(t, l.Crashes(late.Add(Lifetime-1), "f"), 2)
+	assert.Equal(t, l.Crashes(late.Add(Lifetime), "f"), 0)
+	other := NewLedger()
+	other.Merge(late, l.Get("f"))
+	other.Merge(late, l.Get("f"))
+	assert.DeepEqual(t, other.Entries(), l.Entries())
+	assert.Assert(t, l.Lift(late, "f", late))
+	assert.Equal(t, l.Crashes(late, "f"), 0)
+	l.Merge(late, other.Get("f")) // a message from before the lift
+	assert.Equal(t, l.Crashes(late, "f"), 0)
+	assert.Assert(t, l.Mark(late, "f", Crash{Target: "a", At: late.Add(1)}))
+	l.Expire(late.Add(2 * Lifetime))
+	assert.Equal(t, len(l.Entries()), 0)
+}
+
+// Guards against running copies and crashes of one request that add up to more
+// than two targets, and against a rerun beside another copy.
+func TestClaimsBound(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c, now, crashes, next := NewClaims(), start, 0, 0
+		running := map[ClaimID]bool{}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			now = now.Add(time.Second)
+			switch rapid.IntRange(0, 2).Draw(rt, "step") {
+			case 0, 1:
+				next++
+				id := ClaimID(fmt.Sprint(next))
+				v := c.Claim(now, "f", id, crashes)
+				if v == Granted || v == Alone {
+					running[id] = true
+				}
+				if (v == Alone) != (crashes == 1 && len(running) == 1 && running[id]) {
+					rt.Fatalf("verdict %d with %d crashes and %d running", v, crashes, len(running))
+				}
+			case 2:
+				for id := range running {
+					crashes++
+					c.End(now, "f", id, false)
+					delete(running, id)
+					break
+				}
+			}
+			if len(running)+crashes > MaxCrashes {
+				rt.Fatalf("%d running and %d crashes", len(running), crashes)
+			}
+		}
+	})
+}
+
+// Guards against harmless requests that stay limited to two copies, and
+// against claims that are lost forever.
+func TestClaimsOfHarmlessRequests(t *testing.T) {
+	c := NewClaims()
+	assert.Equal(t, c.Claim(start, "f", "1", 0), Granted)
+	assert.Equal(t, c.Claim(start, "f", "2", 0), Granted)
+	assert.Equal(t, c.Claim(start, "f", "1", 0), Granted) // repeated
+	assert.Equal(t, c.Claim(start, "f", "3", 0), Busy)
+	assert.Equal(t, c.Claim(start.Add(ClaimLifetime), "f", "3", 0), Granted)
+	c.End(start, "f", "1", true)
+	for i := range 10 {
+		assert.Equal(t, c.Claim(start, "f", ClaimID(fmt.Sprint("x", i)), 0), Granted)
+	}
+	assert.Equal(t, c.Claim(start, "f", "4", 2), Refused)
+	c.Expire(start.Add(2 * ClaimLifetime))
+	assert.Equal(t, c.Running(), 0)
+}
+
+// Guards against an owner that depends on the order of the list, and against
+// one host that owns everything.
+func TestOwner(t *testing.T) {
+	owners := map[string]int{}
+	for i := range 300 {
+		f := model.Fingerprint(fmt.Sprint(i))
+		a := Owner(f, []string{"x", "y", "z"})
+		assert.Equal(t, Owner(f, []string{"z", "x", "y"}), a)
+		owners[a]++
+	}
+	assert.Assert(t, owners["x"] > 50 && owners["y"] > 50 && owners["z"] > 50, "%v", owners)
+}
