core/order, app/orders, core/release, app/release: add engine commands

Cause: engine commands need fencing tokens, and memory of programs that ended must be freed within 30 s. Conclusion: the tests pass with the race detector, the client against the engine stand-in.

--- /dev/null
+++ b/app/orders/client.go
@@ -0,0 +1,131 @@
+package orders
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"mimosarelay/core/config"
+	"mimosarelay/core/model"
+	"mimosarelay/core/order"
+	"mimosarelay/core/placement"
+	"mimosarelay/core/release"
+	"mimosarelay/io/target"
+)
+
+const (
+	// maxState bounds the answers of engines, in bytes.
+	maxState = 8 << 20
+	// controlIdle ends an exchange without progress.
+	controlIdle = 5 * time.Second
+	// maxReportAge bounds the age of a load report that is believed. It
+	// limits the error if the clocks of engine and host differ.
+	maxReportAge = 10 * time.Second
+)
+
+// Client speaks the control protocol of engines: load reports, release of
+// cache memory and orders. It never repeats a request.
+type Client struct {
+	Targets *target.Client
+}
+
+// Send implements Engines.
+func (c Client) Send(ctx context.Context, t config.Target, o order.Order, before func() error) (order.State, error) {
+	var state order.State
+	status, err := c.do(ctx, t, request{method: fasthttp.MethodPost, path: "/v1/orders", body: o, before: before}, &state)
+	switch status {
+	case fasthttp.StatusConflict:
+		return state, fmt.Errorf("%w: %w", ErrOldFence, err)
+	case fasthttp.StatusBadRequest:
+		return state, fmt.Errorf("%w: %w", model.ErrBadRequest, err)
+	}
+	return state, err
+}
+
+// State implements Engines.
+func (c Client) State(ctx context.Context, t config.Target) (order.State, error) {
+	var state order.State
+	_, err := c.do(ctx, t, request{method: fasthttp.MethodGet, path: "/v1/orders/state"}, &state)
+	return state, err
+}
+
+// loadReport is the answer to GET /v1/load.
+type loadReport struct {
+	Time     time.Time
+	Running  int
+	Waiting  int
+	Programs []release.Entry
+}
+
+// Load reads the load of an engine. The time of the report is by the engine's
+// clock; it counts as at most 10 s old and never as newer than the request.
+func (c Client) Load(ctx context.Context, t config.Target) (placement.Load, error) {
+	sent := time.Now()
+	var r loadReport
+	if _, err := c.do(ctx, t, request{method: fasthttp.MethodGet, path: "/v1/load"}, &r); err != nil {
+		return placement.Load{}, err
+	}
+	age := min(max(sent.Sub(r.Time), 0), maxReportAge)
+	return placement.Load{At: sent.Add(-age), Running: r.Running, Waiting: r.Waiting}, nil
+}
+
+// Programs reads which programs hold cache memory at an engine.
+func (c Client) Programs(ctx context.Context, t config.Target) ([]release.Entry, error) {
+	var r loadReport
+	_, err := c.do(ctx, t, request{method: fasthttp.MethodGet, path: "/v1/load"}, &r)
+	return r.Programs, err
+}
+
+// Release frees the cache memory of a program, named as in its calls, and
+// returns the number of blocks freed.
+func (c Client) Release(ctx context.Context, t config.Target, program string) (int, error) {
+	body := struct{ Program string }{Program: program}
+	var answer struct{ Freed int }
+	_, err := c.do(ctx, t, request{method: fasthttp.MethodPost, path: "/v1/cache/release", body: body}, &answer)
+	return answer.Freed, err
+}
+
+// request is one exchange of JSON.
+type request struct {
+	method string
+	path   string
+	body   any // nil: none
+	before func() error
+}
+
+// do returns the status if there was an answer, and an error unless the status
+// is 200.
+func (c Client) do(ctx context.Context, t config.Target, r request, out any) (int, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(r.method)
+	req.SetRequestURI(r.path)
+	req.Header.SetHost(t.Address)
+	if r.body != nil {
+		body, err := json.Marshal(r.body)
+		if err != nil {
+			return 0, fmt.Errorf("encode %s: %w", r.path, err)
+		}
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(body)
+	}
+	resp, err := c.Targets.Do(ctx, t.Address, req, target.CallOptions{Idle: controlIdle, BeforeSend: r.before})
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Close() }()
+	body, err := resp.ReadAll(maxState)
+	if err != nil {
+		return 0, err
+	}
+	if resp.Status() != fasthttp.StatusOK {
+		return resp.Status(), fmt.Errorf("%s %s at %q: status %d: %.200s", r.method, r.path, t.Name, resp.Status(), body)
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		return resp.Status(), fmt.Errorf("%s %s at %q: %w", r.method, r.path, t.Name, err)
+	}
+	return resp.Status(), nil
+}
--- /dev/null
+++ b/app/orders/service_test.go
@@ -0,0 +1,191 @@
+package orders
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"mimosarelay/core/config"
+	"mimosarelay/core/model"
+	"mimosarelay/core/order"
+	"mimosarelay/io/target"
+	"mimosarelay/standin/engine"
+	"mimosarelay/standin/fault"
+)
+
+func TestMain(m *testing.M) {
+	// fasthttp never stops its clock of response dates.
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
+}
+
+// rights is a right that tests change.
+type rights struct {
+	mu    sync.Mutex
+	right Right
+}
+
+// Right implements Rights.
+func (r *rights) Right(model.TargetID) Right {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.right
+}
+
+func (r *rights) set(x Right) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.right = x
+}
+
+func startEngine(t *testing.T, o engine.Options) (*engine.Server, config.Target, Client) {
+	t.Helper()
+	o.Listen = "127.0.0.1:0"
+	s, err := engine.Start(o)
+	assert.NilError(t, err)
+	c := Client{Targets: target.NewClient(target.Options{})}
+	t.Cleanup(func() {
+		assert.NilError(t, c.Targets.Close())
+		assert.NilError(t, s.Close())
+	})
+	return s, config.Target{Name: "e", Kind: config.Engine, Address: s.Address(), ChecksFencing: !o.NoFencing}, c
+}
+
+var role = order.Order{Kind: order.SetRole, Role: "decode"}
+
+// Guards against an earlier owner that changes an engine after a later one.
+func TestOldOwnerIsRejected(t *testing.T) {
+	s, x, c := startEngine(t, engine.Options{})
+	older := New(Options{Engines: c, Rights: &rights{right: Right{Epoch: 3, Owner: true}}, Log: slog.New(slog.DiscardHandler)})
+	newer := New(Options{Engines: c, Rights: &rights{right: Right{Epoch: 4, Owner: true}}, Log: slog.New(slog.DiscardHandler)})
+	_, err := older.Carry(t.Context(), x, order.Order{Kind: order.LoadModel, Model: "m", Version: "1"})
+	assert.NilError(t, err)
+	state, err := newer.Carry(t.Context(), x, role)
+	assert.NilError(t, err)
+	assert.Equal(t, state.Fence.Epoch(), model.Epoch(4))
+	_, err = older.Carry(t.Context(), x, order.Order{Kind: order.SetRole, Role: "prefill"})
+	assert.ErrorIs(t, err, model.ErrNoRight)
+	assert.Equal(t, s.OrderState().Role, "decode")
+	_, err = newer.Carry(t.Context(), x, order.Order{Kind: order.LoadAdapter, Model: "unknown", Adapter: "a"})
+	assert.ErrorIs(t, err, model.ErrBadRequest)
+}
+
+// Guards against orders that are reported as failed although they took effect,
+// or as done although nothing confirms it.
+func TestLostAnswers(t *testing.T) {
+	s, x, c := startEngine(t, engine.Options{})
+	o := New(Options{
+		Engines: c, Rights: &rights{right: Right{Epoch: 1, Owner: true}},
+		RetryPause: time.Millisecond, Log: slog.New(slog.DiscardHandler),
+	})
+	assert.NilError(t, s.SetFault(fault.Fault{LoseAnswers: 1}))
+	_, err := o.Carry(t.Context(), x, role)
+	assert.NilError(t, err)
+	assert.Equal(t, s.OrderState().Role, "decode")
+	assert.NilError(t, s.Close())
+	_, err = o.Carry(t.Context(), x, role)
+	assert.ErrorIs(t, err, model.ErrOutcomeUnknown)
+}
+
+// fakeEngine checks no tokens and can be overwritten.
+type fakeEngine struct {
+	clock clockwork.Clock
+	mu    sync.Mutex
+	state order.State
+	sent  []time.Time
+	pause func() // before the first byte
+}
+
+// Send implements Engines.
+func (e *fakeEngine) Send(_ context.Context, _ config.Target, o order.Order, before func() error) (order.State, error) {
+	if e.pause != nil {
+		e.pause()
+	}
+	if err := before(); err != nil {
+		return order.State{}, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sent = append(e.sent, e.clock.Now())
+	e.state.Role = o.Role
+	return order.State{}, errors.New("answer lost")
+}
+
+// State implements Engines.
+func (e *fakeEngine) State(context.Context, config.Target) (order.State, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state, nil
+}
+
+func (e *fakeEngine) times() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]time.Time(nil), e.sent...)
+}
+
+// Guards against an order to a target that checks no tokens while an earlier
+// owner may still act or its last order may still arrive, and against an
+// overwritten order that is reported as done.
+func TestTargetWithoutFencing(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	begin := clock.Now()
+	e := &fakeEngine{clock: clock}
+	r := &rights{right: Right{Epoch: 2, Owner: true}}
+	s := New(Options{Engines: e, Rights: r, Clock: clock, Log: slog.New(slog.DiscardHandler)})
+	done := make(chan error, 1)
+	go func() {
+		_, err := s.Carry(t.Context(), config.Target{Name: "e"}, role)
+		done <- err
+	}()
+	step := func() {
+		assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+		clock.Advance(defaultRetryPause)
+	}
+	for range 6 {
+		step()
+	}
+	settled := clock.Now()
+	r.set(Right{Epoch: 2, Owner: true, Settled: settled})
+	for len(e.times()) == 0 {
+		assert.Assert(t, clock.Since(begin) < time.Minute)
+		step()
+	}
+	assert.Assert(t, e.times()[0].Sub(settled) >= defaultSendTimeout, "sent %v after the right settled", e.times()[0].Sub(settled))
+	e.mu.Lock()
+	e.state.Role = "overwritten by an earlier owner"
+	e.mu.Unlock()
+	for {
+		select {
+		case err := <-done:
+			assert.NilError(t, err)
+			assert.Equal(t, len(e.times()), 2)
+			assert.Equal(t, e.state.Role, "decode")
+			return
+		default:
+			assert.Assert(t, clock.Since(begin) < 5*time.Minute)
+			clock.Advance(defaultRetryPause)
+			time.Sleep(100 * time.Microsecond)
+		}
+	}
+}
+
+// Guards against an order that a process sends after a pause during which it
+// lost its right.
+func TestRightLostBeforeSend(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	r := &rights{right: Right{Epoch: 2, Owner: true, Settled: clock.Now().Add(-time.Hour)}}
+	e := &fakeEngine{clock: clock, pause: func() { r.set(Right{Epoch: 3}) }}
+	s := New(Options{Engines: e, Rights: r, Clock: clock, Log: slog.New(slog.DiscardHandler)})
+	_, err := s.Carry(t.Context(), config.Target{Name: "e"}, role)
+	assert.ErrorIs(t, err, model.ErrNoRight)
+	assert.Equal(t, len(e.times()), 0)
+	_, err = s.Carry(t.Context(), config.Target{Name: "e"}, order.Order{Kind: "Unknown"})
+	assert.ErrorIs(t, err, model.ErrBadRequest)
+}
