app/placement: lend places to hosts without a part of a target

Cause: with MaxInFlight below the number of hosts, the hosts without a part refused all calls of a route with a single target. Change: such a host borrows a place from a host with a part, which counts it as used until it is returned.

--- a/app/placement/loop.go
+++ b/app/placement/loop.go
@@ -75,6 +75,7 @@
 		case <-tick.Chan():
 			s.tick()
 			s.probe(ctx, pool)
+			s.borrow(ctx, pool)
 		case <-s.wake:
 			s.probe(ctx, pool)
 		case <-poll.Chan():
@@ -164,8 +165,8 @@
 	defer s.mu.Unlock()
 	s.refresh(s.options.Clock.Now())
 	var list []config.Target
-	for _, t := range s.snapshot.Document().Targets {
-		if t.Kind == config.Engine && s.target(t).Limit > 0 {
+	for i, t := range s.snapshot.Document().Targets {
+		if t.Kind == config.Engine && s.targets[i].Limit > 0 {
 			list = append(list, t)
 		}
 	}
--- a/app/placement/service.go
+++ b/app/placement/service.go
@@ -8,7 +8,15 @@
 // host lowers its part at once and raises it only after the change is
 // ChangeDelay old. The bound may be exceeded by the part of a host that joined
 // until the others know of it, and by calls that were admitted under a larger
-// part until they end. Moving parts between hosts on demand, with the escrow
+// part until they end.
+//
+// With a bound below the number of hosts, some hosts have no part of a target.
+// A host whose waiting calls can run nowhere else borrows single places from a
+// host that has a part, see Lenders. The lender counts a place as used from
+// before it answers until the borrower has given it back or is no longer a
+// member, so that a loan never raises the sum. A loan that is not given back
+// for 15 minutes, because the borrower restarted, ends too; only a call that
+// takes longer than that in a borrowed place is not counted. Moving parts between hosts on demand, with the escrow
 // of section 7.3 of the design, is a later step.
 package placement
 
@@ -68,7 +76,9 @@
 	Loads LoadSource
 	// Prober is nil if failed targets are tried again without a probe.
 	Prober Prober
-	Policy placement.Options
+	// Lenders is nil if hosts without a part of a target do not use it.
+	Lenders Lenders
+	Policy  placement.Options
 	// QueueWait is how long a call waits for a target; 0 means 30 s.
 	QueueWait time.Duration
 	// PollInterval is the time between two load reports of a target; 0 means
@@ -114,6 +124,8 @@
 	snapshot  *config.Snapshot
 	views     views
 	health    map[model.TargetID]*health
+	targets   []placement.Target // of the snapshot; Limit is the part of this host
+	loans     loans
 }
 
 // New returns a Service. Run must run for load reports and probes.
@@ -126,6 +138,7 @@
 		waiters:   map[placement.CallID]chan config.Target{},
 		views:     views{delay: o.ChangeDelay},
 		health:    map[model.TargetID]*health{},
+		loans:     newLoans(),
 	}
 }
 
@@ -209,6 +222,7 @@
 			grants = append(grants, s.scheduler.Release(now, g.Call, placement.Usage{})...)
 			continue
 		}
+		delete(s.loans.ownTurn, g.Target)
 		s.waiters[g.Call] <- t
 		delete(s.waiters, g.Call)
 	}
@@ -226,9 +240,14 @@
 	for _, w := range document.Workspaces {
 		s.scheduler.SetWeight(w.Name, w.FairWeight())
 	}
+	s.loans.forgetHosts(s.views.known)
+	s.targets = s.targets[:0]
 	list := make([]placement.Target, 0, len(document.Targets))
 	for _, t := range document.Targets {
-		list = append(list, s.target(t))
+		x := s.target(t)
+		s.targets = append(s.targets, x)
+		x.Limit += s.loans.change(t.Name, now)
+		list = append(list, x)
 	}
 	s.deliver(now, s.scheduler.SetTargets(now, list))
 }
@@ -288,8 +307,11 @@
 		placement.Dump
 		Hosts   []model.HostID
 		Skipped []model.TargetID
+		Lent    int
+		Loans   int
 	}
 	d := dump{Dump: s.scheduler.Dump(), Hosts: slices.Clone(s.views.current)}
+	d.Lent, d.Loans = s.loans.counts()
 	for id, h := range s.health {
 		if h.skip {
 			d.Skipped = append(d.Skipped, id)
--- a/app/placement/views.go
+++ b/app/placement/views.go
@@ -14,6 +14,14 @@
 	delay   time.Duration
 	current []model.HostID // sorted; nil before the first update
 	old     []view
+	// parts saves the parts of these views, because each takes a hash per
+	// host.
+	parts map[model.TargetID]savedPart
+}
+
+type savedPart struct {
+	limit int
+	part  int
 }
 
 type view struct {
@@ -27,6 +35,9 @@
 	kept := slices.DeleteFunc(v.old, func(x view) bool { return !now.Before(x.until) })
 	changed := len(kept) < len(v.old)
 	v.old = kept
+	if changed {
+		v.parts = nil
+	}
 	if v.current != nil && slices.Equal(v.current, hosts) {
 		return changed
 	}
@@ -39,15 +50,31 @@
 		v.old = append(v.old, view{hosts: v.current, until: now.Add(v.delay)})
 	}
 	v.current = append([]model.HostID{}, hosts...)
+	v.parts = nil
 	return true
 }
 
 // part is the smallest part of the views: a lower one counts at once, a higher
 // one after the delay.
 func (v *views) part(self model.HostID, target model.TargetID, limit int) int {
+	if p, ok := v.parts[target]; ok && p.limit == limit {
+		return p.part
+	}
 	part := placement.Part(v.current, self, target, limit)
 	for _, x := range v.old {
 		part = min(part, placement.Part(x.hosts, self, target, limit))
 	}
+	if v.parts == nil {
+		v.parts = map[model.TargetID]savedPart{}
+	}
+	v.parts[target] = savedPart{limit: limit, part: part}
 	return part
 }
+
+// known reports whether a host is or was recently a member.
+func (v *views) known(h model.HostID) bool {
+	if slices.Contains(v.current, h) {
+		return true
+	}
+	return slices.ContainsFunc(v.old, func(x view) bool { return slices.Contains(x.hosts, h) })
+}
--- /dev/null
+++ b/core/placement/bench_test.go
@@ -0,0 +1,146 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"mimosarelay/core/model"
+)
+
+// The future scale of the design page.
+const (
+	benchHosts      = 340
+	benchTargets    = 600
+	benchModels     = 7
+	benchWorkspaces = 740
+	benchPrograms   = 49_000
+	benchInFlight   = 64 // per target, fleet-wide
+)
+
+// benchCall is the next call of one program.
+type benchCall struct {
+	request Request
+	turn    uint64
+}
+
+func benchModel(i int) model.ModelID { return model.ModelID(fmt.Sprint("model-", i%benchModels)) }
+
+// benchTargetList gives the targets their limits. everyModel lets each target
+// serve all models, so that a decision compares all 600 targets.
+func benchTargetList(limit func(model.TargetID) int, everyModel bool) []Target {
+	var list []Target
+	for i := range benchTargets {
+		t := Target{ID: model.TargetID(fmt.Sprintf("target-%03d", i)), Models: []model.ModelID{benchModel(i)}}
+		if everyModel {
+			t.Models = nil
+			for m := range benchModels {
+				t.Models = append(t.Models, benchModel(m))
+			}
+		}
+		t.Limit = limit(t.ID)
+		list = append(list, t)
+	}
+	return list
+}
+
+func benchPart() func(model.TargetID) int {
+	var hosts []model.HostID
+	for i := range benchHosts {
+		hosts = append(hosts, model.HostID(fmt.Sprint("host-", i)))
+	}
+	return func(t model.TargetID) int { return Part(hosts, hosts[0], t, benchInFlight) }
+}
+
+// benchPrograms49k creates programs with a history of 40 messages.
+func benchPrograms49k() []benchCall {
+	calls := make([]benchCall, benchPrograms)
+	for i := range calls {
+		r := Request{
+			Workspace: model.WorkspaceID(fmt.Sprint("workspace-", i%benchWorkspaces)),
+			Program:   model.ProgramID(fmt.Sprint("program-", i)),
+			Model:     benchModel(i),
+			Prompt:    20_000,
+			Prefixes:  []uint64{uint64(i % benchModels), uint64(i%benchWorkspaces) + 100},
+		}
+		for m := range uint64(38) {
+			r.Prefixes = append(r.Prefixes, uint64(i)<<20|m<<8|1)
+		}
+		calls[i].request = r
+	}
+	return calls
+}
+
+func (c *benchCall) next(i int) Request {
+	c.turn++
+	c.request.Prefixes = append(c.request.Prefixes, uint64(i)<<20|(c.turn+100)<<8, uint64(i)<<20|(c.turn+100)<<8|2)
+	return c.request
+}
+
+// benchmarkDecision measures one call: Add, its grant and Release. With a
+// backlog of waiting calls, the release grants one of them.
+func benchmarkDecision(b *testing.B, o Options, targets []Target, backlog int) {
+	s := NewScheduler(o)
+	now := start
+	s.SetTargets(now, targets)
+	calls := benchPrograms49k()
+	random := rand.New(rand.NewPCG(1, 2))
+	var running []CallID
+	id := CallID(0)
+	add := func() {
+		id++
+		i := random.IntN(len(calls))
+		grants, err := s.Add(now, id, calls[i].next(i))
+		if err != nil {
+			b.Fatal(err)
+		}
+		for _, g := range grants {
+			running = append(running, g.Call)
+		}
+	}
+	for len(s.waiting) < backlog || backlog == 0 && len(running) < 100 {
+		add()
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		now = now.Add(time.Millisecond)
+		add()
+		x := random.IntN(len(running))
+		for _, g := range s.Release(now, running[x], Usage{Prompt: 20_000, Cached: 19_000, Completion: 300}) {
+			running = append(running, g.Call)
+		}
+		running[x] = running[len(running)-1]
+		running = running[:len(running)-1]
+	}
+}
+
+func unlimited(model.TargetID) int { return benchInFlight }
+
+func BenchmarkDecision(b *testing.B) {
+	baseline := Options{Order: FirstCome{}, Choice: RoundRobin{}, Retention: NoRetention{}}
+	benchmarks := map[string]struct {
+		options Options
+		targets []Target
+		backlog int
+	}{
+		"OneHostPart":        {Options{}, benchTargetList(benchPart(), false), 0},
+		"OneHostPartBacklog": {Options{}, benchTargetList(benchPart(), false), 2000},
+		"AllTargets":         {Options{}, benchTargetList(unlimited, false), 0},
+		"AllTargetsAnyModel": {Options{}, benchTargetList(unlimited, true), 0},
+		"AnyModelBacklog":    {Options{}, benchTargetList(unlimited, true), 2000},
+		"Baseline":           {baseline, benchTargetList(unlimited, true), 0},
+		"BaselineBacklog":    {baseline, benchTargetList(unlimited, true), 2000},
+	}
+	for name, x := range benchmarks {
+		b.Run(name, func(b *testing.B) { benchmarkDecision(b, x.options, x.targets, x.backlog) })
+	}
+}
+
+func BenchmarkPart(b *testing.B) {
+	part := benchPart()
+	for range b.N {
+		part("target-001")
+	}
+}
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -34,21 +34,20 @@
 	classes  []*class
 	free     bool // as counted in the classes
 	load     Load
+	sent     int         // calls in flight that started after load.At
 	ended    []time.Time // ends since load.At of calls that it includes
-	held     int         // programs held through a pause
-	lost     time.Time   // when the target last lost its cache
+	// hitTokens is the cached part of the prompt of the decision hitFor.
+	hitFor    uint64
+	hitTokens model.Tokens
+	held      int       // programs held through a pause
+	lost      time.Time // when the target last lost its cache
 }
 
 func (t *target) hasRoom() bool { return !t.Skip && len(t.inFlight) < t.Limit }
 
 // calls returns the corrected number of calls at the target.
 func (t *target) calls() float64 {
-	n := t.load.Running + t.load.Waiting - len(t.ended)
-	for _, c := range t.inFlight {
-		if c.started.After(t.load.At) {
-			n++
-		}
-	}
+	n := t.load.Running + t.load.Waiting - len(t.ended) + t.sent
 	return float64(max(n, len(t.inFlight)))
 }
 
@@ -65,11 +64,26 @@
 		}
 	}
 	t.ended = kept
+	t.sent = 0
+	for _, c := range t.inFlight {
+		if c.started.After(l.At) {
+			t.sent++
+		}
+	}
+}
+
+func (t *target) begin(c *call) {
+	t.inFlight[c.id] = c
+	if c.started.After(t.load.At) {
+		t.sent++
+	}
 }
 
 func (t *target) end(c *call, now time.Time) {
 	delete(t.inFlight, c.id)
-	if !t.load.At.IsZero() && !c.started.After(t.load.At) {
+	if c.started.After(t.load.At) {
+		t.sent--
+	} else if !t.load.At.IsZero() {
 		t.ended = append(t.ended, now)
 	}
 }
@@ -95,7 +109,7 @@
 }
 
 func (s *Scheduler) chooseCached(c *class, k *call, p CacheAware, now time.Time) *target {
-	cached := s.cached(&k.request, now)
+	s.findCached(&k.request, now)
 	prompt := s.expected(&k.request)
 	s.scratch = s.scratch[:0]
 	lowest := 0.0
@@ -105,7 +119,7 @@
 		}
 		calls := t.calls()
 		load := calls + s.heldLoad(t)
-		cost := float64(prompt-min(cached.at(t.ID), prompt)) + load*p.CallCost
+		cost := float64(prompt-min(s.cachedAt(t), prompt)) + load*p.CallCost
 		if len(s.scratch) == 0 || cost < lowest {
 			lowest = cost
 		}
--- a/core/placement/prefix.go
+++ b/core/placement/prefix.go
@@ -69,27 +69,10 @@
 	}
 }
 
-// hits is the number of cached tokens of one prompt at the few targets that
-// have any.
-type hits []hit
-
-type hit struct {
-	target model.TargetID
-	tokens model.Tokens
-}
-
-func (h hits) at(id model.TargetID) model.Tokens {
-	for _, x := range h {
-		if x.target == id {
-			return x.tokens
-		}
-	}
-	return 0
-}
-
-// cached finds the targets that hold a prefix of the request, longest first.
-func (s *Scheduler) cached(r *Request, now time.Time) hits {
-	s.hits = s.hits[:0]
+// findCached finds the targets that hold a prefix of the request, the longest
+// first. cachedAt returns what was found, until the next search.
+func (s *Scheduler) findCached(r *Request, now time.Time) {
+	s.decision++
 	n := len(r.Prefixes)
 	for i := n - 1; i >= max(leading, n-trailing); i-- {
 		s.addHits(r.Prefixes[i], now)
@@ -97,7 +80,13 @@
 	for i := min(leading, n) - 1; i >= 0; i-- {
 		s.addHits(r.Prefixes[i], now)
 	}
-	return s.hits
+}
+
+func (s *Scheduler) cachedAt(t *target) model.Tokens {
+	if t.hitFor != s.decision {
+		return 0
+	}
+	return t.hitTokens
 }
 
 // maxPrefixAge is the time after which an unused prefix counts as evicted.
@@ -113,8 +102,8 @@
 		if h.target == nil || !h.used.After(h.target.lost) || now.Sub(h.used) > maxPrefixAge {
 			continue
 		}
-		if s.hits.at(h.target.ID) == 0 {
-			s.hits = append(s.hits, hit{target: h.target.ID, tokens: p.tokens})
+		if h.target.hitFor != s.decision {
+			h.target.hitFor, h.target.hitTokens = s.decision, p.tokens
 		}
 	}
 }
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -53,7 +53,7 @@
 	pinned   []*call
 	index    prefixIndex
 	scratch  []scored
-	hits     hits
+	decision uint64 // number of searches for cached prefixes
 }
 
 // NewScheduler returns a Scheduler without targets.
@@ -295,7 +295,7 @@
 	s.running[k.id] = k
 	k.target = t
 	k.started = now
-	t.inFlight[k.id] = k
+	t.begin(k)
 	t.refresh()
 	sh := s.share(k.request.Workspace)
 	s.virtual = max(s.virtual, sh.virtual)
@@ -390,6 +390,57 @@
 	return model.Tokens(s.scale * float64(r.Prompt))
 }
 
+// SetLimit changes the limit of a target.
+func (s *Scheduler) SetLimit(now time.Time, id model.TargetID, limit int) []Grant {
+	t := s.targets[id]
+	if t == nil || t.Limit == limit {
+		return nil
+	}
+	t.Limit = limit
+	t.refresh()
+	return s.fill(now, t.classes)
+}
+
+// InFlight returns the calls in flight at a target from this host.
+func (s *Scheduler) InFlight(id model.TargetID) int {
+	if t := s.targets[id]; t != nil {
+		return len(t.inFlight)
+	}
+	return 0
+}
+
+// Awaited reports whether a waiting call may use the target.
+func (s *Scheduler) Awaited(id model.TargetID) bool {
+	t := s.targets[id]
+	if t == nil {
+		return false
+	}
+	for _, c := range t.classes {
+		if len(c.lanes) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Starved returns the targets without a place for this host that waiting calls
+// need, because no other target that they may use has one. They are sorted.
+func (s *Scheduler) Starved() []model.TargetID {
+	var list []model.TargetID
+	for _, c := range s.classes {
+		if len(c.lanes) == 0 || !c.stuck() {
+			continue
+		}
+		for _, t := range c.targets {
+			if t.Limit <= 0 {
+				list = append(list, t.ID)
+			}
+		}
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
 // Report takes over a target's report of its load.
 func (s *Scheduler) Report(id model.TargetID, l Load) {
 	if t := s.targets[id]; t != nil {
