core/placement: look up fewer prefixes of known programs

Cause: 36 lookups per decision missed the processor cache at 49,000 programs. Change: if the previous prompt of a program is known, its end is looked up directly.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -109,7 +109,7 @@
 }
 
 func (s *Scheduler) chooseCached(c *class, k *call, p CacheAware, now time.Time) *target {
-	s.findCached(&k.request, now)
+	s.findCached(k, now)
 	prompt := s.expected(&k.request)
 	s.scratch = s.scratch[:0]
 	lowest := 0.0
--- a/core/placement/class.go
+++ b/core/placement/class.go
@@ -16,7 +16,8 @@
 type call struct {
 	id       CallID
 	request  Request
-	sequence uint64 // order of arrival
+	program  *program // nil outside programs
+	sequence uint64   // order of arrival
 	arrived  time.Time
 	attained float64 // service of the program on arrival, in prompt tokens
 	class    *class  // nil once the call runs
--- a/core/placement/prefix.go
+++ b/core/placement/prefix.go
@@ -69,16 +69,24 @@
 	}
 }
 
-// findCached finds the targets that hold a prefix of the request, the longest
-// first. cachedAt returns what was found, until the next search.
-func (s *Scheduler) findCached(r *Request, now time.Time) {
+// findCached finds the targets that hold a prefix of the call, the longest
+// first. cachedAt returns what was found, until the next search. If the end of
+// the program's previous prompt is known, only that and the whole prompt are
+// looked up of the trailing prefixes.
+func (s *Scheduler) findCached(k *call, now time.Time) {
 	s.decision++
-	n := len(r.Prefixes)
-	for i := n - 1; i >= max(leading, n-trailing); i-- {
-		s.addHits(r.Prefixes[i], now)
+	list := k.request.Prefixes
+	n := len(list)
+	if k.program != nil && k.program.messages > 0 && k.program.messages <= n {
+		s.addHits(list[n-1], now)
+		s.addHits(list[k.program.messages-1], now)
+	} else {
+		for i := n - 1; i >= max(leading, n-trailing); i-- {
+			s.addHits(list[i], now)
+		}
 	}
 	for i := min(leading, n) - 1; i >= 0; i-- {
-		s.addHits(r.Prefixes[i], now)
+		s.addHits(list[i], now)
 	}
 }
 
--- a/core/placement/retention.go
+++ b/core/placement/retention.go
@@ -11,6 +11,7 @@
 	attained float64 // in prompt tokens
 	active   int     // waiting and running calls
 	ended    time.Time
+	messages int           // of the last prompt that ran; 0: none
 	pause    time.Duration // moving average; 0: none seen
 	held     *target       // nil: not held
 	holdEnds time.Time
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -200,6 +200,7 @@
 	var p *program
 	if r.Program != "" {
 		p = s.program(r.key())
+		k.program = p
 		p.resume(now)
 		p.active++
 		k.attained = p.attained
@@ -322,10 +323,10 @@
 // leave ends the use of the shared records by a call.
 func (s *Scheduler) leave(k *call, ended time.Time) *program {
 	s.share(k.request.Workspace).calls--
-	if k.request.Program == "" {
+	p := k.program
+	if p == nil {
 		return nil
 	}
-	p := s.program(k.request.key())
 	p.active--
 	if !ended.IsZero() {
 		p.ended = ended
@@ -356,6 +357,9 @@
 	}
 	if !u.Failed && u.Prompt > 0 {
 		s.remember(&k.request, u.Prompt, t, now)
+		if p != nil {
+			p.messages = len(k.request.Prefixes)
+		}
 		if p != nil && p.active == 0 {
 			s.hold(p, t, u.Prompt+u.Completion, now)
 		}
