Claim copies of a request before each attempt

Cause: the bound of two crashed targets holds only if each attempt is claimed; queries during a takeover answered not found. Change: relay uses suspects.Begin, records Started for all calls of programs, checks ownership of the shard; RPCs for borrowed places and live programs.

--- a/app/fleet/control.go
+++ b/app/fleet/control.go
@@ -18,6 +18,7 @@
 // EntryReport is the value of key Enter/<host>: the host has entered an epoch
 // and holds these fractions, in units of 2^-30.
 type EntryReport struct {
+	Host        model.HostID
 	Incarnation model.Incarnation
 	Epoch       model.Epoch
 	Holdings    map[model.WorkspaceID]int64
@@ -157,7 +158,7 @@
 	if !due {
 		return nil
 	}
-	value, err := json.Marshal(EntryReport{Incarnation: self.Incarnation, Epoch: epoch, Holdings: s.options.Holdings(epoch)})
+	value, err := json.Marshal(EntryReport{Host: s.options.Self.Host, Incarnation: self.Incarnation, Epoch: epoch, Holdings: s.options.Holdings(epoch)})
 	if err != nil {
 		return err
 	}
@@ -175,7 +176,7 @@
 	defer s.mu.Unlock()
 	s.reported = epoch
 	s.reports = maps.Clone(s.reports)
-	s.reports[self.Host] = EntryReport{Incarnation: self.Incarnation, Epoch: epoch}
+	s.reports[self.Host] = EntryReport{Host: s.options.Self.Host, Incarnation: self.Incarnation, Epoch: epoch}
 	return nil
 }
 
--- a/app/limits/limits.go
+++ b/app/limits/limits.go
@@ -23,9 +23,9 @@
 // Store keys.
 const (
 	// SharesKey holds the settlement rounds of the current epoch.
-	SharesKey = "mimosarelay/control/Shares"
+	SharesKey = "Shares"
 	// EnterPrefix precedes the host in the keys of entry reports.
-	EnterPrefix = "mimosarelay/control/Enter/"
+	EnterPrefix = "Enter/"
 )
 
 // Defaults of Options.
--- a/app/programs/query.go
+++ b/app/programs/query.go
@@ -41,7 +41,13 @@
 		root = key
 	}
 	e := s.trees[root]
+	shard := program.ShardOf(root)
+	loaded := s.topology.Owner(shard) == s.topology.Self && s.ready[shard] && !s.elsewhere[root]
 	s.mu.Unlock()
+	if e == nil && !loaded {
+		// Not found would look as if the history were lost.
+		return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "records of program %q are not at this host", key.Program).Retry(retryAdvice)
+	}
 	if e == nil {
 		return nil, model.NewRefusal(model.ErrNotFound, model.RanNo, "program %q is not at this host", key.Program)
 	}
@@ -186,6 +192,22 @@
 	return out
 }
 
+// Complete says whether the programs of all shards that this host owns are
+// loaded, so that Live lists all of them.
+func (s *Service) Complete() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.topology.Epoch == 0 {
+		return false
+	}
+	for shard := range model.Shard(model.ShardCount) {
+		if s.topology.Owner(shard) == s.topology.Self && !s.ready[shard] {
+			return false
+		}
+	}
+	return true
+}
+
 // Drain accepts no new calls and waits until the running ones have ended, the
 // new owners have taken all programs, and the journal is written.
 func (s *Service) Drain(ctx context.Context) error {
--- a/app/relay/chat.go
+++ b/app/relay/chat.go
@@ -10,8 +10,10 @@
 	"github.com/valyala/fasthttp"
 
 	"mimosarelay/app/programs"
+	"mimosarelay/app/suspects"
 	"mimosarelay/core/model"
 	"mimosarelay/core/placement"
+	"mimosarelay/core/program"
 	"mimosarelay/io/target"
 )
 
@@ -24,7 +26,9 @@
 	run     *programs.Run // nil outside programs
 	exclude []model.TargetID
 	place   Place
+	copies  *suspects.Run // of the current attempt
 	alone   bool
+	started bool
 	ran     model.Ran
 }
 
@@ -33,9 +37,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if c.alone, err = s.Suspects.Check(c.print); err != nil {
-		return nil, err
-	}
 	if r.Program == "" {
 		return s.attemptChat(ctx, c)
 	}
@@ -136,14 +137,14 @@
 	c.place = place
 	resp, err := s.send(ctx, c, fresh)
 	if err != nil {
-		place.Release(placement.Usage{Failed: true})
-		c.exclude = append(c.exclude, place.Target().Name)
-		return nil, s.sendFailed(ctx, c, err)
+		err = s.sendFailed(ctx, c, err)
+		s.leave(c, true)
+		return nil, err
 	}
 	if status := resp.Status(); status >= fasthttp.StatusInternalServerError || status == fasthttp.StatusTooManyRequests {
 		_ = resp.Close()
-		place.Release(placement.Usage{Failed: true})
-		c.exclude = append(c.exclude, place.Target().Name)
+		c.ran = model.RanUnknown
+		s.leave(c, true)
 		return nil, errors.Join(errTryNext, model.NewRefusal(model.ErrTargetFailed, c.ran, "target %q answered %d", place.Target().Name, status))
 	}
 	if c.chat.Stream && resp.Status() == fasthttp.StatusOK {
@@ -152,6 +153,27 @@
 	return s.wholeAnswer(ctx, c, resp)
 }
 
+// leave gives up the target of a failed attempt.
+func (s *Service) leave(c *chatCall, exclude bool) {
+	c.endCopy(false)
+	c.place.Release(placement.Usage{Failed: true})
+	if exclude {
+		c.exclude = append(c.exclude, c.place.Target().Name)
+	}
+}
+
+func (c *chatCall) endCopy(harmless bool) {
+	if c.copies != nil {
+		c.copies.End(harmless)
+	}
+}
+
+// settle ends the use of a target by a call that ended well.
+func (s *Service) settle(c *chatCall, usage target.Usage) {
+	c.endCopy(true)
+	c.place.Release(placeUsage(usage))
+}
+
 func (c *chatCall) placeRequest() placement.Request {
 	return placement.Request{
 		Workspace:   c.request.Workspace,
@@ -177,6 +199,12 @@
 }
 
 func (s *Service) send(ctx context.Context, c *chatCall, fresh bool) (*target.Response, error) {
+	c.copies = nil
+	copies, err := s.Suspects.Begin(ctx, c.print)
+	if err != nil {
+		return nil, err
+	}
+	c.copies, c.alone = copies, copies.Alone()
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetMethod(fasthttp.MethodPost)
@@ -194,19 +222,38 @@
 	return s.Targets.Do(ctx, c.place.Target().Address, req, target.CallOptions{
 		Fresh:      fresh,
 		Idle:       s.StreamIdle,
-		BeforeSend: s.checkRight,
+		BeforeSend: func() error { return s.beforeChat(ctx, c) },
 	})
 }
 
+// beforeChat commits that the call is about to be sent. Its budget stays exact
+// that way, also if this host fails during the call.
+func (s *Service) beforeChat(ctx context.Context, c *chatCall) error {
+	if c.run != nil && !c.started {
+		if err := c.run.Started(ctx); err != nil {
+			return err
+		}
+		c.started = true
+	}
+	return s.checkRight(c.request)
+}
+
 // checkRight runs immediately before a request is sent, because the process
 // may have been paused since the call was admitted.
-func (s *Service) checkRight() error {
-	if !s.Owners.MayAct() {
+func (s *Service) checkRight(r *Request) error {
+	if !s.mayRun(r) {
 		return model.NewRefusal(model.ErrNoRight, model.RanNo, "this host may not act now").Retry(forwardRetry)
 	}
 	return nil
 }
 
+func (s *Service) mayRun(r *Request) bool {
+	if !r.recorded() {
+		return s.Owners.MayAct()
+	}
+	return s.Owners.ActsFor(program.ShardOf(r.root()))
+}
+
 // streamID names the stream at the engine, so that it can be resumed.
 func (c *chatCall) streamID() string {
 	return fmt.Sprintf("%s-%d", c.request.ID, len(c.exclude))
@@ -219,8 +266,9 @@
 
 func (s *Service) sendFailed(ctx context.Context, c *chatCall, err error) error {
 	name := c.place.Target().Name
-	if errors.Is(err, model.ErrNoRight) {
-		return err
+	var refusal *model.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
 	}
 	if errors.Is(err, target.ErrNotSent) {
 		return errors.Join(errTryNext, model.NewRefusal(model.ErrTargetFailed, c.ran, "target %q cannot be reached: %v", name, err))
@@ -242,9 +290,6 @@
 	}
 	s.Log.Warn("target crashed", "request", c.request.ID, "target", t.Name, "fingerprint", c.print)
 	s.Suspects.Crashed(ctx, c.print, t.Name)
-	if alone, err := s.Suspects.Check(c.print); err != nil || alone {
-		c.alone = true
-	}
 }
 
 // wholeAnswer reads a response that is not a stream and commits it before it
@@ -254,13 +299,13 @@
 	body, err := resp.ReadAll(maxAnswer)
 	_ = resp.Close()
 	if err != nil {
-		c.place.Release(placement.Usage{Failed: true})
-		c.exclude = append(c.exclude, c.place.Target().Name)
-		return nil, s.sendFailed(ctx, c, err)
+		err = s.sendFailed(ctx, c, err)
+		s.leave(c, true)
+		return nil, err
 	}
 	c.ran = model.RanYes
 	usage, _ := target.ParseUsage(body)
-	c.place.Release(placeUsage(usage))
+	s.settle(c, usage)
 	if err := s.finish(ctx, c, programs.Result{Answer: body, ContentType: resp.ContentType(), Status: resp.Status(), Used: used(usage)}); err != nil {
 		return nil, err
 	}
--- a/app/relay/ports.go
+++ b/app/relay/ports.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"mimosarelay/app/programs"
+	"mimosarelay/app/suspects"
 	"mimosarelay/core/config"
 	"mimosarelay/core/model"
 	"mimosarelay/core/placement"
@@ -35,6 +36,8 @@
 	// Owner returns the peer address of the owner, and whether it is this
 	// host. It fails with model.ErrUnavailable if there is none.
 	Owner(shard model.Shard) (address string, self bool, err error)
+	// ActsFor says whether this host may run calls of a shard now.
+	ActsFor(shard model.Shard) bool
 	// Changed is closed when the membership changes.
 	Changed() <-chan struct{}
 	// MayAct says whether this host holds the right to act now.
@@ -61,9 +64,9 @@
 
 // Suspects knows requests that crash targets.
 type Suspects interface {
-	// Check fails with model.ErrSuspect if the request may not run. alone
-	// means that it may run once more, without a second attempt.
-	Check(f model.Fingerprint) (alone bool, err error)
+	// Begin asks for the right to send one copy of a request to one target. It
+	// fails with a *model.Refusal as not run.
+	Begin(ctx context.Context, f model.Fingerprint) (*suspects.Run, error)
 	// Crashed records a crash and tells all peers before it returns.
 	Crashed(ctx context.Context, f model.Fingerprint, target model.TargetID)
 }
--- a/app/relay/query.go
+++ b/app/relay/query.go
@@ -27,8 +27,8 @@
 
 // runQuery answers a question about a program that this host owns.
 func (s *Service) runQuery(ctx context.Context, r *Request) (*Answer, error) {
-	if !s.Owners.MayAct() {
-		return nil, s.checkRight()
+	if err := s.checkRight(r); err != nil {
+		return nil, err
 	}
 	value, err := s.query(ctx, r)
 	if err != nil {
--- a/app/relay/routing.go
+++ b/app/relay/routing.go
@@ -70,6 +70,10 @@
 	return r.key()
 }
 
+// recorded says whether the call belongs to a program or is identified by an
+// idempotency key, so that an owner keeps a record of it.
+func (r *Request) recorded() bool { return r.Program != "" || r.IdempotencyKey != "" }
+
 // errOwner marks failures to reach an owner, which another try may solve.
 var errOwner = errors.New("owner not reached")
 
@@ -95,7 +99,7 @@
 		return nil, errors.Join(errOwner, err)
 	}
 	if self {
-		return s.Run(ctx, r)
+		return s.runOwned(ctx, r)
 	}
 	s.metrics.forwards.Inc(1)
 	return s.forward(ctx, address, r)
--- a/app/relay/service.go
+++ b/app/relay/service.go
@@ -108,7 +108,7 @@
 			return nil, err
 		}
 	}
-	if r.Program == "" && r.IdempotencyKey == "" {
+	if !r.recorded() {
 		return s.Run(ctx, r)
 	}
 	return s.route(ctx, r)
@@ -143,6 +143,14 @@
 	return nil
 }
 
+// runOwned carries out a call if this host may run calls of its shard.
+func (s *Service) runOwned(ctx context.Context, r *Request) (*Answer, error) {
+	if err := s.checkRight(r); err != nil {
+		return nil, err
+	}
+	return s.Run(ctx, r)
+}
+
 // Run carries out a call on this host, which owns its program if it has one.
 func (s *Service) Run(ctx context.Context, r *Request) (*Answer, error) {
 	switch {
--- a/app/relay/service_call.go
+++ b/app/relay/service_call.go
@@ -23,6 +23,7 @@
 	route   config.Route
 	run     *programs.Run // nil if nothing needs to be recorded
 	exclude []model.TargetID
+	started bool
 	ran     model.Ran
 }
 
@@ -36,7 +37,7 @@
 	}
 	c := &serviceCall{request: r, route: route, ran: model.RanNo}
 	timeout := route.CallTimeout()
-	if r.Program == "" && (r.IdempotencyKey == "" || route.Repeatable) {
+	if !r.recorded() || r.Program == "" && route.Repeatable {
 		return s.attemptService(ctx, c, timeout)
 	}
 	decision, err := s.Programs.Begin(ctx, c.spec())
@@ -175,15 +176,16 @@
 	req.SetBodyRaw(c.request.Body)
 }
 
-// beforeService commits that a non-idempotent call is about to be sent. The
-// first byte leaves immediately afterwards.
+// beforeService commits that a recorded call is about to be sent. The first
+// byte leaves immediately afterwards.
 func (s *Service) beforeService(ctx context.Context, c *serviceCall) error {
-	if c.run != nil && !c.route.Repeatable {
+	if c.run != nil && !c.started {
 		if err := c.run.Started(ctx); err != nil {
 			return err
 		}
+		c.started = true
 	}
-	return s.checkRight()
+	return s.checkRight(c.request)
 }
 
 func (s *Service) serviceFailed(c *serviceCall, t config.Target, err error) error {
--- a/app/relay/stream.go
+++ b/app/relay/stream.go
@@ -13,7 +13,6 @@
 
 	"mimosarelay/app/programs"
 	"mimosarelay/core/model"
-	"mimosarelay/core/placement"
 	"mimosarelay/io/target"
 )
 
@@ -85,7 +84,7 @@
 	usage, _ := target.ParseUsage(b.events.Usage())
 	b.drainEnd()
 	b.settled = true
-	b.call.place.Release(placeUsage(usage))
+	b.service.settle(b.call, usage)
 	b.record = append(b.record, event...)
 	err := b.service.finish(b.ctx, b.call, programs.Result{
 		Answer:      b.record,
@@ -166,8 +165,7 @@
 	if c.alone {
 		return false
 	}
-	c.place.Release(placement.Usage{Failed: true})
-	c.exclude = append(c.exclude, c.place.Target().Name)
+	b.service.leave(c, true)
 	place, err := b.service.Placer.Acquire(b.ctx, c.placeRequest())
 	if err != nil {
 		b.settled = true
@@ -216,7 +214,7 @@
 	_ = b.resp.Close()
 	if !b.settled {
 		b.settled = true
-		b.call.place.Release(placement.Usage{Failed: true})
+		b.service.leave(b.call, false)
 	}
 	if b.call.run == nil {
 		return
--- a/app/relay/wire.go
+++ b/app/relay/wire.go
@@ -110,7 +110,7 @@
 
 // HandleCall serves a call that another host forwarded to this one.
 func (s *Service) HandleCall(m *peerpb.CallRequest, stream peerpb.DRPCPeer_CallStream) error {
-	answer, err := s.Run(stream.Context(), decodeRequest(m))
+	answer, err := s.runOwned(stream.Context(), decodeRequest(m))
 	if err != nil {
 		return stream.Send(encodeRefusal(asRefusal(err, model.RanUnknown)))
 	}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -48,6 +48,9 @@
 	// TLS holds the client certificate and the roots of the peers; nil means
 	// plain TCP. An empty ServerName means the IP address dialled.
 	TLS *tls.Config
+	// TLSFor returns the configuration for one connection, so that replaced
+	// certificates are used at once. It goes before TLS.
+	TLSFor func(address string) (*tls.Config, error)
 	// DialTimeout bounds opening a connection with its TLS handshake; 0 means
 	// 500 ms.
 	DialTimeout time.Duration
@@ -136,10 +139,17 @@
 }
 
 func (c *Client) dialTransport(ctx context.Context, address string) (net.Conn, error) {
-	if c.options.TLS == nil {
+	config := c.options.TLS
+	if c.options.TLSFor != nil {
+		var err error
+		if config, err = c.options.TLSFor(address); err != nil {
+			return nil, err
+		}
+	}
+	if config == nil {
 		return c.dialer.DialContext(ctx, "tcp", address)
 	}
-	d := tls.Dialer{NetDialer: &c.dialer, Config: c.options.TLS}
+	d := tls.Dialer{NetDialer: &c.dialer, Config: config}
 	return d.DialContext(ctx, "tcp", address)
 }
 
@@ -254,3 +264,18 @@
 func (c *Client) MarkSuspect(ctx context.Context, address string, request *peerpb.MarkSuspectRequest) (*peerpb.MarkSuspectResponse, error) {
 	return unary(ctx, c, poolKey{address, general}, request, peerpb.DRPCPeerClient.MarkSuspect)
 }
+
+// BorrowPlace asks a peer for one place at a target.
+func (c *Client) BorrowPlace(ctx context.Context, address string, request *peerpb.BorrowPlaceRequest) (*peerpb.BorrowPlaceResponse, error) {
+	return unary(ctx, c, poolKey{address, general}, request, peerpb.DRPCPeerClient.BorrowPlace)
+}
+
+// ReturnPlace gives a borrowed place back.
+func (c *Client) ReturnPlace(ctx context.Context, address string, request *peerpb.ReturnPlaceRequest) (*peerpb.ReturnPlaceResponse, error) {
+	return unary(ctx, c, poolKey{address, general}, request, peerpb.DRPCPeerClient.ReturnPlace)
+}
+
+// LivePrograms lists the programs that live at a peer.
+func (c *Client) LivePrograms(ctx context.Context, address string, request *peerpb.LiveProgramsRequest) (*peerpb.LiveProgramsResponse, error) {
+	return unary(ctx, c, poolKey{address, general}, request, peerpb.DRPCPeerClient.LivePrograms)
+}
