app/placement: give no borrowed place at a leaving target

Cause: a host with a borrowed place went on to use it after the target was marked Leaving. Change: a leaving target has limit 0 whatever is borrowed. Begin of app/suspects says that it comes before the place. Conclusion: TestBorrowedPlaceOfLeavingTarget failed before and passes now.

--- a/app/placement/loans.go
+++ b/app/placement/loans.go
@@ -120,7 +120,9 @@
 }
 
 func (s *Service) applyLoans(now time.Time, id model.TargetID) {
-	s.deliver(now, s.scheduler.SetLimit(now, id, max(s.part(id)+s.loans.change(id, now), 0)))
+	if t, ok := s.snapshot.Target(id); ok {
+		s.deliver(now, s.scheduler.SetLimit(now, id, s.limit(t, s.part(id), now)))
+	}
 }
 
 // Lend answers a request of another host for one place. A request that fails
--- a/app/placement/loans_test.go
+++ b/app/placement/loans_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"mimosarelay/core/config"
 	"mimosarelay/core/model"
 	"mimosarelay/core/placement"
 )
@@ -155,3 +156,31 @@
 	assert.Assert(t, tryAcquire(t, s) != nil)
 	assert.Assert(t, !s.Lend("stranger", "a", "4"))
 }
+
+// Guards against new calls in a borrowed place of a target that leaves.
+func TestBorrowedPlaceOfLeavingTarget(t *testing.T) {
+	d := document(1, "a")
+	f := newFleet(d, "h1", "h2")
+	borrower := model.HostID("h1")
+	if placement.Part([]model.HostID{"h1", "h2"}, "h1", "a", 1) == 1 {
+		borrower = "h2"
+	}
+	s := f.service(borrower, nil)
+	assert.Assert(t, tryAcquire(t, s) == nil)
+	lend := func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		now := f.clock.Now()
+		s.loans.borrowed["1"] = loan{id: "1", target: "a", host: "other", ends: now.Add(loanTime)}
+		s.applyLoans(now, "a")
+	}
+	lend()
+	p := tryAcquire(t, s)
+	assert.Assert(t, p != nil)
+	p.Release(placement.Usage{Prompt: 1})
+	d.Targets[0].Leaving = true
+	f.snapshot.Store(config.NewSnapshot(&d))
+	assert.Assert(t, tryAcquire(t, s) == nil)
+	lend()
+	assert.Assert(t, tryAcquire(t, s) == nil)
+}
--- a/app/placement/service.go
+++ b/app/placement/service.go
@@ -246,7 +246,7 @@
 	for _, t := range document.Targets {
 		x := s.target(t)
 		s.targets = append(s.targets, x)
-		x.Limit += s.loans.change(t.Name, now)
+		x.Limit = s.limit(t, x.Limit, now)
 		list = append(list, x)
 	}
 	s.deliver(now, s.scheduler.SetTargets(now, list))
@@ -263,6 +263,15 @@
 	return x
 }
 
+// limit returns the calls that this host may have in flight at a target, with
+// its loans.
+func (s *Service) limit(t config.Target, part int, now time.Time) int {
+	if t.Leaving {
+		return 0
+	}
+	return max(part+s.loans.change(t.Name, now), 0)
+}
+
 // place implements Place.
 type place struct {
 	service *Service
--- a/app/suspects/service.go
+++ b/app/suspects/service.go
@@ -363,9 +363,9 @@
 const claimPause = 50 * time.Millisecond
 
 // Begin asks for the right to send one copy of a request to one target. It is
-// called before each attempt, once the place at the target is known, and waits
-// up to ClaimWait while other copies run that may crash their targets. It fails
-// with a *model.Refusal that says that the copy did not run.
+// called before each attempt and before a place at a target is taken, because
+// it waits up to ClaimWait while other copies run that may crash their targets.
+// It fails with a *model.Refusal that says that the copy did not run.
 func (s *Service) Begin(ctx context.Context, f model.Fingerprint) (*Run, error) {
 	r := &Run{service: s, print: f, id: suspect.ClaimID(uuid.NewString())}
 	deadline := s.options.Clock.Now().Add(s.options.ClaimWait)
