--- a/app/host/host.go
+++ b/app/host/host.go
@@ -21,11 +21,13 @@
 	"mimosarelay/app/placement"
 	"mimosarelay/app/programs"
 	"mimosarelay/app/relay"
+	"mimosarelay/app/release"
 	"mimosarelay/app/settings"
 	"mimosarelay/app/suspects"
 	"mimosarelay/core/model"
 	"mimosarelay/io/caller"
 	"mimosarelay/io/consul"
+	"mimosarelay/io/disk"
 	"mimosarelay/io/operator"
 	"mimosarelay/io/peer"
 	"mimosarelay/io/target"
@@ -46,8 +48,9 @@
 	incarnation model.Incarnation
 	metrics     *metrics
 
-	control   *consul.Store
-	data      *consul.Store
+	control   *consul.Client // watched keys
+	data      *consul.Client // records of programs
+	documents *consul.Client // the configuration with its history
 	peers     *peer.Client
 	targets   *target.Client
 	fleet     *fleet.Service
@@ -56,6 +59,8 @@
 	programs  *programs.Service
 	placement *placement.Service
 	suspects  *suspects.Service
+	release   *release.Service
+	folder    *disk.Folder
 	relay     *relay.Service
 	streams   *relay.Streams
 	owners    *owners
@@ -65,6 +70,7 @@
 	listeners      listeners
 
 	draining  atomic.Bool
+	fetching  atomic.Bool // a configuration is being fetched from a peer
 	drainOnce sync.Once
 	drainAsk  chan struct{}
 	work      sync.WaitGroup
@@ -93,6 +99,7 @@
 		clock:       o.Clock,
 		incarnation: model.Incarnation(uuid.NewString()),
 		drainAsk:    make(chan struct{}),
+		metrics:     newMetrics(),
 	}
 	if err := h.listen(); err != nil {
 		h.listeners.close()
@@ -117,7 +124,7 @@
 	} {
 		n, err := net.Listen("tcp", l.address)
 		if err != nil {
-			return fmt.Errorf("%s.Address: %w", l.section, err)
+			return fmt.Errorf("settings %s.Address: %w", l.section, err)
 		}
 		*l.to = n
 	}
@@ -146,7 +153,7 @@
 }
 
 // runners bounds the number of background tasks that can report a failure.
-const runners = 8
+const runners = 16
 
 func (h *Host) start(ctx context.Context, failed chan<- error) {
 	run := func(name string, f func() error) {
@@ -160,6 +167,7 @@
 	run("operator server", func() error { return h.operatorServer.Serve(h.listeners.operator) })
 	run("programs", func() error { return h.programs.Run(ctx) })
 	run("placement", func() error { return h.placement.Run(ctx) })
+	run("release", func() error { return h.release.Run(ctx) })
 	run("fleet", func() error { return h.fleet.Run(ctx) })
 	run("contracts", func() error { return h.bootstrap(ctx) })
 	run("caller server", func() error { return h.callerServer.Serve(h.listeners.caller) })
@@ -229,7 +237,16 @@
 	h.work.Wait()
 	h.programs.Close()
 	h.limits.Close()
+	h.suspects.Close()
 	_ = h.peers.Close()
 	_ = h.targets.Close()
+	for _, c := range []*consul.Client{h.control, h.data, h.documents} {
+		c.Close()
+	}
+	if h.folder != nil {
+		if err := h.folder.Close(); err != nil {
+			h.log.Error("data folder not closed", "error", err)
+		}
+	}
 	h.metrics.close()
 }
--- a/app/host/owners.go
+++ b/app/host/owners.go
@@ -39,6 +39,9 @@
 // MayAct implements relay.Owners.
 func (o *owners) MayAct() bool { return o.host.fleet.MayAct() }
 
+// ActsFor implements relay.Owners.
+func (o *owners) ActsFor(shard model.Shard) bool { return o.host.fleet.ActsFor(shard) }
+
 func (o *owners) epochChanged(_, _ member.Record) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/app/host/peers.go
+++ b/app/host/peers.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 
+	"mimosarelay/app/placement"
 	"mimosarelay/core/model"
-	"mimosarelay/io/peer"
 	"mimosarelay/io/peer/peerpb"
 )
 
@@ -55,27 +53,25 @@
 	return p.host.relay.HandleCall(r, stream)
 }
 
-// recordPeers adapts the streamed FetchRecords to package programs.
-type recordPeers struct{ *peer.Client }
+// BorrowPlace implements peerpb.DRPCPeerServer.
+func (p peerHandler) BorrowPlace(_ context.Context, r *peerpb.BorrowPlaceRequest) (*peerpb.BorrowPlaceResponse, error) {
+	lent := p.host.placement.Lend(model.HostID(r.GetSender().GetHost()), model.TargetID(r.GetTarget()), placement.LoanID(r.GetLoan()))
+	return &peerpb.BorrowPlaceResponse{Lent: lent}, nil
+}
 
-// FetchRecords merges the messages of the stream.
-func (p recordPeers) FetchRecords(ctx context.Context, address string, r *peerpb.FetchRecordsRequest) (*peerpb.FetchRecordsResponse, error) {
-	stream, err := p.Client.FetchRecords(ctx, address, r)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = stream.Close() }()
-	all := &peerpb.FetchRecordsResponse{}
-	for {
-		m, err := stream.Recv()
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-			return all, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-		all.Records = append(all.Records, m.Records...)
+// ReturnPlace implements peerpb.DRPCPeerServer.
+func (p peerHandler) ReturnPlace(_ context.Context, r *peerpb.ReturnPlaceRequest) (*peerpb.ReturnPlaceResponse, error) {
+	p.host.placement.TakeBack(model.TargetID(r.GetTarget()), placement.LoanID(r.GetLoan()))
+	return &peerpb.ReturnPlaceResponse{}, nil
+}
+
+// LivePrograms implements peerpb.DRPCPeerServer.
+func (p peerHandler) LivePrograms(context.Context, *peerpb.LiveProgramsRequest) (*peerpb.LiveProgramsResponse, error) {
+	r := &peerpb.LiveProgramsResponse{Sender: p.host.sender(), Complete: p.host.programs.Complete()}
+	for _, key := range p.host.programs.Live() {
+		r.Programs = append(r.Programs, &peerpb.ProgramName{Workspace: string(key.Workspace), Program: string(key.Program)})
 	}
+	return r, nil
 }
 
 // peerAddresses lists the peer addresses of the other members.
--- /dev/null
+++ b/app/host/state.go
@@ -0,0 +1,131 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"mimosarelay/app/contracts"
+	"mimosarelay/core/member"
+	"mimosarelay/core/model"
+)
+
+// Status is the short summary for operators.
+type Status struct {
+	Host      model.HostID
+	Zone      model.Zone
+	Ready     bool
+	Reason    string `json:",omitempty"` // why the host is not ready
+	Draining  bool
+	Calls     int
+	Epoch     model.Epoch
+	Settled   bool // all members have entered the epoch
+	StoreAway bool
+	Revision  model.Revision
+	Members   []MemberStatus
+}
+
+// MemberStatus is one host as this host sees it.
+type MemberStatus struct {
+	member.Member
+	Revision model.Revision // the latest that it confirmed
+}
+
+// Status returns the summary.
+func (h *Host) Status() Status {
+	ready, reason := h.Ready()
+	view := h.fleet.View()
+	s := Status{
+		Host: h.settings.Host.Name, Zone: h.settings.Host.Zone, Ready: ready, Reason: reason,
+		Draining: h.draining.Load(), Calls: h.streams.Count(), Epoch: view.Epoch, Settled: h.fleet.Settled(),
+		StoreAway: h.fleet.StoreAway(), Revision: h.contracts.Revision(),
+	}
+	confirmed := h.confirmed()
+	for _, m := range view.Members {
+		s.Members = append(s.Members, MemberStatus{Member: m, Revision: confirmed[m.Host]})
+	}
+	return s
+}
+
+// State is the dump of the process for diagnosis.
+type State struct {
+	Status    Status
+	Fleet     any
+	Limits    any
+	Programs  any
+	Placement any
+	Suspects  any
+	Release   any
+}
+
+// State returns the dump. It holds no keys and no content of calls.
+func (h *Host) State() State {
+	return State{
+		Status: h.Status(), Fleet: h.fleet.Dump(), Limits: h.limits.Dump(), Programs: h.programs.Dump(),
+		Placement: h.placement.Dump(), Suspects: h.suspects.Dump(), Release: h.release.Dump(),
+	}
+}
+
+// backend serves the operators' interface.
+type backend struct {
+	*contracts.Service
+	host *Host
+}
+
+// Status implements operator.Backend.
+func (b backend) Status(context.Context) (any, error) { return b.host.Status(), nil }
+
+// Dump implements operator.Backend.
+func (b backend) Dump(context.Context) (any, error) { return b.host.State(), nil }
+
+// Drain implements operator.Backend.
+func (b backend) Drain(context.Context) error {
+	b.host.Drain()
+	return nil
+}
+
+// Gone implements operator.Backend.
+func (b backend) Gone(ctx context.Context, host model.HostID) error {
+	return b.host.fleet.DeclareGone(ctx, host)
+}
+
+// LiftSuspect implements operator.Backend.
+func (b backend) LiftSuspect(_ context.Context, f model.Fingerprint) error {
+	b.host.suspects.Lift(f)
+	return nil
+}
+
+// Ready implements operator.Backend.
+func (b backend) Ready() error {
+	if ok, why := b.host.Ready(); !ok {
+		return errors.New(why)
+	}
+	return nil
+}
+
+// reportInterval is how often counters reach the scrape endpoint.
+const reportInterval = time.Second
+
+// metrics is the root of the process's metrics.
+type metrics struct {
+	scope   tally.Scope
+	handler fasthttp.RequestHandler
+	close   func()
+}
+
+func newMetrics() *metrics {
+	// A registry of its own, because a process may run several hosts.
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "mimosarelay", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+	}, reportInterval)
+	return &metrics{scope: scope, handler: fasthttpadaptor.NewFastHTTPHandler(reporter.HTTPHandler()), close: func() { _ = closer.Close() }}
+}
--- a/app/programs/takeover.go
+++ b/app/programs/takeover.go
@@ -114,11 +114,14 @@
 // previous owner, or the epoch changes.
 func (s *Service) load(ctx context.Context, t Topology, shards map[model.Shard]bool) {
 	var only map[model.ProgramKey]bool // nil: all roots of the shards
+	logged := ""                       // one line for each cause, not for each attempt
 	for {
 		busy, err := s.loadOnce(ctx, t, shards, only)
 		switch {
+		case err != nil && err.Error() != logged:
+			logged = err.Error()
+			s.o.Log.Info("takeover incomplete", "Epoch", t.Epoch, "Error", err)
 		case err != nil:
-			s.o.Log.Warn("takeover incomplete", "Epoch", t.Epoch, "Error", err)
 		case len(busy) == 0:
 			s.cleanJournals(ctx, t)
 			return
--- /dev/null
+++ b/cmd/demo_request.go
@@ -0,0 +1,57 @@
+package cmd
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"mimosarelay/standin/engine"
+)
+
+// demoRequest sends one streamed chat completion and returns its text.
+func demoRequest(ctx context.Context, address, key string) (string, error) {
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":8,"messages":[{"role":"user","content":"hello"}]}`, engine.DefaultModel)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Mimosarelay-Program", "demo")
+	req.Header.Set("Mimosarelay-Call", "1")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		detail, _ := io.ReadAll(io.LimitReader(resp.Body, 4096))
+		return "", fmt.Errorf("demo request: %s: %s", resp.Status, detail)
+	}
+	return readStream(resp.Body)
+}
+
+func readStream(body io.Reader) (string, error) {
+	var text strings.Builder
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text.String(), nil
+		}
+		var chunk engine.Chunk
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			return "", fmt.Errorf("malformed event %q: %w", data, err)
+		}
+		for _, c := range chunk.Choices {
+			text.WriteString(c.Delta.Content)
+		}
+	}
+	return "", fmt.Errorf("answer ended without [DONE]: %w", lines.Err())
+}
--- a/cmd/operator_test.go
+++ b/cmd/operator_test.go
@@ -61,33 +61,33 @@
 	return list, 0, nil
 }
 
-// host is the backend of one host.
-type host struct {
+// fakeHost is the backend of one host.
+type fakeHost struct {
 	*contracts.Service
 	lagging bool // another host, h2, confirms nothing
 	drained bool
 	gone    model.HostID
 }
 
-func (h *host) Status(context.Context) (any, error) { return struct{ Hosts int }{2}, nil }
-func (h *host) Dump(context.Context) (any, error) {
+func (h *fakeHost) Status(context.Context) (any, error) { return struct{ Hosts int }{2}, nil }
+func (h *fakeHost) Dump(context.Context) (any, error) {
 	return struct{ Members []string }{[]string{"h1"}}, nil
 }
-func (h *host) Ready() error { return nil }
+func (h *fakeHost) Ready() error { return nil }
 
-func (h *host) Drain(context.Context) error {
+func (h *fakeHost) Drain(context.Context) error {
 	h.drained = true
 	return nil
 }
 
-func (h *host) Gone(_ context.Context, id model.HostID) error {
+func (h *fakeHost) Gone(_ context.Context, id model.HostID) error {
 	h.gone = id
 	return nil
 }
 
-func (h *host) LiftSuspect(context.Context, model.Fingerprint) error { return nil }
+func (h *fakeHost) LiftSuspect(context.Context, model.Fingerprint) error { return nil }
 
-func (h *host) InEffect(context.Context, model.Revision) []model.HostID {
+func (h *fakeHost) InEffect(context.Context, model.Revision) []model.HostID {
 	if h.lagging {
 		return []model.HostID{"h2"}
 	}
@@ -96,7 +96,7 @@
 
 // cli runs commands against a host.
 type cli struct {
-	*host
+	*fakeHost
 	flags  []string
 	folder string
 }
@@ -104,11 +104,11 @@
 func newCLI(t *testing.T) *cli {
 	t.Helper()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	c := &cli{folder: t.TempDir(), host: &host{Service: contracts.New(contracts.Options{
+	c := &cli{folder: t.TempDir(), fakeHost: &fakeHost{Service: contracts.New(contracts.Options{
 		Host: "h1", Store: &memory{entries: map[string]store.Entry{}}, Log: log,
 	})}}
 	credential := c.file(t, "credential", "operator-credential-1\n")
-	s, err := operator.New(operator.Options{Backend: c.host, CredentialFile: credential, Log: log})
+	s, err := operator.New(operator.Options{Backend: c.fakeHost, CredentialFile: credential, Log: log})
 	assert.NilError(t, err)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -2,6 +2,7 @@
 package cmd
 
 import (
+	"context"
 	"fmt"
 	"os"
 
@@ -12,7 +13,7 @@
 func Execute(args []string) int {
 	root := newRoot()
 	root.SetArgs(args)
-	if err := root.Execute(); err != nil {
+	if err := root.ExecuteContext(context.Background()); err != nil {
 		fmt.Fprintf(os.Stderr, "mimosarelay: %v\n", err)
 		return 1
 	}
@@ -26,6 +27,6 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
-	root.AddCommand(newConfig(), newKey(), newStatus(), newDump(), newDrain(), newStandin(), newVersion())
+	root.AddCommand(newConfig(), newKey(), newStatus(), newDump(), newDrain(), newStandin(), newServe(), newDemo(), newVersion())
 	return root
 }
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -266,4 +266,3 @@
 	assert.Equal(t, s.do("GET", "/readyz", "").status, 503)
 	assert.Equal(t, s.do("GET", "/healthz", "").status, 200)
 }
-
--- a/io/caller/handlers.go
+++ b/io/caller/handlers.go
@@ -34,6 +34,9 @@
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
+	if s.options.Draining() {
+		defer ctx.SetConnectionClose()
+	}
 	switch {
 	case path == pathHealth:
 		s.text(ctx, fasthttp.StatusOK, "ok")
--- a/io/caller/harness_test.go
+++ b/io/caller/harness_test.go
@@ -16,6 +16,7 @@
 
 	"mimosarelay/app/programs"
 	"mimosarelay/app/relay"
+	"mimosarelay/app/suspects"
 	"mimosarelay/core/config"
 	"mimosarelay/core/model"
 	"mimosarelay/core/placement"
@@ -119,10 +120,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = records.Run(ctx) }()
 	targets := target.NewClient(target.Options{})
+	marks := suspects.New(suspects.Options{Host: "h1", Self: "127.0.0.1:1", Peers: noSuspectPeers{}, Store: memstore.New(clock).NewClient("h1"), Clock: clock, Log: log})
 	s.streams = relay.NewStreams()
 	calls := relay.New(relay.Options{
 		Contracts: contractsFake{s}, Limiter: unlimited{}, Programs: records, Owners: alone{}, Peers: peer.NewClient(peer.Options{}),
-		Placer: &firstPlacer{site: s}, Suspects: noSuspects{}, Targets: targets, Clock: clock, Log: log, StreamIdle: 500 * time.Millisecond,
+		Placer: &firstPlacer{site: s}, Suspects: marks, Targets: targets, Clock: clock, Log: log, StreamIdle: 500 * time.Millisecond,
 	})
 	serving := true
 	var mu sync.Mutex
@@ -145,6 +147,7 @@
 		assert.Check(s.t, <-served)
 		cancel()
 		records.Close()
+		marks.Close()
 		_ = targets.Close()
 	})
 }
@@ -163,6 +166,9 @@
 	req.Header.Set("Authorization", "Bearer "+s.key)
 	for i := 0; i+1 < len(headers); i += 2 {
 		req.Header.Set(headers[i], headers[i+1])
+		if headers[i+1] == "" {
+			req.Header.Del(headers[i])
+		}
 	}
 	resp, err := http.DefaultClient.Do(req)
 	assert.NilError(s.t, err)
@@ -185,15 +191,15 @@
 
 func (alone) Owner(model.Shard) (string, bool, error) { return "", true, nil }
 func (alone) Changed() <-chan struct{}                { return nil }
+func (alone) ActsFor(model.Shard) bool                { return true }
 func (alone) MayAct() bool                            { return true }
 func (alone) Addresses() []string                     { return []string{"127.0.0.1:1"} }
 
 type noPeers struct{ programs.Peers }
 
-type noSuspects struct{}
+type noSuspectPeers struct{ *peer.Client }
 
-func (noSuspects) Check(model.Fingerprint) (bool, error)                      { return false, nil }
-func (noSuspects) Crashed(context.Context, model.Fingerprint, model.TargetID) {}
+func (noSuspectPeers) Peers() []string { return nil }
 
 // firstPlacer takes the first target that was not tried yet.
 type firstPlacer struct{ site *site }
--- a/io/caller/problem.go
+++ b/io/caller/problem.go
@@ -81,18 +81,18 @@
 	s.options.Log.Info("call refused", "request", id, "status", p.Status, "type", p.Type, "ran", p.Ran, "detail", p.Detail)
 }
 
-func classifyMalformed(err error) (kind error, detail string) {
+func classifyMalformed(err error) (detail string, kind error) {
 	var small *fasthttp.ErrSmallBuffer
 	var timeout net.Error
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		return model.ErrTooLarge, "request body is too large"
+		return "request body is too large", model.ErrTooLarge
 	case errors.As(err, &small):
-		return model.ErrTooLarge, "request header is larger than " + strconv.Itoa(headerBuffer) + " bytes"
+		return "request header is larger than " + strconv.Itoa(headerBuffer) + " bytes", model.ErrTooLarge
 	case errors.As(err, &timeout) && timeout.Timeout():
-		return model.ErrBadRequest, "request was not sent in time"
+		return "request was not sent in time", model.ErrBadRequest
 	}
-	return model.ErrBadRequest, "request is not valid HTTP"
+	return "request is not valid HTTP", model.ErrBadRequest
 }
 
 func newRequestID() model.RequestID { return model.RequestID(uuid.NewString()) }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -29,8 +29,8 @@
 	Addresses() []string
 }
 
-// Options configures a Server. All fields but TLS, MaxBody and WriteTimeout
-// are required.
+// Options configures a Server. All fields but TLS, Draining, MaxBody and
+// WriteTimeout are required.
 type Options struct {
 	Relay    Relay
 	Streams  *relay.Streams
@@ -38,8 +38,11 @@
 	Snapshot func() *config.Snapshot
 	// Ready says whether the host serves, and why not.
 	Ready func() (bool, string)
-	Log   *slog.Logger
-	TLS   *tls.Config
+	// Draining says that the host is leaving; connections are then closed
+	// after their answer, so that callers move to other hosts.
+	Draining func() bool
+	Log      *slog.Logger
+	TLS      *tls.Config
 	// MaxBody is the largest request body, in bytes; 0 means 8 MiB.
 	MaxBody int
 	// WriteTimeout ends a response whose caller stops reading; 0 means 20 s.
@@ -70,6 +73,9 @@
 	if o.WriteTimeout == 0 {
 		o.WriteTimeout = defaultWriteTimeout
 	}
+	if o.Draining == nil {
+		o.Draining = func() bool { return false }
+	}
 	s := &Server{options: o}
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
@@ -142,7 +148,7 @@
 
 // malformed answers requests that the library could not parse.
 func (s *Server) malformed(ctx *fasthttp.RequestCtx, err error) {
-	kind, detail := classifyMalformed(err)
+	detail, kind := classifyMalformed(err)
 	s.refuse(ctx, newRequestID(), model.NewRefusal(kind, model.RanNo, "%s", detail))
 	ctx.SetConnectionClose()
 }
