Detect silent owners and end streams of isolated hosts

Cause: a forwarded call on a connection that went silent waited forever, and a host cut off from store and peers kept streams of keys it could not check. Conclusion: the separate-process tests have to show the bounds.

--- a/app/host/host.go
+++ b/app/host/host.go
@@ -139,6 +139,7 @@
 	failed := make(chan error, runners)
 	h.start(work, failed)
 	h.log.Info("host started", "caller", h.settings.Caller.Address, "peer", h.settings.Peer.Address, "operator", h.settings.Operator.Address, "incarnation", h.incarnation)
+	h.work.Go(func() { h.announce(consul.Live) })
 	var err error
 	select {
 	case <-ctx.Done():
@@ -167,6 +168,7 @@
 	run("operator server", func() error { return h.operatorServer.Serve(h.listeners.operator) })
 	run("programs", func() error { return h.programs.Run(ctx) })
 	run("placement", func() error { return h.placement.Run(ctx) })
+	run("isolation", func() error { return h.watchIsolation(ctx) })
 	run("release", func() error { return h.release.Run(ctx) })
 	run("fleet", func() error { return h.fleet.Run(ctx) })
 	run("contracts", func() error { return h.bootstrap(ctx) })
@@ -220,12 +222,14 @@
 	defer cancel()
 	h.log.Info("drain started", "calls", h.streams.Count())
 	linger := h.clock.After(lingerTime)
+	h.announce(consul.Leaving)
 	errs := []error{h.fleet.MarkLeaving(ctx)}
 	select {
 	case <-linger:
 	case <-ctx.Done():
 	}
 	errs = append(errs, h.callerServer.Shutdown(ctx), h.programs.Drain(ctx), h.fleet.Leave(ctx))
+	h.unannounce()
 	err := errors.Join(errs...)
 	h.log.Info("drain ended", "calls", h.streams.Count(), "error", err)
 	return err
--- a/app/host/wire.go
+++ b/app/host/wire.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"strings"
+	"time"
 
 	"mimosarelay/app/contracts"
 	"mimosarelay/app/fleet"
@@ -83,8 +84,12 @@
 	return strings.TrimSpace(string(data)), nil
 }
 
+// peerStreamIdle ends a forwarded call whose owner went silent: three times the
+// interval at which owners send something.
+const peerStreamIdle = 6 * time.Second
+
 func (h *Host) wirePeers() error {
-	o := peer.Options{}
+	o := peer.Options{StreamIdle: peerStreamIdle}
 	if h.settings.Peer.TLS.Enabled() {
 		files, err := tlsfiles.Load(tlsfiles.Options{TLS: h.settings.Peer.TLS, Clock: h.clock, Log: h.log})
 		if err != nil {
--- a/app/relay/routing.go
+++ b/app/relay/routing.go
@@ -117,20 +117,24 @@
 }
 
 func (s *Service) forward(ctx context.Context, address string, r *Request) (*Answer, error) {
+	// Closing a drpc stream does not stop its handler; the context does.
+	ctx, cancel := context.WithCancel(ctx)
 	stream, err := s.Peers.Call(ctx, address, encodeRequest(r))
 	if err != nil {
+		cancel()
 		return nil, errors.Join(errOwner, forwardError(err))
 	}
-	first, err := stream.Recv()
+	first, err := receiveHead(stream)
 	if err != nil {
-		_ = stream.Close()
+		cancel()
 		return nil, errors.Join(errOwner, forwardError(err))
 	}
 	if first.ErrorKind != "" {
 		_ = stream.Close()
+		cancel()
 		return nil, decodeRefusal(first)
 	}
-	return decodeAnswer(stream, first), nil
+	return decodeAnswer(r.ID, stream, cancel, first), nil
 }
 
 func forwardError(err error) *model.Refusal {
@@ -144,8 +148,12 @@
 // forwardedBody reads an answer that comes from another host.
 type forwardedBody struct {
 	stream  peerpb.DRPCPeer_CallClient
+	cancel  context.CancelFunc
+	id      model.RequestID
+	events  bool // the answer consists of server-sent events
 	pending []byte
 	end     bool
+	failed  error
 }
 
 // Read implements io.Reader.
@@ -154,9 +162,13 @@
 		if b.end {
 			return 0, io.EOF
 		}
+		if b.failed != nil {
+			return 0, b.failed
+		}
 		m, err := b.stream.Recv()
 		if err != nil {
-			return 0, errors.Join(io.ErrUnexpectedEOF, err)
+			b.fail(err)
+			continue
 		}
 		if m.ErrorKind != "" {
 			return 0, decodeRefusal(m)
@@ -168,5 +180,22 @@
 	return n, nil
 }
 
+// fail ends an answer whose owner cannot be reached any more.
+func (b *forwardedBody) fail(err error) {
+	refusal := model.NewRefusal(model.ErrUnavailable, model.RanUnknown, "the owner of the program was lost: %v", err)
+	b.failed = errors.Join(io.ErrUnexpectedEOF, refusal)
+	if b.events {
+		b.pending = errorEvent(b.id, refusal)
+	}
+}
+
 // Close implements io.Closer. Closing before the end cancels the call.
-func (b *forwardedBody) Close() error { return b.stream.Close() }
+func (b *forwardedBody) Close() error {
+	if !b.end {
+		b.cancel()
+		return nil
+	}
+	err := b.stream.Close()
+	b.cancel()
+	return err
+}
--- a/app/relay/streams.go
+++ b/app/relay/streams.go
@@ -62,6 +62,20 @@
 	return len(ended)
 }
 
+// EndAll ends all running calls for the given reason.
+func (s *Streams) EndAll(reason error) int {
+	s.mu.Lock()
+	all := make([]openStream, 0, len(s.open))
+	for _, o := range s.open {
+		all = append(all, o)
+	}
+	s.mu.Unlock()
+	for _, o := range all {
+		o.cancel(reason)
+	}
+	return len(all)
+}
+
 // Count is the number of running calls.
 func (s *Streams) Count() int {
 	s.mu.Lock()
--- a/app/relay/wire.go
+++ b/app/relay/wire.go
@@ -1,8 +1,11 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"io"
+	"strings"
+	"sync"
 	"time"
 
 	"mimosarelay/core/model"
@@ -96,42 +99,97 @@
 	return model.NewRefusal(kind, ran, "%s", m.ErrorDetail).Retry(time.Duration(m.RetryAfterMs) * time.Millisecond)
 }
 
-func decodeAnswer(stream peerpb.DRPCPeer_CallClient, first *peerpb.CallResponse) *Answer {
-	return &Answer{
-		Status:  int(first.Status),
-		Headers: decodeHeaders(first.Headers),
-		Body:    &forwardedBody{stream: stream, pending: first.Body, end: first.End},
-		Length:  -1,
+func decodeAnswer(id model.RequestID, stream peerpb.DRPCPeer_CallClient, cancel context.CancelFunc, first *peerpb.CallResponse) *Answer {
+	a := &Answer{Status: int(first.Status), Headers: decodeHeaders(first.Headers), Length: -1}
+	events := false
+	for _, h := range a.Headers {
+		if strings.EqualFold(h.Name, "Content-Type") && strings.HasPrefix(h.Value, "text/event-stream") {
+			events = true
+		}
 	}
+	a.Body = &forwardedBody{id: id, events: events, stream: stream, cancel: cancel, pending: first.Body, end: first.End}
+	return a
 }
 
 // forwardBuffer is the size of the read buffer of a forwarded answer, in bytes.
 const forwardBuffer = 32 << 10
 
+// pingInterval is the time between two empty messages on a forwarded call. The
+// host that forwarded it takes a stream without messages for silent.
+const pingInterval = 2 * time.Second
+
+// answerSender sends the messages of one forwarded call.
+type answerSender struct {
+	mu     sync.Mutex // guards stream, which takes one sender at a time
+	stream peerpb.DRPCPeer_CallStream
+}
+
+func (a *answerSender) send(m *peerpb.CallResponse) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.stream.Send(m)
+}
+
+// ping sends empty messages until ctx ends.
+func (s *Service) ping(ctx context.Context, a *answerSender) {
+	tick := s.Clock.NewTicker(pingInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.Chan():
+			if a.send(&peerpb.CallResponse{}) != nil {
+				return
+			}
+		}
+	}
+}
+
 // HandleCall serves a call that another host forwarded to this one.
 func (s *Service) HandleCall(m *peerpb.CallRequest, stream peerpb.DRPCPeer_CallStream) error {
-	answer, err := s.runOwned(stream.Context(), decodeRequest(m))
+	ctx, cancel := context.WithCancel(stream.Context())
+	a := &answerSender{stream: stream}
+	var pings sync.WaitGroup
+	pings.Go(func() { s.ping(ctx, a) })
+	// The library takes the stream back when this function returns.
+	defer pings.Wait()
+	defer cancel()
+	answer, err := s.runOwned(ctx, decodeRequest(m))
 	if err != nil {
-		return stream.Send(encodeRefusal(asRefusal(err, model.RanUnknown)))
+		return a.send(encodeRefusal(asRefusal(err, model.RanUnknown)))
 	}
 	defer func() { _ = answer.Body.Close() }()
-	head := &peerpb.CallResponse{Status: int32(answer.Status), Headers: encodeHeaders(answer.Headers)}
-	if err := stream.Send(head); err != nil {
+	if err := a.send(&peerpb.CallResponse{Status: int32(answer.Status), Headers: encodeHeaders(answer.Headers)}); err != nil {
 		return err
 	}
+	return a.sendBody(answer.Body)
+}
+
+func (a *answerSender) sendBody(body io.Reader) error {
 	buffer := make([]byte, forwardBuffer)
 	for {
-		n, err := answer.Body.Read(buffer)
+		n, err := body.Read(buffer)
 		if n > 0 {
-			if err := stream.Send(&peerpb.CallResponse{Body: buffer[:n]}); err != nil {
+			if err := a.send(&peerpb.CallResponse{Body: buffer[:n]}); err != nil {
 				return err
 			}
 		}
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-			return stream.Send(&peerpb.CallResponse{End: true})
+			return a.send(&peerpb.CallResponse{End: true})
 		}
 		if err != nil {
-			return stream.Send(encodeRefusal(asRefusal(err, model.RanUnknown)))
+			return a.send(encodeRefusal(asRefusal(err, model.RanUnknown)))
+		}
+	}
+}
+
+// receiveHead skips pings up to the first message of an answer.
+func receiveHead(stream peerpb.DRPCPeer_CallClient) (*peerpb.CallResponse, error) {
+	for {
+		m, err := stream.Recv()
+		if err != nil || m.Status != 0 || m.ErrorKind != "" {
+			return m, err
 		}
 	}
 }
--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return err
 	}
-	defer os.RemoveAll(folder)
+	defer func() { _ = os.RemoveAll(folder) }()
 	d := &demo{out: out, folder: folder, done: make(chan error, demoHosts)}
 	defer d.close()
 	if err := d.start(ctx); err != nil {
@@ -211,12 +211,12 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(d.out, "served a streamed answer: %s\n", text)
-	return nil
+	_, err = fmt.Fprintf(d.out, "served a streamed answer: %s\n", text)
+	return err
 }
 
 func (d *demo) explain() {
-	fmt.Fprintf(d.out, `
+	_, _ = fmt.Fprintf(d.out, `
 hosts for callers: %v
 operator port:     %s (credential in %s)
 
--- a/io/caller/harness_test.go
+++ b/io/caller/harness_test.go
@@ -31,7 +31,7 @@
 
 // site is one host without peers before two engines and one service.
 type site struct {
-	t        *testing.T
+	t        testing.TB
 	url      string
 	key      string
 	engines  []*engine.Server
@@ -43,7 +43,7 @@
 	ready    func(bool)
 }
 
-func newSite(t *testing.T, engineOptions engine.Options) *site {
+func newSite(t testing.TB, engineOptions engine.Options) *site {
 	t.Helper()
 	s := &site{t: t}
 	for range 2 {
