--- a/app/relay/routing.go
+++ b/app/relay/routing.go
@@ -22,7 +22,12 @@
 func (s *Service) route(ctx context.Context, r *Request) (*Answer, error) {
 	shard := program.ShardOf(r.root())
 	deadline := s.Clock.Now().Add(s.ForwardWait)
-	ran := model.RanNo
+	ran, reached := model.RanNo, model.RanNo
+	if s.isNonIdempotent(r) {
+		// An earlier request with the same number may have run: only the
+		// owner's record could tell.
+		ran = model.RanUnknown
+	}
 	for {
 		changed := s.Owners.Changed()
 		answer, err := s.routeOnce(ctx, r, shard)
@@ -30,10 +35,10 @@
 			return answer, nil
 		}
 		if !again(err) {
-			return nil, withEarlier(err, ran)
+			return nil, withEarlier(err, reached)
 		}
 		if asRefusal(err, model.RanNo).Ran != model.RanNo {
-			ran = model.RanUnknown
+			ran, reached = model.RanUnknown, model.RanUnknown
 		}
 		if !s.Clock.Now().Before(deadline) || !s.pause(ctx, changed) {
 			return nil, model.NewRefusal(model.ErrUnavailable, ran, "owner of the program cannot be reached: %v", err).Retry(time.Second)
@@ -42,6 +47,11 @@
 	}
 }
 
+func (s *Service) isNonIdempotent(r *Request) bool {
+	route, ok := s.Contracts.Current().Route(r.Route)
+	return r.Query == "" && r.Route != "" && !(ok && route.Repeatable)
+}
+
 // withEarlier corrects a refusal as not run if an earlier owner may have run
 // the call.
 func withEarlier(err error, earlier model.Ran) error {
