--- /dev/null
+++ b/test/e2e/basic_test.go
@@ -0,0 +1,78 @@
+//go:build linux
+
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mimosarelay/core/config"
+	"mimosarelay/core/model"
+	"mimosarelay/standin/engine"
+)
+
+// Guards against answers that are cut, mixed up or out of order when the calls
+// of one program enter through different hosts, against keys that no contract
+// holds, and against edited contracts that "config apply" reports as in effect
+// before every host follows them.
+func TestDependentCallsAndEditedContract(t *testing.T) {
+	t.Parallel()
+	knownRed(t)
+	s := newSite(t, options{workspaces: []config.Workspace{
+		{Name: "main", Models: []model.ModelID{engine.DefaultModel}},
+		{Name: "slow", Rate: 200, Burst: 200},
+	}})
+	c := &conversation{key: s.keys["main"], program: "p1"}
+	for i, h := range s.hosts {
+		if i > 0 {
+			time.Sleep(300 * time.Millisecond) // the program's pause, such as a tool call
+		}
+		a := c.next(fmt.Sprintf("question %d", i)).send(timeout(t, 10*time.Second), strict, h.caller, nil)
+		assert.NilError(t, c.accept(a))
+	}
+	for _, h := range s.hosts {
+		c.checkHistory(t, h.caller)
+	}
+	ask := func(key, name string, h *entry) answer {
+		r := request{key: key, model: name, messages: []engine.Message{{Role: "user", Content: "hello [tokens:1]"}}}
+		return r.send(timeout(t, 10*time.Second), strict, h.caller, nil)
+	}
+	for _, h := range s.hosts {
+		a := ask(config.NewKey("key-main"), engine.DefaultModel, h)
+		assert.Equal(t, a.status, http.StatusUnauthorized, a.String())
+		assert.Equal(t, a.ran, model.RanNo)
+		a = ask(s.keys["main"], largeModel, h)
+		assert.Equal(t, a.status, http.StatusForbidden, a.String())
+	}
+	s.edit(func(d *config.Document) {
+		for i := range d.Workspaces {
+			switch d.Workspaces[i].Name {
+			case "main":
+				d.Workspaces[i].Models = append(d.Workspaces[i].Models, largeModel)
+			case "slow":
+				d.Workspaces[i].Rate, d.Workspaces[i].Burst = 0.001, 1
+			}
+		}
+	})
+	admitted := 0
+	for _, h := range s.hosts {
+		a := ask(s.keys["main"], largeModel, h)
+		assert.Assert(t, a.whole, "the granted model is refused: %v", a)
+		for range 2 {
+			a = ask(s.keys["slow"], engine.DefaultModel, h)
+			if a.whole {
+				admitted++
+				continue
+			}
+			assert.Equal(t, a.status, http.StatusTooManyRequests, a.String())
+		}
+	}
+	assert.Assert(t, admitted <= 1, "%d requests admitted with a burst of 1 and no rate", admitted)
+	status := s.mustCLI(s.hosts[1], "status")
+	assert.Assert(t, strings.Contains(status, `"Revision": 2`), status)
+}
