--- a/test/e2e/client_test.go
+++ b/test/e2e/client_test.go
@@ -92,8 +92,8 @@
 
 // send sends a call to one host. started is called at the first piece of text
 // of a stream; it may be nil.
-func (r request) send(ctx context.Context, c *http.Client, address string, started func()) answer {
-	a := answer{host: address}
+func (r request) send(ctx context.Context, c *http.Client, address string, started func()) (a answer) {
+	a.host = address
 	defer func() { a.at = time.Now() }()
 	q, err := r.make(ctx, address)
 	if err != nil {
--- a/test/e2e/kill_test.go
+++ b/test/e2e/kill_test.go
@@ -84,7 +84,7 @@
 // conversationAt starts a program of workspace main that a host owns.
 func (s *site) conversationAt(h *entry, prefix string) *conversation {
 	s.t.Helper()
-	return &conversation{key: s.keys["main"], program: s.programAt(h, "main", prefix)}
+	return &conversation{key: s.keys["main"], program: s.programAt(h, prefix)}
 }
 
 // Guards against a second run of a non-idempotent call whose owner is killed
@@ -101,7 +101,7 @@
 	var list []request
 	for i := range 3 {
 		r := request{key: key, route: "pay/x", body: fmt.Sprintf("payment %d", i)}
-		r.program, r.call = s.programAt(victim, "main", fmt.Sprintf("pay%d", i)), 1
+		r.program, r.call = s.programAt(victim, fmt.Sprintf("pay%d", i)), 1
 		list = append(list, r)
 		r = request{key: key, route: "pay/x", body: fmt.Sprintf("keyed payment %d", i), idempotency: s.keyAt(victim, fmt.Sprintf("order%d", i))}
 		list = append(list, r)
@@ -153,19 +153,6 @@
 	}
 }
 
-// keyAt returns an idempotency key whose calls a host owns.
-func (s *site) keyAt(h *entry, prefix string) string {
-	s.t.Helper()
-	for i := range 200 {
-		key := fmt.Sprintf("%s-%d", prefix, i)
-		if s.keyOwner("main", key) == h {
-			return key
-		}
-	}
-	s.t.Fatalf("%s owns none of 200 keys", h.name)
-	return ""
-}
-
 // outcome asks a host for the outcome of a call.
 func (s *site) outcome(h *entry, r request) programs.Outcome {
 	s.t.Helper()
--- a/test/e2e/load_test.go
+++ b/test/e2e/load_test.go
@@ -74,7 +74,7 @@
 
 func (l *load) name(kind string, i int) string {
 	if l.o.at != nil {
-		return l.programAt(l.o.at, "main", fmt.Sprintf("%s%d", kind, i))
+		return l.programAt(l.o.at, fmt.Sprintf("%s%d", kind, i))
 	}
 	return fmt.Sprintf("%s%d", kind, i)
 }
--- a/test/e2e/outage_test.go
+++ b/test/e2e/outage_test.go
@@ -76,7 +76,10 @@
 	t.Parallel()
 	knownRed(t)
 	s := newSite(t, options{workspaces: []config.Workspace{{Name: "main"}, {Name: "other"}}})
-	long := []engine.Message{{Role: "user", Content: "long [tokens:1200]"}} // 6 s
+	// Each prompt is different, because a few copies of one unproven request run at a time.
+	long := func(name string) []engine.Message {
+		return []engine.Message{{Role: "user", Content: engine.Content(name + " [tokens:1200]")}} // 6 s
+	}
 	type stream struct {
 		request
 		at *entry
@@ -84,11 +87,14 @@
 	}
 	var streams []*stream
 	for _, h := range s.hosts {
-		for _, program := range []string{"", s.programAt(h, "main", "own"), s.programAt(s.others(h)[0], "main", "from-"+string(h.name))} {
-			r := request{key: s.keys["main"], program: program, call: 1, messages: long, maxTokens: 4096}
+		for _, program := range []string{"", s.programAt(h, "own"), s.programAt(s.others(h)[0], "from-"+string(h.name))} {
+			r := request{key: s.keys["main"], program: program, messages: long(string(h.name) + program), maxTokens: 4096}
+			if program != "" {
+				r.call = 1
+			}
 			streams = append(streams, &stream{request: r, at: h})
 		}
-		streams = append(streams, &stream{request: request{key: s.keys["other"], program: "other-" + string(h.name), call: 1, messages: long, maxTokens: 4096}, at: h})
+		streams = append(streams, &stream{request: request{key: s.keys["other"], program: "other-" + string(h.name), call: 1, messages: long("other" + string(h.name)), maxTokens: 4096}, at: h})
 	}
 	var work sync.WaitGroup
 	started := make(chan struct{}, len(streams))
--- a/test/e2e/process_test.go
+++ b/test/e2e/process_test.go
@@ -70,7 +70,15 @@
 	return p
 }
 
+// tail returns the end of an output without the test's own status polls.
 func tail(s string) string {
+	var kept strings.Builder
+	for l := range strings.Lines(s) {
+		if !strings.Contains(l, "path=/operator/v1/status") {
+			kept.WriteString(l)
+		}
+	}
+	s = kept.String()
 	if len(s) <= maxPrinted {
 		return s
 	}
--- a/test/e2e/site_test.go
+++ b/test/e2e/site_test.go
@@ -307,47 +307,66 @@
 	})
 }
 
-// owner returns the host that owns a program.
-func (s *site) owner(workspace, id string) *entry {
+// membership returns the record that a running host knows.
+func (s *site) membership() member.Record {
 	s.t.Helper()
-	return s.ownerOf(model.ProgramKey{Workspace: model.WorkspaceID(workspace), Program: model.ProgramID(id)})
-}
-
-// keyOwner returns the host that owns a call with an idempotency key.
-func (s *site) keyOwner(workspace, key string) *entry {
-	s.t.Helper()
-	return s.ownerOf(programs.KeyProgram(model.WorkspaceID(workspace), key))
-}
-
-func (s *site) ownerOf(key model.ProgramKey) *entry {
-	s.t.Helper()
-	var name model.HostID
-	eventually(s.t, 10*time.Second, "owner known", func() bool {
+	var r member.Record
+	eventually(s.t, 10*time.Second, "membership known", func() bool {
 		for _, h := range s.running() {
 			st, err := s.status(h)
-			if err != nil {
+			if err != nil || len(st.Members) == 0 {
 				continue
 			}
-			r := member.Record{Epoch: st.Epoch}
+			r.Epoch = st.Epoch
 			for _, m := range st.Members {
 				r.Members = append(r.Members, m.Member)
 			}
-			if m, ok := r.Owner(program.ShardOf(key)); ok {
-				name = m.Host
-				return true
-			}
+			return true
 		}
 		return false
 	})
+	return r
+}
+
+func (s *site) ownerIn(r member.Record, key model.ProgramKey) *entry {
+	s.t.Helper()
+	m, _ := r.Owner(program.ShardOf(key))
 	for _, h := range s.hosts {
-		if h.name == name {
+		if h.name == m.Host {
 			return h
 		}
 	}
-	s.t.Fatalf("owner %q is no host of the site", name)
+	s.t.Fatalf("owner %q is no host of the site", m.Host)
 	return nil
 }
 
+// programAt returns a program id of workspace main that a host owns.
+func (s *site) programAt(h *entry, prefix string) string {
+	s.t.Helper()
+	return s.nameAt(h, prefix, func(id string) model.ProgramKey {
+		return model.ProgramKey{Workspace: "main", Program: model.ProgramID(id)}
+	})
+}
+
+// keyAt returns an idempotency key of workspace main whose calls a host owns.
+func (s *site) keyAt(h *entry, prefix string) string {
+	s.t.Helper()
+	return s.nameAt(h, prefix, func(key string) model.ProgramKey { return programs.KeyProgram("main", key) })
+}
+
+func (s *site) nameAt(h *entry, prefix string, key func(string) model.ProgramKey) string {
+	s.t.Helper()
+	r := s.membership()
+	for i := range 200 {
+		name := fmt.Sprintf("%s-%d", prefix, i)
+		if s.ownerIn(r, key(name)) == h {
+			return name
+		}
+	}
+	s.t.Fatalf("%s owns none of 200 names", h.name)
+	return ""
+}
+
 // others lists the running hosts except one.
 func (s *site) others(h *entry) []*entry {
 	var list []*entry
@@ -359,19 +378,6 @@
 	return list
 }
 
-// programAt returns a program id that a host owns.
-func (s *site) programAt(h *entry, workspace, prefix string) string {
-	s.t.Helper()
-	for i := range 200 {
-		id := fmt.Sprintf("%s-%d", prefix, i)
-		if s.owner(workspace, id) == h {
-			return id
-		}
-	}
-	s.t.Fatalf("%s owns none of 200 programs", h.name)
-	return ""
-}
-
 // setFault switches the faults of a stand-in.
 func (s *site) setFault(to *standin, f fault.Fault) {
 	s.t.Helper()
