Recognize crashed targets whose address still accepts connections

Cause: a crash was told from a lost connection by a TCP connection alone. The stand-in engine, like a supervisor or a forwarding machine, accepts connections while it is down and closes them, so no crash was ever noted and a crashing request ran again and again. The check was also wrong if its context ended meanwhile. Besides, a target that hangs before its first byte was classified as broken instead of idle, because the library's error hides its cause. Change: target.Client.Gone asks for /v1/load and says that a target is gone if it refuses or closes the connection without an answer; a connection remembers that it timed out. Conclusion: a target that crashes and answers again before the check, within milliseconds, still counts as alive.

--- a/app/relay/chat.go
+++ b/app/relay/chat.go
@@ -282,10 +282,10 @@
 }
 
 // reportCrash marks the request as suspect if its target is gone. A target
-// that still accepts connections lost only this one.
+// that still answers lost only this connection.
 func (s *Service) reportCrash(ctx context.Context, c *chatCall) {
 	t := c.place.Target()
-	if s.Targets.Reachable(ctx, t.Address) {
+	if !s.Targets.Gone(ctx, t.Address) {
 		return
 	}
 	s.Log.Warn("target crashed", "request", c.request.ID, "target", t.Name, "fingerprint", c.print)
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -187,6 +187,7 @@
 	written   int64
 	idle      time.Duration
 	idleSince time.Time
+	timedOut  bool // a read or write made no progress within idle
 }
 
 func (cn *conn) Write(p []byte) (int, error) {
@@ -195,6 +196,7 @@
 	}
 	n, err := cn.Conn.Write(p)
 	cn.written += int64(n)
+	cn.noteTimeout(err)
 	return n, err
 }
 
@@ -202,7 +204,16 @@
 	if err := cn.SetReadDeadline(time.Now().Add(cn.idle)); err != nil {
 		return 0, err
 	}
-	return cn.Conn.Read(p)
+	n, err := cn.Conn.Read(p)
+	cn.noteTimeout(err)
+	return n, err
+}
+
+// noteTimeout keeps what the library does not tell: its error for a response
+// without a first byte hides the cause from errors.As.
+func (cn *conn) noteTimeout(err error) {
+	var ne net.Error
+	cn.timedOut = cn.timedOut || errors.As(err, &ne) && ne.Timeout()
 }
 
 func (cn *conn) exchange(req *fasthttp.Request, idle time.Duration) (*Response, error) {
@@ -231,8 +242,7 @@
 	if ctx.Err() != nil {
 		return fmt.Errorf("%w: %w", ErrBroken, ctx.Err())
 	}
-	var ne net.Error
-	if errors.As(err, &ne) && ne.Timeout() {
+	if cn.timedOut {
 		return fmt.Errorf("%w: %w: %w", ErrBroken, ErrIdle, err)
 	}
 	if errors.Is(err, io.EOF) {
@@ -250,3 +260,26 @@
 	_ = nc.Close()
 	return true
 }
+
+// loadPath is served by every target.
+const loadPath = "/v1/load"
+
+// goneTimeout bounds the question whether a target is gone.
+const goneTimeout = time.Second
+
+// Gone says whether the target refuses a new connection, or closes it without
+// an answer. A machine or supervisor in front of a crashed process may accept
+// connections, so that a connection alone does not prove that the target runs.
+// A target that hangs is not gone, and nothing is known once ctx has ended.
+func (c *Client) Gone(ctx context.Context, address string) bool {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI(loadPath)
+	req.Header.SetHost(address)
+	resp, err := c.Do(ctx, address, req, CallOptions{Fresh: true, Idle: goneTimeout})
+	if err != nil {
+		return ctx.Err() == nil && !errors.Is(err, ErrIdle)
+	}
+	_ = resp.Close()
+	return false
+}
--- a/io/target/client_test.go
+++ b/io/target/client_test.go
@@ -162,6 +162,38 @@
 	assert.Assert(t, errors.Is(err, ErrIdle) && errors.Is(err, ErrBroken), "%v", err)
 }
 
+// Guards against a crashed target that counts as alive because something still
+// accepts its connections, and against a live one that counts as crashed.
+func TestGone(t *testing.T) {
+	answering := newRawTarget(t, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", false).listener
+	closing := newRawTarget(t, "", false).listener
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // accepts no connection; the kernel does
+	assert.NilError(t, err)
+	defer func() { _ = silent.Close() }()
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, closed.Close())
+	cancelled, cancel := context.WithCancel(context.Background())
+	cancel()
+	for name, k := range map[string]struct {
+		ctx  context.Context
+		to   net.Listener
+		want bool
+	}{
+		"answers":          {context.Background(), answering, false},
+		"closes":           {context.Background(), closing, true},
+		"refuses":          {context.Background(), closed, true},
+		"hangs":            {context.Background(), silent, false},
+		"question is over": {cancelled, closed, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := NewClient(Options{})
+			defer func() { _ = c.Close() }()
+			assert.Equal(t, c.Gone(k.ctx, k.to.Addr().String()), k.want)
+		})
+	}
+}
+
 func ExampleEventReader() {
 	body := "data: {\"a\":1}\n\ndata: [DONE]\n\n"
 	events := NewEventReader(bufio.NewReader(&stringReader{body}))
