bench: measure how each role's cost grows

Cause: docs/CAPACITY.md needs slopes over hosts, workspaces, programs and configuration changes. Change: benchmarks of sizes, times, memory and store calls, each at four sizes with a least squares line. gonum is not in go.mod, so the fit is local.

--- /dev/null
+++ b/bench/config_test.go
@@ -0,0 +1,126 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jonboulle/clockwork"
+
+	"mimosarelay/app/contracts"
+	"mimosarelay/core/config"
+	"mimosarelay/core/model"
+	"mimosarelay/core/store"
+	"mimosarelay/core/store/memstore"
+	"mimosarelay/io/peer/peerpb"
+)
+
+// noConfigPeers knows no document.
+type noConfigPeers struct{}
+
+func (noConfigPeers) GetConfig(context.Context, string, *peerpb.GetConfigRequest) (*peerpb.GetConfigResponse, error) {
+	return nil, fmt.Errorf("no peers: %w", model.ErrUnavailable)
+}
+
+func newContracts(s store.Store) *contracts.Service {
+	return contracts.New(contracts.Options{
+		Host: hostName(0), Store: s, Peers: noConfigPeers{},
+		PeerAddresses: func() []string { return nil },
+		Confirmed:     func() map[model.HostID]model.Revision { return nil },
+	})
+}
+
+func documentYAML(tb testing.TB, w, t int) []byte {
+	d, _ := newDocument(tb, w, t)
+	data, err := config.Marshal(d)
+	assert.NilError(tb, err)
+	return data
+}
+
+func parseSeries(size string, points []int, of func(int) (workspaces, targets int)) series {
+	return series{size: size, unit: "B", points: points, setup: func(tb testing.TB, n int) subject {
+		w, t := of(n)
+		data := documentYAML(tb, w, t)
+		return subject{float64(len(data)), func() {
+			_, err := config.Parse(data, "document")
+			assert.NilError(tb, err)
+		}}
+	}}
+}
+
+var (
+	documentByWorkspaces = register("DocumentByWorkspaces", parseSeries("workspaces", workspacePoints,
+		func(n int) (int, int) { return n, 40 }))
+	documentByTargets = register("DocumentByTargets", parseSeries("targets", []int{40, 150, 300, 600},
+		func(n int) (int, int) { return 46, n }))
+	snapshotMemory = register("SnapshotMemory", series{
+		size: "workspaces", unit: "heap-B", points: workspacePoints,
+		setup: func(tb testing.TB, n int) subject {
+			data := documentYAML(tb, n, 40)
+			return subject{value: heapOf(func() any {
+				d, err := config.Parse(data, "document")
+				assert.NilError(tb, err)
+				return config.NewSnapshot(d)
+			})}
+		},
+	})
+	authentication = register("Authentication", series{
+		size: "workspaces", points: workspacePoints,
+		setup: func(tb testing.TB, n int) subject {
+			d, secret := newDocument(tb, n, 40)
+			s := config.NewSnapshot(d)
+			return subject{run: func() {
+				w, _, ok := s.Authenticate(secret)
+				assert.Assert(tb, ok && w == workspaceName(n-1))
+			}}
+		},
+	})
+	// The operator's work for a change: read, check, archive and write.
+	changes = register("Changes", series{
+		size: "changes", unit: "store-calls", points: []int{4, 8, 16, 32},
+		setup: func(tb testing.TB, n int) subject {
+			counted := newCounting(memstore.New(clockwork.NewRealClock()).NewClient("bench"))
+			s := newContracts(counted)
+			data := documentYAML(tb, 46, 40)
+			var base model.Revision
+			change := func() {
+				text := fmt.Appendf(nil, "Revision: %d\n", base)
+				r, err := s.Apply(context.Background(), append(text, data[len("Revision: 1\n"):]...), base)
+				assert.NilError(tb, err)
+				base = r
+			}
+			for range n {
+				change()
+			}
+			return subject{float64(counted.total()), change}
+		},
+	})
+)
+
+func BenchmarkDocumentByWorkspaces(b *testing.B) { documentByWorkspaces.measure(b) }
+func BenchmarkDocumentByTargets(b *testing.B)    { documentByTargets.measure(b) }
+func BenchmarkSnapshotMemory(b *testing.B)       { snapshotMemory.measure(b) }
+func BenchmarkAuthentication(b *testing.B)       { authentication.measure(b) }
+func BenchmarkChanges(b *testing.B)              { changes.measure(b) }
+
+// BenchmarkDocumentFullScale measures a host that takes over a change at the
+// future scale.
+func BenchmarkDocumentFullScale(b *testing.B) {
+	s := newContracts(memstore.New(clockwork.NewRealClock()).NewClient("bench"))
+	data := documentYAML(b, workspaces, targets)
+	r := model.Revision(0)
+	for b.Loop() {
+		r++
+		text := fmt.Appendf(nil, "Revision: %d\n", r)
+		assert.NilError(b, s.Offer(r, append(text, data[len("Revision: 1\n"):]...)))
+	}
+	b.ReportMetric(float64(len(data)), "B")
+}
+
+// Guards against a configuration that the store refuses at the future scale.
+func TestDocumentFitsStore(t *testing.T) {
+	size := len(documentYAML(t, workspaces, targets))
+	assert.Assert(t, size <= store.MaxValue, "%d bytes", size)
+}
--- /dev/null
+++ b/bench/limits_test.go
@@ -0,0 +1,258 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"mimosarelay/app/limits"
+	"mimosarelay/core/config"
+	"mimosarelay/core/escrow"
+	"mimosarelay/core/model"
+	"mimosarelay/core/store"
+	"mimosarelay/core/store/memstore"
+	"mimosarelay/io/peer/peerpb"
+)
+
+// noPeers fails each transfer.
+type noPeers struct{}
+
+func (noPeers) MoveShare(context.Context, string, *peerpb.MoveShareRequest) (*peerpb.MoveShareResponse, error) {
+	return nil, fmt.Errorf("no peers: %w", model.ErrUnavailable)
+}
+
+func newMembership(n int) limits.Membership {
+	out := limits.Membership{Epoch: 1}
+	for i := range n {
+		m := newMember(i)
+		out.Members = append(out.Members, limits.Member{Host: m.Host, Incarnation: m.Incarnation, PeerAddress: m.PeerAddress})
+	}
+	out.Incarnation = out.Members[0].Incarnation
+	return out
+}
+
+func entryReports(tb testing.TB, m limits.Membership, w, perWorkspace int) []store.Entry {
+	var out []store.Entry
+	for i, x := range m.Members {
+		value, err := json.Marshal(limits.EntryReport{
+			Host: x.Host, Incarnation: x.Incarnation, Epoch: m.Epoch, Holdings: holdings(i, len(m.Members), w, perWorkspace),
+		})
+		assert.NilError(tb, err)
+		out = append(out, store.Entry{Key: limits.EnterPrefix + string(x.Host), Value: value, Version: 1})
+	}
+	return out
+}
+
+// settlement returns the round after one of n hosts was removed, and what it
+// was computed from.
+func settlement(tb testing.TB, n, w, perWorkspace int) (escrow.Shares, func() escrow.Round) {
+	reports := escrow.Reports{}
+	var receivers []model.HostID
+	for i := range n {
+		if i != 1 { // removed; host 0 holds a part of the first workspace
+			reports[hostName(i)] = holdings(i, n, w, perWorkspace)
+			receivers = append(receivers, hostName(i))
+		}
+	}
+	shares := escrow.Shares{Epoch: 1, ChangeID: uuid.NewString()}
+	names := workspaceNames(w)
+	run := func() escrow.Round {
+		r, err := escrow.Settle(reports, shares, receivers, names)
+		assert.NilError(tb, err)
+		return r
+	}
+	return shares, run
+}
+
+func sharesBytes(tb testing.TB, s escrow.Shares) float64 {
+	data, err := json.Marshal(s)
+	assert.NilError(tb, err)
+	return float64(len(data))
+}
+
+// sharesSeries is the value of Shares after the removal of one host.
+func sharesSeries(size string, points []int, of func(n int) (hosts, workspaces int)) series {
+	return series{size: size, unit: "B", points: points, setup: func(tb testing.TB, n int) subject {
+		h, w := of(n)
+		shares, run := settlement(tb, h, w, h)
+		shares.Rounds = []escrow.Round{run()}
+		return subject{sharesBytes(tb, shares), func() { sharesBytes(tb, shares) }}
+	}}
+}
+
+func startLimits(tb testing.TB, m limits.Membership, w int) *limits.Service {
+	clock := clockwork.NewRealClock()
+	s := limits.New(limits.Options{
+		Host: m.Members[0].Host, Clock: clock, Store: memstore.New(clock).NewClient("bench"), Peers: noPeers{},
+		MayAct: func() bool { return true },
+	})
+	tb.Cleanup(s.Close)
+	d := &config.Document{}
+	for i := range w {
+		d.Workspaces = append(d.Workspaces, config.Workspace{Name: workspaceName(i), Rate: 1e6, Burst: 1e6})
+	}
+	s.ContractsChanged(d)
+	s.EpochChanged(m)
+	return s
+}
+
+// newLimits returns the limits of a host that holds all shares, so that no
+// admission waits for a peer.
+func newLimits(tb testing.TB, w int) *limits.Service {
+	m := newMembership(1)
+	s := startLimits(tb, m, w)
+	round := escrow.Round{Grants: map[model.WorkspaceID]map[model.HostID]int64{}}
+	for i := range w {
+		round.Grants[workspaceName(i)] = map[model.HostID]int64{m.Members[0].Host: escrow.Whole}
+	}
+	value, err := json.Marshal(escrow.Shares{Epoch: m.Epoch, Rounds: []escrow.Round{round}})
+	assert.NilError(tb, err)
+	s.SharesChanged([]store.Entry{{Key: limits.SharesKey, Value: value, Version: 1}})
+	return s
+}
+
+// reportMemory is what a host keeps of the entry reports of all members.
+func reportMemory(tb testing.TB, n, w int) float64 {
+	m := newMembership(n)
+	entries := entryReports(tb, m, w, n)
+	return heapOf(func() any {
+		s := startLimits(tb, m, 1)
+		s.EntriesChanged(entries)
+		return s
+	})
+}
+
+var (
+	entryReport = register("EntryReport", series{
+		size: "workspaces", unit: "B", points: workspacePoints,
+		setup: func(tb testing.TB, n int) subject {
+			m := newMembership(hosts)
+			m.Members = m.Members[:1]
+			value := entryReports(tb, m, n, hosts)[0].Value
+			return subject{float64(len(value)), func() {
+				var r limits.EntryReport
+				assert.NilError(tb, json.Unmarshal(value, &r))
+			}}
+		},
+	})
+	sharesByHosts = register("SharesByHosts", sharesSeries("hosts", hostPoints,
+		func(n int) (int, int) { return n, 46 }))
+	sharesByWorkspaces = register("SharesByWorkspaces", sharesSeries("workspaces", workspacePoints,
+		func(n int) (int, int) { return 20, n }))
+	settleByHosts = register("SettleByHosts", series{
+		size: "hosts", points: hostPoints,
+		setup: func(tb testing.TB, n int) subject {
+			_, run := settlement(tb, n, 185, n)
+			return subject{run: func() { run() }}
+		},
+	})
+	settleByWorkspaces = register("SettleByWorkspaces", series{
+		size: "workspaces", points: workspacePoints,
+		setup: func(tb testing.TB, n int) subject {
+			_, run := settlement(tb, 85, n, 85)
+			return subject{run: func() { run() }}
+		},
+	})
+	// A settled epoch is checked twice a second by each host.
+	settledCheck = register("SettledCheck", series{
+		size: "hosts", points: hostPoints,
+		setup: func(tb testing.TB, n int) subject {
+			shares, run := settlement(tb, n, 185, n)
+			shares.Rounds = []escrow.Round{run()}
+			reports := escrow.Reports{}
+			var receivers []model.HostID
+			for i := range n {
+				if i != 1 {
+					reports[hostName(i)] = holdings(i, n, 185, n)
+					receivers = append(receivers, hostName(i))
+				}
+			}
+			names := workspaceNames(185)
+			return subject{run: func() {
+				r, err := escrow.Settle(reports, shares, receivers, names)
+				assert.NilError(tb, err)
+				assert.Equal(tb, len(r.Grants), 0)
+			}}
+		},
+	})
+	reportsByHosts = register("ReportsByHosts", series{
+		size: "hosts", unit: "heap-B", points: hostPoints,
+		setup: func(tb testing.TB, n int) subject {
+			m := newMembership(n)
+			entries := entryReports(tb, m, 185, n)
+			s := startLimits(tb, m, 1)
+			return subject{reportMemory(tb, n, 185), func() { s.EntriesChanged(entries) }}
+		},
+	})
+	workspaceMemory = register("WorkspaceMemory", series{
+		size: "workspaces", unit: "heap-B", points: workspacePoints,
+		setup: func(tb testing.TB, n int) subject {
+			return subject{value: heapOf(func() any { return newLimits(tb, n) })}
+		},
+	})
+	admission = register("Admission", series{
+		size: "workspaces", points: workspacePoints,
+		setup: func(tb testing.TB, n int) subject {
+			s, i := newLimits(tb, n), 0
+			return subject{run: func() {
+				assert.NilError(tb, s.Admit(context.Background(), workspaceName(i)))
+				i = (i + 1) % n
+			}}
+		},
+	})
+)
+
+func BenchmarkEntryReport(b *testing.B)        { entryReport.measure(b) }
+func BenchmarkSharesByHosts(b *testing.B)      { sharesByHosts.measure(b) }
+func BenchmarkSharesByWorkspaces(b *testing.B) { sharesByWorkspaces.measure(b) }
+func BenchmarkSettleByHosts(b *testing.B)      { settleByHosts.measure(b) }
+func BenchmarkSettleByWorkspaces(b *testing.B) { settleByWorkspaces.measure(b) }
+func BenchmarkSettledCheck(b *testing.B)       { settledCheck.measure(b) }
+func BenchmarkReportsByHosts(b *testing.B)     { reportsByHosts.measure(b) }
+func BenchmarkWorkspaceMemory(b *testing.B)    { workspaceMemory.measure(b) }
+func BenchmarkAdmission(b *testing.B)          { admission.measure(b) }
+
+// BenchmarkFullScale measures the values of limits at the future scale with all
+// hosts as holders and with the planned number of holders: all entry reports,
+// the first settlement and that after the removal of one host.
+func BenchmarkFullScale(b *testing.B) {
+	for _, perWorkspace := range []int{hosts, holders} {
+		b.Run(fmt.Sprintf("holders=%d", perWorkspace), func(b *testing.B) {
+			m := newMembership(hosts)
+			entries := entryReports(b, m, workspaces, perWorkspace)
+			total := 0
+			for _, e := range entries {
+				total += len(e.Value)
+			}
+			// Divide what the removed host held among as many holders.
+			round := escrow.Round{Grants: map[model.WorkspaceID]map[model.HostID]int64{}}
+			removed := holdings(1, hosts, workspaces, perWorkspace)
+			for w, units := range removed {
+				round.Grants[w] = map[model.HostID]int64{}
+				for i := range min(perWorkspace, hosts-1) {
+					round.Grants[w][hostName(i+2)] = units / int64(perWorkspace)
+				}
+			}
+			first := escrow.Round{Grants: map[model.WorkspaceID]map[model.HostID]int64{}}
+			for w := range workspaces {
+				grants := map[model.HostID]int64{}
+				for i := range perWorkspace {
+					grants[hostName(i)] = escrow.Whole / int64(perWorkspace)
+				}
+				first.Grants[workspaceName(w)] = grants
+			}
+			s := startLimits(b, m, workspaces)
+			for b.Loop() {
+				s.EntriesChanged(entries)
+			}
+			b.ReportMetric(float64(total), "reports-B")
+			b.ReportMetric(sharesBytes(b, escrow.Shares{Epoch: 1, Rounds: []escrow.Round{round}}), "shares-B")
+			b.ReportMetric(sharesBytes(b, escrow.Shares{Epoch: 1, Rounds: []escrow.Round{first}}), "first-shares-B")
+		})
+	}
+}
--- /dev/null
+++ b/bench/programs_test.go
@@ -0,0 +1,282 @@
+package bench
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"mimosarelay/app/programs"
+	"mimosarelay/core/model"
+	"mimosarelay/core/program"
+	"mimosarelay/core/store/memstore"
+	"mimosarelay/io/peer/peerpb"
+)
+
+// Sizes of a call. 130,000 tokens of history in 580 turns are 224 tokens, or
+// about 900 bytes, a turn at 4 bytes a token; the first turn of long programs
+// is larger.
+const (
+	bytesPerToken = 4
+	turnBytes     = 450 // of messages, and as many of the answer
+)
+
+// text returns words in the proportions of natural language, so that
+// compression is not flattered by repetition.
+func text(random *rand.Rand, size int) []byte {
+	zipf := rand.NewZipf(random, 1.1, 3, 20_000)
+	var out strings.Builder
+	for out.Len() < size {
+		n := zipf.Uint64()
+		for w := n*2654435761 + 97; w > 0; w /= 2411 {
+			out.WriteByte(byte('a' + w%26))
+		}
+		out.WriteByte(' ')
+	}
+	return []byte(out.String()[:size])
+}
+
+func programKey(i int) model.ProgramKey {
+	return model.ProgramKey{Workspace: workspaceName(i % workspaces), Program: model.ProgramID(fmt.Sprintf("program-%06d", i))}
+}
+
+// fingerprint is a hash, which compression can't shorten.
+func fingerprint(program, call int) model.Fingerprint {
+	return model.Fingerprint(fmt.Sprintf("%x", sha256.Sum256(fmt.Appendf(nil, "%d %d", program, call))))
+}
+
+// finish runs one call of a tree to its end.
+func finish(tb testing.TB, t *program.Tree, n int, random *rand.Rand, messages, answer []byte) {
+	now := time.Unix(int64(10*n), random.Int64N(1e9))
+	number, id := model.CallNumber(n), t.Root.Program
+	d := t.Admit(program.Request{
+		Program: id, Call: number, Fingerprint: fingerprint(random.Int(), n), Reserve: 4096, Messages: messages,
+	}, now)
+	assert.Equal(tb, d, program.Decision(program.Run{}))
+	assert.NilError(tb, t.Start(id, number))
+	assert.NilError(tb, t.Finish(id, number, program.Result{Answer: answer, ContentType: "application/json", Status: 200, Used: 200 + model.Tokens(random.IntN(1000))}, now))
+	t.Version = t.Version.Next(1)
+	assert.NilError(tb, t.Seal(program.ContentID{Program: id, Call: number}))
+}
+
+func newTree(tb testing.TB, i, turns, bytes int) *program.Tree {
+	random := rand.New(rand.NewPCG(uint64(i), 1))
+	t := program.New(programKey(i), program.Budget{}, time.Unix(0, 0))
+	for n := 1; n <= turns; n++ {
+		finish(tb, t, n, random, text(random, bytes/2), text(random, bytes/2))
+	}
+	return t
+}
+
+// copies returns the records that a replica holds of a tree.
+func copies(tb testing.TB, t *program.Tree) []program.Record {
+	head, err := t.Head()
+	assert.NilError(tb, err)
+	out := []program.Record{head}
+	for _, id := range t.ContentIDs() {
+		rs, err := t.Contents(id)
+		assert.NilError(tb, err)
+		out = append(out, rs...)
+	}
+	return out
+}
+
+// historySeries is the memory of one program by its tokens of history.
+func historySeries(replica bool) series {
+	return series{size: "tokens", unit: "heap-B", points: []int{8_000, 32_000, 65_000, 130_000}, setup: func(tb testing.TB, n int) subject {
+		turns := max(1, n*bytesPerToken/(2*turnBytes))
+		return subject{value: heapOf(func() any {
+			t := newTree(tb, 1, turns, 2*turnBytes)
+			if !replica {
+				return t
+			}
+			return copies(tb, t)
+		})}
+	}}
+}
+
+var (
+	headSize = register("HeadSize", series{
+		size: "turns", unit: "B", points: []int{36, 145, 290, 580},
+		setup: func(tb testing.TB, n int) subject {
+			t := newTree(tb, 1, n, 2*turnBytes)
+			head, err := t.Head()
+			assert.NilError(tb, err)
+			return subject{float64(len(head.Data)), func() {
+				_, err := t.Head()
+				assert.NilError(tb, err)
+			}}
+		},
+	})
+	headCheck = register("HeadCheck", series{
+		size: "turns", points: []int{36, 145, 290, 580},
+		setup: func(tb testing.TB, n int) subject {
+			head, err := newTree(tb, 1, n, 2*turnBytes).Head()
+			assert.NilError(tb, err)
+			return subject{run: func() {
+				_, err := program.Identify(head.Data)
+				assert.NilError(tb, err)
+			}}
+		},
+	})
+	contentSize = register("ContentSize", series{
+		size: "bytes", unit: "B", points: []int{400, 1600, 6400, 25_600},
+		setup: func(tb testing.TB, n int) subject {
+			t := newTree(tb, 1, 1, n)
+			id := t.ContentIDs()[0]
+			rs, err := t.Contents(id)
+			assert.NilError(tb, err)
+			return subject{float64(len(rs[0].Data)), func() {
+				_, err := t.Contents(id)
+				assert.NilError(tb, err)
+			}}
+		},
+	})
+	ownerHistory   = register("OwnerHistory", historySeries(false))
+	replicaHistory = register("ReplicaHistory", historySeries(true))
+	programMemory  = register("ProgramMemory", series{
+		size: "programs", unit: "heap-B", points: []int{144, 576, 1152, 2304},
+		setup: func(tb testing.TB, n int) subject {
+			return subject{value: heapOf(func() any {
+				out := make([]*program.Tree, n)
+				for i := range out {
+					out[i] = newTree(tb, i, 4, 2*turnBytes)
+				}
+				return out
+			})}
+		},
+	})
+	programCall = register("ProgramCall", series{
+		size: "turns", points: []int{36, 145, 290, 580},
+		setup: func(tb testing.TB, n int) subject {
+			return subject{run: newOwners(tb).at(tb, n)}
+		},
+	})
+	programCallByPrograms = register("ProgramCallByPrograms", series{
+		size: "programs", points: []int{36, 144, 288, 576},
+		setup: func(tb testing.TB, n int) subject {
+			o := newOwners(tb)
+			numbers := make([]int, n)
+			i := 0
+			call := func() {
+				numbers[i]++
+				o.call(tb, i, numbers[i])
+				i = (i + 1) % n
+			}
+			for range n {
+				call()
+			}
+			return subject{run: call}
+		},
+	})
+)
+
+func BenchmarkHeadSize(b *testing.B)              { headSize.measure(b) }
+func BenchmarkHeadCheck(b *testing.B)             { headCheck.measure(b) }
+func BenchmarkContentSize(b *testing.B)           { contentSize.measure(b) }
+func BenchmarkOwnerHistory(b *testing.B)          { ownerHistory.measure(b) }
+func BenchmarkReplicaHistory(b *testing.B)        { replicaHistory.measure(b) }
+func BenchmarkProgramMemory(b *testing.B)         { programMemory.measure(b) }
+func BenchmarkProgramCall(b *testing.B)           { programCall.measure(b) }
+func BenchmarkProgramCallByPrograms(b *testing.B) { programCallByPrograms.measure(b) }
+
+// owners are three hosts in three zones; the first owns all programs.
+type owners struct {
+	services map[string]*programs.Service
+	store    *counting
+}
+
+func newOwners(tb testing.TB) *owners {
+	clock := clockwork.NewRealClock()
+	o := &owners{services: map[string]*programs.Service{}, store: newCounting(memstore.New(clock).NewClient("bench"))}
+	ctx, cancel := context.WithCancel(context.Background())
+	t := programs.Topology{Epoch: 1}
+	for i := range 3 {
+		m := newMember(i)
+		t.Members = append(t.Members, programs.Member{
+			Host: m.Host, Incarnation: m.Incarnation, Zone: m.Zone, Address: m.PeerAddress,
+		})
+	}
+	t.OwnerOf = func(model.Shard) model.HostID { return hostName(0) }
+	t.ReplicasOf = func(model.Shard) []model.HostID { return hostNames(3) }
+	done := make(chan struct{}, len(t.Members))
+	for _, m := range t.Members {
+		s := programs.New(programs.Options{Store: o.store, Peers: o, Clock: clock, MayAct: func() bool { return true }})
+		o.services[m.Address] = s
+	}
+	for _, m := range t.Members {
+		s := o.services[m.Address]
+		go func() {
+			_ = s.Run(ctx) // ends with ctx
+			done <- struct{}{}
+		}()
+		own := t
+		own.Self = m.Host
+		s.EpochChanged(programs.Topology{}, own)
+	}
+	tb.Cleanup(func() {
+		cancel()
+		for range t.Members {
+			<-done
+		}
+		for _, s := range o.services {
+			s.Close()
+		}
+	})
+	return o
+}
+
+func (o *owners) first() *programs.Service { return o.services[newMember(0).PeerAddress] }
+
+// call runs one call of a program from start to end.
+func (o *owners) call(tb testing.TB, i, n int) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	body := content
+	d, err := o.first().Begin(ctx, programs.CallSpec{
+		Key: programKey(i), Call: model.CallNumber(n), Fingerprint: fingerprint(i, n),
+		Reserve: 4096, Messages: body,
+	})
+	assert.NilError(tb, err)
+	run, ok := d.(*programs.Run)
+	assert.Assert(tb, ok)
+	assert.NilError(tb, run.Started(ctx))
+	assert.NilError(tb, run.Finish(ctx, programs.Result{Answer: body, ContentType: "application/json", Status: 200, Used: 800}))
+}
+
+var content = text(rand.New(rand.NewPCG(1, 1)), turnBytes)
+
+// at returns a further call of a program that has had n turns. Each run adds a
+// turn, so benchmarks of it need a small fixed -benchtime.
+func (o *owners) at(tb testing.TB, n int) func() {
+	for c := range n {
+		o.call(tb, 0, c+1)
+	}
+	return func() {
+		n++
+		o.call(tb, 0, n)
+	}
+}
+
+func (o *owners) Replicate(ctx context.Context, a string, r *peerpb.ReplicateRequest) (*peerpb.ReplicateResponse, error) {
+	return o.services[a].HandleReplicate(ctx, r)
+}
+
+func (o *owners) TakeShards(ctx context.Context, a string, r *peerpb.TakeShardsRequest) (*peerpb.TakeShardsResponse, error) {
+	return o.services[a].HandleTakeShards(ctx, r)
+}
+
+func (o *owners) FetchRecords(ctx context.Context, a string, r *peerpb.FetchRecordsRequest) (*peerpb.FetchRecordsResponse, error) {
+	out := &peerpb.FetchRecordsResponse{}
+	err := o.services[a].HandleFetchRecords(ctx, r, func(m *peerpb.FetchRecordsResponse) error {
+		out.Records = append(out.Records, m.GetRecords()...)
+		return nil
+	})
+	return out, err
+}
--- /dev/null
+++ b/bench/series_test.go
@@ -0,0 +1,191 @@
+// Package bench measures how the cost of each role grows with hosts,
+// workspaces, programs and configuration changes. docs/CAPACITY.md holds the
+// figures and what follows from them.
+package bench
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// full runs the tests that count calls at the sizes of docs/CAPACITY.md.
+var full = flag.Bool("full", false, "run tests at the sizes of docs/CAPACITY.md")
+
+// subject is a quantity at one size. Either field may be zero.
+type subject struct {
+	value float64 // a size in the unit of the series
+	run   func()  // an operation whose time is measured
+}
+
+// series is a quantity at several sizes.
+type series struct {
+	size   string // what varies
+	unit   string // of subject.value
+	points []int
+	setup  func(tb testing.TB, n int) subject
+}
+
+// fit is the line y = Intercept + Slope x.
+type fit struct {
+	Intercept, Slope float64
+	R2               float64 // part of the variance that the line explains
+}
+
+// fitLine returns the least squares line. It needs two different values of x.
+func fitLine(x, y []float64) fit {
+	n := float64(len(x))
+	var mx, my, xx, xy, yy float64
+	for i := range x {
+		mx += x[i] / n
+		my += y[i] / n
+	}
+	for i := range x {
+		dx, dy := x[i]-mx, y[i]-my
+		xx, xy, yy = xx+dx*dx, xy+dx*dy, yy+dy*dy
+	}
+	f := fit{Slope: xy / xx}
+	f.Intercept = my - f.Slope*mx
+	f.R2 = 1
+	if yy > 0 {
+		f.R2 = xy * xy / (xx * yy)
+	}
+	return f
+}
+
+func (f fit) String() string {
+	return fmt.Sprintf("%.5g + %.5g x, R2 %.4f", f.Intercept, f.Slope, f.R2)
+}
+
+// measure runs a series as a benchmark and logs the fits.
+func (s series) measure(b *testing.B) {
+	var x, value, ns, cpu []float64
+	for _, n := range s.points {
+		b.Run(fmt.Sprintf("%s=%d", s.size, n), func(b *testing.B) {
+			subject := s.setup(b, n)
+			x = append(x, float64(n))
+			if s.unit != "" {
+				b.ReportMetric(subject.value, s.unit)
+				value = append(value, subject.value)
+			}
+			if subject.run == nil {
+				for b.Loop() {
+					continue // only the value counts
+				}
+				b.ReportMetric(0, "ns/op")
+				return
+			}
+			b.ReportAllocs()
+			var before time.Duration
+			started := false
+			for b.Loop() {
+				if !started {
+					before, started = processorTime(b), true
+				}
+				subject.run()
+			}
+			used := processorTime(b) - before
+			b.ReportMetric(float64(used.Nanoseconds())/float64(b.N), "cpu-ns/op")
+			ns = append(ns, float64(b.Elapsed().Nanoseconds())/float64(b.N))
+			cpu = append(cpu, float64(used.Nanoseconds())/float64(b.N))
+		})
+	}
+	for _, f := range []struct {
+		unit string
+		y    []float64
+	}{{s.unit, value}, {"ns/op", ns}, {"cpu-ns/op", cpu}} {
+		if len(f.y) == len(x) && len(x) > 1 {
+			fmt.Printf("FIT %s x=%s %s: %v\n", b.Name(), s.size, f.unit, fitLine(x, f.y))
+		}
+	}
+}
+
+// processorTime returns the user and system time of this process.
+func processorTime(tb testing.TB) time.Duration {
+	var u syscall.Rusage
+	assert.NilError(tb, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// heapOf returns the bytes that stay reachable after build, which returns what
+// holds them. It builds twice, because the first time fills caches and pools.
+func heapOf(build func() any) float64 {
+	first := build()
+	before := heapInUse()
+	kept := build()
+	after := heapInUse()
+	runtime.KeepAlive(build) // what it captured was counted before, too
+	runtime.KeepAlive(first)
+	runtime.KeepAlive(kept)
+	return max(0, after-before)
+}
+
+func heapInUse() float64 {
+	runtime.GC()
+	runtime.GC() // the second run frees what finalizers and pools kept
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// all lists every series, so that the tests run each of them.
+var all = map[string]series{}
+
+func stacksInUse() float64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.StackInuse)
+}
+
+// register adds a series to all.
+func register(name string, s series) series {
+	all[name] = s
+	return s
+}
+
+// Guards against series that stopped working, and against sizes that do not
+// grow with what they are measured over.
+func TestSeries(t *testing.T) {
+	for name, s := range all {
+		t.Run(name, func(t *testing.T) {
+			var values []float64
+			for _, n := range []int{s.points[0] / 4, s.points[0]} {
+				subject := s.setup(t, max(n, 1))
+				if subject.run != nil {
+					subject.run()
+				}
+				values = append(values, subject.value)
+			}
+			// Memory ("heap-B") is too noisy at these sizes to compare.
+			if s.unit == "B" {
+				assert.Assert(t, values[0] > 0 && values[1] > values[0], "%v", values)
+			}
+		})
+	}
+}
+
+// Guards against a wrong fit, on which all figures of docs/CAPACITY.md rest.
+func TestFitLine(t *testing.T) {
+	tests := map[string]struct {
+		x, y []float64
+		want fit
+	}{
+		"exact line": {[]float64{1, 2, 4}, []float64{5, 7, 11}, fit{3, 2, 1}},
+		"constant":   {[]float64{1, 2, 4}, []float64{5, 5, 5}, fit{5, 0, 1}},
+		"scattered":  {[]float64{0, 1, 2}, []float64{0, 2, 1}, fit{0.5, 0.5, 0.25}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := fitLine(tt.x, tt.y)
+			for _, d := range []float64{got.Intercept - tt.want.Intercept, got.Slope - tt.want.Slope, got.R2 - tt.want.R2} {
+				assert.Assert(t, math.Abs(d) < 1e-12, "%v", got)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/bench/storecalls_test.go
@@ -0,0 +1,163 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"mimosarelay/app/fleet"
+	"mimosarelay/core/model"
+	"mimosarelay/core/store"
+	"mimosarelay/core/store/memstore"
+	"mimosarelay/io/peer/peerpb"
+)
+
+// fleetOf runs n members on a fake clock with an in-memory store and network.
+type fleetOf struct {
+	store   *memstore.Store
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+	byPeer  map[string]*fleet.Service
+	clients []*counting
+	stops   []context.CancelFunc
+}
+
+func (f *fleetOf) Heartbeat(ctx context.Context, address string, r *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
+	f.mu.Lock()
+	s := f.byPeer[address]
+	f.mu.Unlock()
+	if s == nil {
+		return nil, fmt.Errorf("connection refused: %w", model.ErrUnavailable)
+	}
+	return s.HandleHeartbeat(ctx, r)
+}
+
+func (f *fleetOf) start(i, w int) *fleet.Service {
+	client := newCounting(f.store.NewClient(string(hostName(i))))
+	m := newMember(i)
+	s := fleet.New(fleet.Options{
+		Store: client, Peers: f, Clock: clockwork.NewRealClock(), Self: m,
+		Holdings:       func(model.Epoch) map[model.WorkspaceID]int64 { return holdings(i, hosts, w, hosts) },
+		ConfigRevision: func() model.Revision { return 1 },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	f.mu.Lock()
+	f.byPeer[m.PeerAddress] = s
+	f.clients = append(f.clients, client)
+	f.stops = append(f.stops, cancel)
+	f.mu.Unlock()
+	f.wg.Go(func() { _ = s.Run(ctx) }) // ends with ctx
+	return s
+}
+
+func (f *fleetOf) counts() tally {
+	var sum tally
+	for _, c := range f.clients {
+		t := c.counts()
+		sum.Reads += t.Reads
+		sum.Writes += t.Writes
+		sum.Renewals += t.Renewals
+		sum.Watches += t.Watches
+		sum.WatchBytes += t.WatchBytes
+		sum.WriteBytes += t.WriteBytes
+	}
+	return sum
+}
+
+func (t tally) minus(o tally) tally {
+	return tally{
+		t.Reads - o.Reads, t.Writes - o.Writes, t.Renewals - o.Renewals, t.Watches - o.Watches,
+		t.WatchBytes - o.WatchBytes, t.WriteBytes - o.WriteBytes,
+	}
+}
+
+// Guards against store calls of a settled host that go beyond one renewal a
+// second and one watch of 2 s at a time, which the figures of docs/CAPACITY.md
+// count on, and against more writes in an epoch than one report per host and
+// one change of the record. With -full it logs the slopes.
+func TestStoreCalls(t *testing.T) {
+	sizes, idle := []int{3, 6}, 10*time.Second
+	if *full {
+		sizes, idle = []int{8, 16, 32, 64}, 60*time.Second
+	}
+	var x, reads, watches, watchBytes []float64
+	for _, n := range sizes {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fleetOf{store: memstore.New(clockwork.NewRealClock()), byPeer: map[string]*fleet.Service{}}
+			for i := range n {
+				f.start(i, 4)
+			}
+			time.Sleep(time.Minute)
+			before := f.counts()
+			time.Sleep(idle)
+			still := f.counts().minus(before)
+			seconds := idle.Seconds() * float64(n)
+			t.Logf("%d hosts at rest, per host and second: %.2f renewals, %.2f watches, %.2f reads, %.2f writes",
+				n, float64(still.Renewals)/seconds, float64(still.Watches)/seconds, float64(still.Reads)/seconds, float64(still.Writes)/seconds)
+			assert.Assert(t, float64(still.Renewals) <= 1.1*seconds, "%+v", still)
+			assert.Assert(t, float64(still.Watches) <= 0.6*seconds, "%+v", still)
+			assert.Equal(t, still.Reads+still.Writes, 0)
+
+			before = f.counts()
+			f.stops[n-1]()
+			time.Sleep(10 * time.Second)
+			epoch := f.counts().minus(before)
+			rest := 10 * float64(n-1) / 2 // watches without a change
+			t.Logf("%d hosts, one killed: %d reads, %d writes, %d watches (%.0f more than at rest), %d bytes by watches",
+				n, epoch.Reads, epoch.Writes, epoch.Watches, float64(epoch.Watches)-rest, epoch.WatchBytes)
+			// One report of each remaining host, the record, and the removal
+			// of the old report; two hosts may write the record at once.
+			assert.Assert(t, epoch.Writes <= n+3, "%+v", epoch)
+			x = append(x, float64(n))
+			reads = append(reads, float64(epoch.Reads+epoch.Writes))
+			watches = append(watches, float64(epoch.Watches)-rest)
+			watchBytes = append(watchBytes, float64(epoch.WatchBytes))
+			for _, stop := range f.stops {
+				stop()
+			}
+			f.wg.Wait()
+		})
+	}
+	t.Logf("FIT reads and writes per epoch, x=hosts: %v", fitLine(x, reads))
+	t.Logf("FIT watch answers per epoch, x=hosts: %v", fitLine(x, watches))
+	t.Logf("FIT bytes of watch answers per epoch, x=hosts: %v", fitLine(x, watchBytes))
+}
+
+// Guards against a journal that writes more often than each 25 ms, the figure
+// that docs/CAPACITY.md counts on.
+func TestJournalWrites(t *testing.T) {
+	sizes := []int{1, 4}
+	if *full {
+		sizes = []int{1, 4, 16, 64}
+	}
+	for _, callers := range sizes {
+		o := newOwners(t)
+		started := time.Now()
+		const calls = 8
+		var wg sync.WaitGroup
+		for i := range callers {
+			wg.Go(func() {
+				for n := range calls {
+					o.call(t, i, n+1)
+					time.Sleep(25 * time.Millisecond)
+				}
+			})
+		}
+		wg.Wait()
+		elapsed := time.Since(started)
+		time.Sleep(60 * time.Millisecond) // the last group
+		c := o.store.counts()
+		t.Logf("%d programs, %d calls: %d journal writes in %v, %d bytes", callers, callers*calls, c.Writes, elapsed, c.WriteBytes)
+		assert.Assert(t, c.Writes > 0)
+		most := (elapsed+60*time.Millisecond)/(25*time.Millisecond) + 2
+		assert.Assert(t, c.Writes <= int(most), "%d writes in %v", c.Writes, elapsed)
+	}
+}
+
+var _ store.Store = (*counting)(nil)
