bench: report values after Loop, measure resting watches and shard spread

Cause: testing.B.Loop drops metrics reported before it, so sizes did not appear. Change: report after the loop; count the bytes of watches at rest; settled check at full size; shards per host.

--- a/bench/limits_test.go
+++ b/bench/limits_test.go
@@ -256,3 +256,26 @@
 		})
 	}
 }
+
+// BenchmarkSettledCheckFullScale measures the check of a settled epoch, which
+// each host repeats every 500 ms, at the future scale.
+func BenchmarkSettledCheckFullScale(b *testing.B) {
+	for _, perWorkspace := range []int{hosts, holders} {
+		b.Run(fmt.Sprintf("holders=%d", perWorkspace), func(b *testing.B) {
+			reports := escrow.Reports{}
+			for i := range hosts {
+				reports[hostName(i)] = holdings(i, hosts, workspaces, perWorkspace)
+			}
+			shares := escrow.Shares{Epoch: 1}
+			names, receivers := workspaceNames(workspaces), hostNames(hosts)
+			round, err := escrow.Settle(reports, shares, receivers, names)
+			assert.NilError(b, err)
+			shares.Rounds = []escrow.Round{round} // what the division left over
+			for b.Loop() {
+				r, err := escrow.Settle(reports, shares, receivers, names)
+				assert.NilError(b, err)
+				assert.Equal(b, len(r.Grants), 0)
+			}
+		})
+	}
+}
--- a/bench/membership_test.go
+++ b/bench/membership_test.go
@@ -1,6 +1,9 @@
 package bench
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -98,6 +101,27 @@
 func BenchmarkReplicaLookup(b *testing.B) { replicaLookup.measure(b) }
 func BenchmarkEpochEntry(b *testing.B)    { epochEntry.measure(b) }
 
+// BenchmarkShardSpread measures how evenly the shards are divided: the most
+// that one host owns and the hosts that own none.
+func BenchmarkShardSpread(b *testing.B) {
+	for _, n := range hostPoints {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			r := newRecord(b, n, 0)
+			owned := map[model.HostID]int{}
+			for b.Loop() {
+				clear(owned)
+				for s := range model.Shard(model.ShardCount) {
+					m, ok := r.Owner(s)
+					assert.Assert(b, ok)
+					owned[m.Host]++
+				}
+			}
+			b.ReportMetric(float64(slices.Max(slices.Collect(maps.Values(owned)))), "most-shards")
+			b.ReportMetric(float64(n-len(owned)), "idle-hosts")
+		})
+	}
+}
+
 // BenchmarkHeartbeatMessage measures the message without the transport.
 func BenchmarkHeartbeatMessage(b *testing.B) {
 	m := newMember(hosts - 1)
--- a/bench/series_test.go
+++ b/bench/series_test.go
@@ -71,8 +71,8 @@
 			subject := s.setup(b, n)
 			x = append(x, float64(n))
 			if s.unit != "" {
-				b.ReportMetric(subject.value, s.unit)
 				value = append(value, subject.value)
+				defer func() { b.ReportMetric(subject.value, s.unit) }() // Loop drops earlier metrics
 			}
 			if subject.run == nil {
 				for b.Loop() {
--- a/bench/storecalls_test.go
+++ b/bench/storecalls_test.go
@@ -86,7 +86,7 @@
 	if *full {
 		sizes, idle = []int{8, 16, 32, 64}, 60*time.Second
 	}
-	var x, reads, watches, watchBytes []float64
+	var x, resting, reads, watches, watchBytes []float64
 	for _, n := range sizes {
 		synctest.Test(t, func(t *testing.T) {
 			f := &fleetOf{store: memstore.New(clockwork.NewRealClock()), byPeer: map[string]*fleet.Service{}}
@@ -100,6 +100,8 @@
 			seconds := idle.Seconds() * float64(n)
 			t.Logf("%d hosts at rest, per host and second: %.2f renewals, %.2f watches, %.2f reads, %.2f writes",
 				n, float64(still.Renewals)/seconds, float64(still.Watches)/seconds, float64(still.Reads)/seconds, float64(still.Writes)/seconds)
+			t.Logf("%d hosts at rest, per host and second: %.0f bytes by watches", n, float64(still.WatchBytes)/seconds)
+			resting = append(resting, float64(still.WatchBytes)/seconds)
 			assert.Assert(t, float64(still.Renewals) <= 1.1*seconds, "%+v", still)
 			assert.Assert(t, float64(still.Watches) <= 0.6*seconds, "%+v", still)
 			assert.Equal(t, still.Reads+still.Writes, 0)
@@ -124,6 +126,7 @@
 			f.wg.Wait()
 		})
 	}
+	t.Logf("FIT bytes of watch answers at rest per host and second, x=hosts: %v", fitLine(x, resting))
 	t.Logf("FIT reads and writes per epoch, x=hosts: %v", fitLine(x, reads))
 	t.Logf("FIT watch answers per epoch, x=hosts: %v", fitLine(x, watches))
 	t.Logf("FIT bytes of watch answers per epoch, x=hosts: %v", fitLine(x, watchBytes))
