bench: settle and rest at full size

Cause: the refusal of Shares and the cost of unchanged watch answers were computed only. Change: tests that settle a new fleet and watch a member at rest; with -full at the future scale.

--- a/bench/heartbeat_test.go
+++ b/bench/heartbeat_test.go
@@ -67,8 +67,8 @@
 }
 
 // newFleetMember returns a running member of a fleet of n hosts, and the
-// heartbeat of the last other member.
-func newFleetMember(tb testing.TB, n int) (*fleet.Service, *peerpb.HeartbeatRequest) {
+// heartbeat of the last other member. The store holds the other entries.
+func newFleetMember(tb testing.TB, n int, others ...store.Entry) (*fleet.Service, *peerpb.HeartbeatRequest) {
 	s := memstore.New(clockwork.NewRealClock())
 	client := s.NewClient("bench")
 	record := newRecord(tb, n, 0)
@@ -83,6 +83,10 @@
 	assert.NilError(tb, err)
 	_, err = client.Put(ctx, "Membership", data, 0)
 	assert.NilError(tb, err)
+	for _, e := range others {
+		_, err := client.Put(ctx, e.Key, e.Value, 0)
+		assert.NilError(tb, err)
+	}
 	service := fleet.New(fleet.Options{
 		Store: client, Peers: silentPeers{}, Self: self,
 		ConfigRevision: func() model.Revision { return 1 },
--- a/bench/storecalls_test.go
+++ b/bench/storecalls_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,8 @@
 	"gotest.tools/v3/assert"
 
 	"mimosarelay/app/fleet"
+	"mimosarelay/app/limits"
+	"mimosarelay/core/config"
 	"mimosarelay/core/model"
 	"mimosarelay/core/store"
 	"mimosarelay/core/store/memstore"
@@ -163,4 +166,69 @@
 	}
 }
 
+// Guards against a settlement that does not reach the store. With -full it logs
+// up to which fleet the store accepts the first settlement.
+func TestFirstSettlement(t *testing.T) {
+	sizes := [][2]int{{5, 20}, {20, 46}}
+	if *full {
+		sizes = [][2]int{{20, workspaces}, {50, workspaces}, {60, workspaces}, {170, workspaces}, {hosts, workspaces}}
+	}
+	for _, size := range sizes {
+		n, w := size[0], size[1]
+		m := newMembership(n)
+		counted := newCounting(memstore.New(clockwork.NewRealClock()).NewClient("bench"))
+		s := limits.New(limits.Options{
+			Host: m.Members[0].Host, Clock: clockwork.NewRealClock(), Store: counted, Peers: noPeers{},
+			MayAct: func() bool { return true },
+		})
+		d := &config.Document{}
+		for _, name := range workspaceNames(w) {
+			d.Workspaces = append(d.Workspaces, config.Workspace{Name: name, Rate: 1, Burst: 1})
+		}
+		s.ContractsChanged(d)
+		s.EpochChanged(m)
+		s.EntriesChanged(entryReports(t, m, 0, n))
+		var dump limits.Dump
+		for range 100 {
+			if dump = s.Dump().(limits.Dump); dump.Rounds > 0 {
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		s.Close()
+		t.Logf("%d hosts, %d workspaces: %d rounds applied, share of the first workspace %d, writes %+v",
+			n, w, dump.Rounds, dump.Workspaces[workspaceName(0)].Fraction, counted.counts())
+		if !*full {
+			assert.Equal(t, dump.Rounds, 1)
+		}
+	}
+}
+
+// Guards against a member that does not know the holdings of all others. With
+// -full it logs what a member at rest costs.
+func TestMemberAtRest(t *testing.T) {
+	n, w, rest := 10, 46, 100*time.Millisecond
+	if *full {
+		n, w, rest = hosts, workspaces, 20*time.Second
+	}
+	for _, reported := range []int{0, w} {
+		m := newMembership(n)
+		var reports []store.Entry
+		for _, e := range entryReports(t, m, reported, n)[1:] {
+			e.Key = "Enter/" + strings.TrimPrefix(e.Key, limits.EnterPrefix)
+			reports = append(reports, e)
+		}
+		before := heapInUse()
+		s, _ := newFleetMember(t, n, reports...)
+		for _, e := range reports {
+			r := s.Dump().(fleet.State).Reports[model.HostID(strings.TrimPrefix(e.Key, "Enter/"))]
+			assert.Equal(t, len(r.Holdings), reported)
+		}
+		used := processorTime(t)
+		time.Sleep(rest)
+		t.Logf("%d hosts, reports of %d workspaces: %.2f %% of a core, %.1f MB including the store",
+			n, reported, 100*float64(processorTime(t)-used)/float64(rest), (heapInUse()-before)/1e6)
+	}
+}
+
 var _ store.Store = (*counting)(nil)
