--- a/bench/programs_test.go
+++ b/bench/programs_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -177,6 +178,68 @@
 	})
 )
 
+// emptyPeers hold no records and count the requests.
+type emptyPeers struct{ requests atomic.Int64 }
+
+func (e *emptyPeers) Replicate(context.Context, string, *peerpb.ReplicateRequest) (*peerpb.ReplicateResponse, error) {
+	return &peerpb.ReplicateResponse{}, nil
+}
+
+func (e *emptyPeers) TakeShards(context.Context, string, *peerpb.TakeShardsRequest) (*peerpb.TakeShardsResponse, error) {
+	e.requests.Add(1)
+	return &peerpb.TakeShardsResponse{}, nil
+}
+
+func (e *emptyPeers) FetchRecords(context.Context, string, *peerpb.FetchRecordsRequest) (*peerpb.FetchRecordsResponse, error) {
+	e.requests.Add(1)
+	return &peerpb.FetchRecordsResponse{}, nil
+}
+
+// takeover returns the requests to peers until a host of n has its shards.
+func takeover(tb testing.TB, n int) float64 {
+	record := newRecord(tb, n, 0)
+	t := programs.Topology{Epoch: 1, Self: hostName(0)}
+	for _, m := range record.Members {
+		t.Members = append(t.Members, programs.Member{Host: m.Host, Incarnation: m.Incarnation, Zone: m.Zone, Address: m.PeerAddress})
+	}
+	t.OwnerOf = func(s model.Shard) model.HostID {
+		m, _ := record.Owner(s)
+		return m.Host
+	}
+	t.ReplicasOf = func(model.Shard) []model.HostID { return hostNames(n) }
+	peers := &emptyPeers{}
+	clock := clockwork.NewRealClock()
+	counted := newCounting(memstore.New(clock).NewClient("bench"))
+	s := programs.New(programs.Options{Store: counted, Peers: peers, Clock: clock, MayAct: func() bool { return true }})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Run(ctx) // ends with ctx
+	}()
+	defer func() {
+		cancel()
+		<-done
+		s.Close()
+	}()
+	s.EpochChanged(programs.Topology{}, t)
+	for range 500 {
+		if counted.counts().Reads > 0 { // the journals come last
+			break
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	assert.Assert(tb, counted.counts().Reads > 0)
+	return float64(peers.requests.Load())
+}
+
+var takeovers = register("Takeover", series{
+	size: "hosts", unit: "requests", points: hostPoints,
+	setup: func(tb testing.TB, n int) subject { return subject{value: takeover(tb, n)} },
+})
+
+func BenchmarkTakeover(b *testing.B) { takeovers.measure(b) }
+
 func BenchmarkHeadSize(b *testing.B)              { headSize.measure(b) }
 func BenchmarkHeadCheck(b *testing.B)             { headCheck.measure(b) }
 func BenchmarkContentSize(b *testing.B)           { contentSize.measure(b) }
--- a/bench/storecalls_test.go
+++ b/bench/storecalls_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"testing"
@@ -166,6 +167,33 @@
 	}
 }
 
+// Guards against a journal that writes for each commit although several fall
+// into 25 ms. With -full it logs the writes of a host at the peak load.
+func TestJournalAtPeak(t *testing.T) {
+	const perSecond = 4400.0 / hosts // calls of one host
+	span, speed := 500*time.Millisecond, 10.0
+	if *full {
+		span, speed = 10*time.Second, 1
+	}
+	o := newOwners(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	started, calls := time.Now(), 0
+	var wg sync.WaitGroup
+	for time.Since(started) < span {
+		i := calls
+		calls++
+		// Each call belongs to another program, so that none waits.
+		wg.Go(func() { o.call(t, i, 1) })
+		time.Sleep(time.Duration(random.ExpFloat64() / (speed * perSecond) * float64(time.Second)))
+	}
+	wg.Wait()
+	elapsed := time.Since(started)
+	time.Sleep(60 * time.Millisecond) // the last group
+	writes := o.store.counts().Writes
+	t.Logf("%.1f calls a second: %.1f journal writes a second", float64(calls)/elapsed.Seconds(), float64(writes)/elapsed.Seconds())
+	assert.Assert(t, writes > 0 && writes < 2*calls, "%d writes of %d calls", writes, calls)
+}
+
 // Guards against a settlement that does not reach the store. With -full it logs
 // up to which fleet the store accepts the first settlement.
 func TestFirstSettlement(t *testing.T) {
