app/relay: share the begin, finish and abort of recorded calls

Cause: chat and service calls wrote the same four steps twice. Change: one file record.go for both. Conclusion: one place decides what a recorded call leaves behind.

--- a/app/relay/chat.go
+++ b/app/relay/chat.go
@@ -40,18 +40,12 @@
 	if r.Program == "" {
 		return s.attemptChat(ctx, c)
 	}
-	decision, err := s.Programs.Begin(ctx, c.spec())
-	if err != nil {
-		return nil, moved(err)
-	}
-	switch d := decision.(type) {
-	case *programs.Replay:
-		return replay(d), nil
-	case *programs.Run:
-		c.run = d
-		return s.attemptChat(ctx, c)
+	run, recorded, err := s.begin(ctx, c.spec())
+	if err != nil || recorded != nil {
+		return recorded, err
 	}
-	return nil, fmt.Errorf("unexpected decision %T", decision)
+	c.run = run
+	return s.attemptChat(ctx, c)
 }
 
 func (s *Service) newChatCall(r *Request) (*chatCall, error) {
@@ -86,11 +80,6 @@
 	}
 }
 
-func replay(d *programs.Replay) *Answer {
-	headers := []Header{{Name: "Content-Type", Value: d.Result.ContentType}, {Name: "Mimosarelay-Replayed", Value: "true"}}
-	return &Answer{Status: d.Result.Status, Headers: headers, Body: newBytesBody(d.Result.Answer), Length: len(d.Result.Answer)}
-}
-
 // attemptChat tries targets until one starts to answer.
 func (s *Service) attemptChat(ctx context.Context, c *chatCall) (*Answer, error) {
 	var err error
@@ -112,13 +101,7 @@
 var errTryNext = errors.New("try another target")
 
 func (s *Service) abortChat(ctx context.Context, c *chatCall, cause error) error {
-	if c.run != nil {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
-		defer cancel()
-		if err := c.run.Abort(ctx, c.ran); err != nil {
-			s.Log.Warn("abort not recorded", "request", c.request.ID, "error", err)
-		}
-	}
+	s.abort(ctx, c.request, c.run, c.ran)
 	if reason := context.Cause(ctx); errors.Is(reason, model.ErrUnauthorized) {
 		return model.NewRefusal(model.ErrUnauthorized, c.ran, "the key was withdrawn")
 	}
@@ -306,7 +289,7 @@
 	c.ran = model.RanYes
 	usage, _ := target.ParseUsage(body)
 	s.settle(c, usage)
-	if err := s.finish(ctx, c, programs.Result{Answer: body, ContentType: resp.ContentType(), Status: resp.Status(), Used: used(usage)}); err != nil {
+	if err := s.finish(ctx, c.run, programs.Result{Answer: body, ContentType: resp.ContentType(), Status: resp.Status(), Used: used(usage)}); err != nil {
 		return nil, err
 	}
 	headers := []Header{{Name: "Content-Type", Value: resp.ContentType()}}
@@ -318,13 +301,3 @@
 }
 
 func used(u target.Usage) model.Tokens { return u.PromptTokens + u.CompletionTokens }
-
-// finish commits the end of a call, even if its caller is gone.
-func (s *Service) finish(ctx context.Context, c *chatCall, result programs.Result) error {
-	if c.run == nil {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
-	defer cancel()
-	return c.run.Finish(ctx, result)
-}
--- /dev/null
+++ b/app/relay/record.go
@@ -0,0 +1,53 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+
+	"mimosarelay/app/programs"
+	"mimosarelay/core/model"
+)
+
+// begin asks whether a call may run. It returns the run, or the recorded
+// answer of a repeated call.
+func (s *Service) begin(ctx context.Context, spec programs.CallSpec) (*programs.Run, *Answer, error) {
+	decision, err := s.Programs.Begin(ctx, spec)
+	if err != nil {
+		return nil, nil, moved(err)
+	}
+	switch d := decision.(type) {
+	case *programs.Run:
+		return d, nil, nil
+	case *programs.Replay:
+		return nil, replay(d), nil
+	}
+	return nil, nil, fmt.Errorf("unexpected decision %T", decision)
+}
+
+func replay(d *programs.Replay) *Answer {
+	headers := []Header{{Name: "Content-Type", Value: d.Result.ContentType}, {Name: "Mimosarelay-Replayed", Value: "true"}}
+	return &Answer{Status: d.Result.Status, Headers: headers, Body: newBytesBody(d.Result.Answer), Length: len(d.Result.Answer)}
+}
+
+// finish commits the end of a call, even if its caller is gone. run is nil for
+// calls that are not recorded.
+func (s *Service) finish(ctx context.Context, run *programs.Run, result programs.Result) error {
+	if run == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
+	defer cancel()
+	return run.Finish(ctx, result)
+}
+
+// abort records the end of a call without an answer.
+func (s *Service) abort(ctx context.Context, r *Request, run *programs.Run, ran model.Ran) {
+	if run == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
+	defer cancel()
+	if err := run.Abort(ctx, ran); err != nil {
+		s.Log.Warn("abort not recorded", "request", r.ID, "error", err)
+	}
+}
--- a/app/relay/routing.go
+++ b/app/relay/routing.go
@@ -49,7 +49,7 @@
 
 func (s *Service) isNonIdempotent(r *Request) bool {
 	route, ok := s.Contracts.Current().Route(r.Route)
-	return r.Query == "" && r.Route != "" && !(ok && route.Repeatable)
+	return r.Query == "" && r.Route != "" && (!ok || !route.Repeatable)
 }
 
 // withEarlier corrects a refusal as not run if an earlier owner may have run
--- a/app/relay/service_call.go
+++ b/app/relay/service_call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -40,18 +39,12 @@
 	if !r.recorded() || r.Program == "" && route.Repeatable {
 		return s.attemptService(ctx, c, timeout)
 	}
-	decision, err := s.Programs.Begin(ctx, c.spec())
-	if err != nil {
-		return nil, moved(err)
-	}
-	switch d := decision.(type) {
-	case *programs.Replay:
-		return replay(d), nil
-	case *programs.Run:
-		c.run = d
-		return s.attemptService(ctx, c, timeout)
+	run, recorded, err := s.begin(ctx, c.spec())
+	if err != nil || recorded != nil {
+		return recorded, err
 	}
-	return nil, fmt.Errorf("unexpected decision %T", decision)
+	c.run = run
+	return s.attemptService(ctx, c, timeout)
 }
 
 func checkMethod(route config.Route, method string) error {
@@ -97,13 +90,7 @@
 }
 
 func (s *Service) abortService(ctx context.Context, c *serviceCall, cause error) error {
-	if c.run != nil {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
-		defer cancel()
-		if err := c.run.Abort(ctx, c.ran); err != nil {
-			s.Log.Warn("abort not recorded", "request", c.request.ID, "error", err)
-		}
-	}
+	s.abort(ctx, c.request, c.run, c.ran)
 	refusal := *asRefusal(cause, c.ran)
 	refusal.Ran = c.ran
 	if c.ran == model.RanUnknown && !c.route.Repeatable {
@@ -156,7 +143,7 @@
 		return nil, errors.Join(errTryNext, model.NewRefusal(model.ErrTargetFailed, c.ran, "target %q answered %d", t.Name, status))
 	}
 	c.ran = model.RanYes
-	if err := s.finishService(ctx, c, programs.Result{Answer: body, ContentType: contentType, Status: status}); err != nil {
+	if err := s.finish(ctx, c.run, programs.Result{Answer: body, ContentType: contentType, Status: status}); err != nil {
 		return nil, err
 	}
 	return &Answer{Status: status, Headers: headers, Body: newBytesBody(body), Length: len(body)}, nil
@@ -205,15 +192,6 @@
 	return errors.Join(errTryNext, failed)
 }
 
-func (s *Service) finishService(ctx context.Context, c *serviceCall, result programs.Result) error {
-	if c.run == nil {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
-	defer cancel()
-	return c.run.Finish(ctx, result)
-}
-
 func passedHeaders(resp *target.Response) []Header {
 	var headers []Header
 	for name, value := range resp.Headers() {
--- a/app/relay/stream.go
+++ b/app/relay/stream.go
@@ -86,7 +86,7 @@
 	b.settled = true
 	b.service.settle(b.call, usage)
 	b.record = append(b.record, event...)
-	err := b.service.finish(b.ctx, b.call, programs.Result{
+	err := b.service.finish(b.ctx, b.call.run, programs.Result{
 		Answer:      b.record,
 		ContentType: "text/event-stream",
 		Status:      fasthttp.StatusOK,
@@ -216,14 +216,7 @@
 		b.settled = true
 		b.service.leave(b.call, false)
 	}
-	if b.call.run == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(b.ctx), finishTimeout)
-	defer cancel()
-	if err := b.call.run.Abort(ctx, ran); err != nil {
-		b.service.Log.Warn("abort not recorded", "request", b.call.request.ID, "error", err)
-	}
+	b.service.abort(b.ctx, b.call.request, b.call.run, ran)
 	b.call.run = nil
 }
 
