Record only the new messages of a call

Cause: callers send all earlier messages again with each call, and each was recorded: a history of n turns took space in the order of n squared. Change: the owner remembers the number and hash of the messages of a program's latest recorded call; a request that starts with them records the rest. After a takeover the first call records all of them once. After: once, test TestHistoryKeepsEachMessageOnce. Conclusion: the record grows with the turns, nothing is left out.

--- a/app/relay/chat.go
+++ b/app/relay/chat.go
@@ -19,17 +19,18 @@
 
 // chatCall is one chat completion on its way.
 type chatCall struct {
-	request *Request
-	chat    *target.ChatRequest
-	body    []byte
-	print   model.Fingerprint
-	run     *programs.Run // nil outside programs
-	exclude []model.TargetID
-	place   Place
-	copies  *suspects.Run // of the current attempt
-	alone   bool
-	started bool
-	ran     model.Ran
+	request  *Request
+	chat     *target.ChatRequest
+	body     []byte
+	print    model.Fingerprint
+	prefixes []uint64      // hash of each leading part of the messages
+	run      *programs.Run // nil outside programs
+	exclude  []model.TargetID
+	place    Place
+	copies   *suspects.Run // of the current attempt
+	alone    bool
+	started  bool
+	ran      model.Ran
 }
 
 func (s *Service) runChat(ctx context.Context, r *Request) (*Answer, error) {
@@ -40,7 +41,7 @@
 	if r.Program == "" {
 		return s.attemptChat(ctx, c)
 	}
-	run, recorded, err := s.begin(ctx, c.spec())
+	run, recorded, err := s.begin(ctx, c.spec(s.bases.get(r.key())))
 	if err != nil || recorded != nil {
 		return recorded, err
 	}
@@ -64,11 +65,13 @@
 	if err != nil {
 		return nil, model.NewRefusal(model.ErrBadRequest, model.RanNo, "%v", err)
 	}
-	return &chatCall{request: r, chat: chat, body: body, print: fingerprint(body), ran: model.RanNo}, nil
+	return &chatCall{request: r, chat: chat, body: body, print: fingerprint(body), prefixes: prefixes(chat.Messages), ran: model.RanNo}, nil
 }
 
-func (c *chatCall) spec() programs.CallSpec {
-	messages, _ := json.Marshal(c.chat.Messages) // raw messages were parsed before
+// spec describes the call to package programs. base is the program's latest
+// recorded call.
+func (c *chatCall) spec(base turnBase) programs.CallSpec {
+	record, _ := json.Marshal(recordMessages(base, c.chat.Messages, c.prefixes)) // raw messages were parsed before
 	return programs.CallSpec{
 		Key:         c.request.key(),
 		Parent:      c.request.Parent,
@@ -76,7 +79,7 @@
 		Fingerprint: c.print,
 		Reserve:     c.chat.PromptBound() + c.chat.MaxTokens,
 		Idempotent:  true,
-		Messages:    messages,
+		Messages:    record,
 	}
 }
 
@@ -165,7 +168,7 @@
 		Exclude:     c.exclude,
 		Prompt:      c.chat.PromptBound(),
 		MaxTokens:   c.chat.MaxTokens,
-		Prefixes:    prefixes(c.chat.Messages),
+		Prefixes:    c.prefixes,
 		Fingerprint: c.print,
 	}
 }
@@ -289,13 +292,23 @@
 	c.ran = model.RanYes
 	usage, _ := target.ParseUsage(body)
 	s.settle(c, usage)
-	if err := s.finish(ctx, c.run, programs.Result{Answer: body, ContentType: resp.ContentType(), Status: resp.Status(), Used: used(usage)}); err != nil {
+	if err := s.finishChat(ctx, c, programs.Result{Answer: body, ContentType: resp.ContentType(), Status: resp.Status(), Used: used(usage)}); err != nil {
 		return nil, err
 	}
 	headers := []Header{{Name: "Content-Type", Value: resp.ContentType()}}
 	return &Answer{Status: resp.Status(), Headers: headers, Body: newBytesBody(body), Length: len(body)}, nil
 }
 
+// finishChat commits the answer and remembers the messages that it covers.
+func (s *Service) finishChat(ctx context.Context, c *chatCall, result programs.Result) error {
+	if err := s.finish(ctx, c.run, result); err != nil || c.run == nil {
+		return err
+	}
+	n := len(c.prefixes)
+	s.bases.set(c.request.key(), turnBase{call: c.request.Call, count: n, prefix: c.prefixes[n-1]})
+	return nil
+}
+
 func placeUsage(u target.Usage) placement.Usage {
 	return placement.Usage{Prompt: u.PromptTokens, Cached: u.Details.CachedTokens, Completion: u.CompletionTokens}
 }
--- a/app/relay/query.go
+++ b/app/relay/query.go
@@ -6,25 +6,8 @@
 	"net/http"
 
 	"mimosarelay/core/model"
-	"mimosarelay/core/program"
 )
 
-// programHistory is the answer to QueryHistory.
-type programHistory struct {
-	Program model.ProgramID
-	Turns   []historyTurn
-}
-
-// historyTurn is one finished call. Messages and Answer are text as it was
-// exchanged with the caller.
-type historyTurn struct {
-	Call        model.CallNumber
-	Messages    string
-	Answer      string
-	ContentType string
-	Status      int
-}
-
 // runQuery answers a question about a program that this host owns.
 func (s *Service) runQuery(ctx context.Context, r *Request) (*Answer, error) {
 	if err := s.checkRight(r); err != nil {
@@ -51,8 +34,7 @@
 	case QueryState:
 		return s.Programs.State(key)
 	case QueryHistory:
-		turns, err := s.Programs.History(key)
-		return programHistory{Program: r.Program, Turns: historyTurns(turns)}, err
+		return s.history(r, key)
 	case QueryOutcome:
 		return s.Programs.Outcome(key, r.Call)
 	case QueryEnd:
@@ -64,13 +46,11 @@
 	return nil, model.NewRefusal(model.ErrBadRequest, model.RanNo, "unknown query %q", r.Query)
 }
 
-func historyTurns(turns []program.Turn) []historyTurn {
-	list := make([]historyTurn, 0, len(turns))
-	for _, t := range turns {
-		list = append(list, historyTurn{
-			Call: t.Call, Messages: string(t.Messages), Answer: string(t.Answer),
-			ContentType: t.ContentType, Status: t.Status,
-		})
+func (s *Service) history(r *Request, key model.ProgramKey) (programHistory, error) {
+	turns, err := s.Programs.History(key)
+	if err != nil {
+		return programHistory{}, err
 	}
-	return list
+	list, err := historyTurns(turns)
+	return programHistory{Program: r.Program, Turns: list}, err
 }
--- a/app/relay/service.go
+++ b/app/relay/service.go
@@ -52,6 +52,7 @@
 type Service struct {
 	Options
 	metrics metrics
+	bases   *turnBases
 }
 
 type metrics struct {
@@ -73,7 +74,7 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
-	return &Service{Options: o, metrics: newMetrics(o.Scope.SubScope("calls"))}
+	return &Service{Options: o, metrics: newMetrics(o.Scope.SubScope("calls")), bases: newTurnBases()}
 }
 
 func newMetrics(s tally.Scope) metrics {
--- a/app/relay/service_call.go
+++ b/app/relay/service_call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"strings"
@@ -60,6 +61,7 @@
 
 func (c *serviceCall) spec() programs.CallSpec {
 	r := c.request
+	record, _ := json.Marshal(recordedRequest{Body: r.Body}) // bytes always marshal
 	return programs.CallSpec{
 		Key:            r.key(),
 		Parent:         r.Parent,
@@ -67,7 +69,7 @@
 		IdempotencyKey: r.IdempotencyKey,
 		Fingerprint:    fingerprint([]byte(r.Route), []byte(r.Method), []byte(r.Path), r.Body),
 		Idempotent:     c.route.Repeatable,
-		Messages:       r.Body,
+		Messages:       record,
 	}
 }
 
--- a/app/relay/stream.go
+++ b/app/relay/stream.go
@@ -86,7 +86,7 @@
 	b.settled = true
 	b.service.settle(b.call, usage)
 	b.record = append(b.record, event...)
-	err := b.service.finish(b.ctx, b.call.run, programs.Result{
+	err := b.service.finishChat(b.ctx, b.call, programs.Result{
 		Answer:      b.record,
 		ContentType: "text/event-stream",
 		Status:      fasthttp.StatusOK,
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -79,6 +80,27 @@
 	assert.Assert(t, strings.Contains(history.body, "second"), history.body)
 }
 
+// Guards against a history that grows with the square of its turns, and against
+// messages that are missing from it.
+func TestHistoryKeepsEachMessageOnce(t *testing.T) {
+	s := newSite(t, engine.Options{})
+	var messages []string
+	for n := 1; n <= 4; n++ {
+		messages = append(messages, fmt.Sprintf(`{"role":"user","content":"question-%d"}`, n))
+		body := fmt.Sprintf(`{"model":%q,"messages":[%s],"max_tokens":5}`, engine.DefaultModel, strings.Join(messages, ","))
+		a := s.do("POST", "/v1/chat/completions", body, "Mimosarelay-Program", "p1", "Mimosarelay-Call", strconv.Itoa(n))
+		assert.Equal(t, a.status, http.StatusOK, a.body)
+		messages = append(messages, fmt.Sprintf(`{"role":"assistant","content":"answer-%d"}`, n))
+	}
+	// The caller replaces its history: nothing before is a prefix any more.
+	body := fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":"summary"}],"max_tokens":5}`, engine.DefaultModel)
+	assert.Equal(t, s.do("POST", "/v1/chat/completions", body, "Mimosarelay-Program", "p1", "Mimosarelay-Call", "5").status, http.StatusOK)
+	history := s.do("GET", "/v1/programs/p1/history", "").body
+	for _, text := range []string{"question-1", "question-2", "question-3", "question-4", "answer-3", "summary"} {
+		assert.Equal(t, strings.Count(history, text), 1, history)
+	}
+}
+
 // Guards against answers cut by a target that are passed on as whole.
 func TestHalfAnswerIsResumedOrMarked(t *testing.T) {
 	s := newSite(t, engine.Options{})
