--- a/app/limits/fleet_test.go
+++ b/app/limits/fleet_test.go
@@ -97,6 +97,8 @@
 	faulty      bool // messages are lost, doubled and late
 	creditTwice bool // the wrong variant
 	started     int
+	began       time.Time
+	messages    map[string]int // asks per workspace
 	wg          sync.WaitGroup
 	done        chan struct{}
 }
@@ -105,6 +107,7 @@
 	f := &testFleet{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), nodes: map[model.HostID]*node{},
 		reports: map[model.HostID]EntryReport{}, store: &memoryStore{}, document: document, done: make(chan struct{}),
+		began: time.Now(), messages: map[string]int{},
 	}
 	for i := range hostCount {
 		f.start(model.HostID(fmt.Sprintf("h%d", i)))
@@ -140,6 +143,15 @@
 	f.nodes[h] = n
 }
 
+// logMessages reports the asks per second of each workspace.
+func (f *testFleet) logMessages() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, n := range f.messages {
+		f.t.Logf("workspace %q: %.1f asks per second", id, float64(n)/time.Since(f.began).Seconds())
+	}
+}
+
 func (f *testFleet) float() float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -167,6 +179,9 @@
 // MoveShare implements Peers with the faults of the fleet.
 func (n *node) MoveShare(ctx context.Context, address string, r *peerpb.MoveShareRequest) (*peerpb.MoveShareResponse, error) {
 	f := n.fleet
+	f.mu.Lock()
+	f.messages[r.GetWorkspace()]++
+	f.mu.Unlock()
 	time.Sleep(oneWay)
 	to := f.node(model.HostID(address))
 	fault := f.float()
@@ -209,7 +224,7 @@
 	defer s.mu.Unlock()
 	id := model.WorkspaceID(request.GetWorkspace())
 	if s.ledger.Ask(s.ledger.Epoch(), again.TransferId, id) == nil {
-		s.credit(id, &peerState{}, again)
+		s.credit(id, &peerState{}, 0, again)
 	}
 }
 
@@ -325,15 +340,15 @@
 	f.newEpoch()
 }
 
-// total returns the shares that the hosts of the newest epoch hold.
-func (f *testFleet) total(id model.WorkspaceID) int64 {
+// total returns the shares that the hosts of the newest epoch hold in an account.
+func (f *testFleet) total(account model.WorkspaceID) int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var sum int64
 	for _, n := range f.nodes {
 		n.service.mu.Lock()
 		if n.service.ledger.Epoch() == f.epoch && n.service.member && !n.dead {
-			sum += n.service.ledger.Held(id)
+			sum += n.service.ledger.Held(account)
 		}
 		n.service.mu.Unlock()
 	}
--- a/app/limits/gather.go
+++ b/app/limits/gather.go
@@ -19,24 +19,19 @@
 )
 
 // A peer that gave nothing or failed is asked again after a pause that doubles
-// from minPause to maxPause. The upper bound leaves several attempts within
-// LimitWait.
+// from minPause to maxPause. The upper bound is less than the time for which an
+// idle peer holds its refill.
 const (
 	minPause = 20 * time.Millisecond
-	maxPause = 320 * time.Millisecond
+	maxPause = 200 * time.Millisecond
 )
 
-// soonPart divides LimitWait into the time within which a waiting request keeps
-// its share because refill alone serves it. Without this bound, two hosts with
-// waiting requests moved up to 33 times the whole share per second between them
-// and lost the refill during each move.
-const soonPart = 4
-
 // peerState is what this host remembers of a peer for one workspace and epoch.
 type peerState struct {
 	// open is the id of a transfer whose answer was lost. It is asked for
-	// again, so that its fraction is not lost for the rest of the epoch.
+	// again, so that its shares are not lost for the rest of the epoch.
 	open  string
+	room  int64 // micro tokens reserved for the open transfer
 	pause time.Duration
 	next  time.Time // not asked before
 }
@@ -89,7 +84,8 @@
 	defer s.mu.Unlock()
 	now := s.options.Clock.Now()
 	want := int64(len(ws.waiters))*limit.Token - ws.bucket.Level(now)
-	peers := s.candidates(id, ws, want > 0)
+	held := s.ledger.Held(id) == escrow.Whole && s.ledger.Held(escrow.BurstAccount(id)) == escrow.Whole
+	peers := s.candidates(id, ws, want > 0 && !held)
 	if s.closed || !s.member || s.workspaces[id] != ws || len(peers) == 0 {
 		ws.gathering = false
 		return nil, 0
@@ -108,6 +104,7 @@
 			return nil, 0
 		}
 		state.open = a.transfer
+		ws.reserve(now, state, s.room(ws, state, want))
 	}
 	a.request = &peerpb.MoveShareRequest{
 		Sender: &peerpb.Sender{
@@ -118,10 +115,34 @@
 		Workspace:       string(id),
 		WantMicroTokens: max(0, want),
 		TransferId:      a.transfer,
+		RoomMicroTokens: state.room,
+	}
+	if len(ws.waiters) > 0 {
+		a.request.WantCapacityMicroTokens = max(0, limit.Token-ws.bucket.Capacity())
+		a.request.WaitingSinceUnixUs = ws.waiters[0].since.UnixMicro()
 	}
 	return a, 0
 }
 
+// room returns the capacity to reserve for a transfer: what the refill of this
+// host does not need until the answer. A peer that failed gets none, because the
+// reservation lasts until its answer or the next epoch.
+func (s *Service) room(ws *workspace, state *peerState, want int64) int64 {
+	if state.pause > 0 || want <= 0 {
+		return 0
+	}
+	now := s.options.Clock.Now()
+	return max(0, ws.bucket.Capacity()-ws.bucket.Level(now)-ws.bucket.Refill(s.options.AskTimeout))
+}
+
+// reserve sets the room of a peer. The reservations of all peers cover the
+// tokens in flight to this host.
+func (ws *workspace) reserve(now time.Time, state *peerState, room int64) {
+	other := ws.bucket.Reserved() - state.room
+	state.room = room
+	ws.bucket.Reserve(now, other+room)
+}
+
 // candidates returns the peers to ask, those that are due first, else in an
 // order that differs between asking hosts and workspaces. Unless all is set,
 // only peers with a missing answer count. The caller holds mu.
@@ -172,35 +193,38 @@
 		state.backOff(s.options.Clock.Now())
 		return
 	}
-	s.credit(id, state, response)
+	s.credit(id, state, a.request.GetWantMicroTokens(), response)
 }
 
 // credit adds a received transfer. The caller holds mu.
-func (s *Service) credit(id model.WorkspaceID, state *peerState, r *peerpb.MoveShareResponse) {
+func (s *Service) credit(id model.WorkspaceID, state *peerState, want int64, r *peerpb.MoveShareResponse) {
 	now := s.options.Clock.Now()
 	state.open = ""
-	transfer := escrow.Transfer{ID: r.GetTransferId(), Workspace: id, Fraction: r.GetFraction()}
+	ws, ok := s.workspaces[id]
+	if ok {
+		ws.reserve(now, state, 0)
+	}
+	transfer := escrow.Transfer{ID: r.GetTransferId(), Workspace: id, Rate: r.GetRateFraction(), Burst: r.GetBurstFraction()}
 	if err := s.ledger.Credit(s.ledger.Epoch(), transfer); err != nil {
 		slog.Warn("transfer refused", "workspace", id, "transfer", transfer.ID, "error", err)
 		s.ledger.Forget(transfer.ID)
 		state.backOff(now)
 		return
 	}
-	if ws, ok := s.workspaces[id]; ok {
-		ws.bucket.SetFraction(now, s.ledger.Held(id))
+	if ok {
+		s.resizeOne(now, id, ws)
 		ws.bucket.Deposit(now, r.GetMicroTokens())
 		ws.wakeFirst()
 	}
-	if r.GetFraction() == 0 {
+	switch {
+	case r.GetMicroTokens() >= want:
+		state.pause, state.next = 0, now
+	case r.GetMicroTokens() == 0 && transfer.Rate == 0 && transfer.Burst == 0:
 		state.backOff(now)
-		return
-	}
-	state.pause = 0
-	state.next = now
-	if r.GetMicroTokens() == 0 {
-		// Asking again at once for ever smaller parts cost up to 1,000
-		// messages per second and brought no token.
-		state.next = now.Add(minPause)
+	default:
+		// Asking again at once for ever smaller parts cost up to 1,000 messages
+		// per second and brought no token.
+		state.pause, state.next = 0, now.Add(minPause)
 	}
 }
 
@@ -219,8 +243,11 @@
 // debited before the answer is returned. A repeat of a transfer id returns the
 // same transfer.
 func (s *Service) HandleMoveShare(_ context.Context, r *peerpb.MoveShareRequest) (*peerpb.MoveShareResponse, error) {
-	if r.GetTransferId() == "" || r.GetWorkspace() == "" || r.GetWantMicroTokens() < 0 {
-		return nil, fmt.Errorf("%w: workspace %q, transfer %q, want %d", errRequest, r.GetWorkspace(), r.GetTransferId(), r.GetWantMicroTokens())
+	if r.GetTransferId() == "" || r.GetWorkspace() == "" {
+		return nil, fmt.Errorf("%w: workspace %q, transfer %q", errRequest, r.GetWorkspace(), r.GetTransferId())
+	}
+	if r.GetWantMicroTokens() < 0 || r.GetRoomMicroTokens() < 0 || r.GetWantCapacityMicroTokens() < 0 {
+		return nil, fmt.Errorf("%w: want %d, room %d, capacity %d", errRequest, r.GetWantMicroTokens(), r.GetRoomMicroTokens(), r.GetWantCapacityMicroTokens())
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -245,9 +272,10 @@
 			Incarnation: string(s.membership.Incarnation),
 			Epoch:       uint64(epoch),
 		},
-		TransferId:  transfer.ID,
-		Fraction:    transfer.Fraction,
-		MicroTokens: transfer.MicroTokens,
+		TransferId:    transfer.ID,
+		RateFraction:  transfer.Rate,
+		BurstFraction: transfer.Burst,
+		MicroTokens:   transfer.MicroTokens,
 	}, nil
 }
 
@@ -256,34 +284,45 @@
 	id := model.WorkspaceID(r.GetWorkspace())
 	transfer := escrow.Transfer{ID: r.GetTransferId(), Workspace: id}
 	ws, ok := s.workspaces[id]
+	now := s.options.Clock.Now()
 	if ok {
-		now := s.options.Clock.Now()
-		g := s.giver(ws, now, host, r.GetWantMicroTokens())
-		transfer.Fraction, transfer.MicroTokens = limit.Give(g, r.GetWantMicroTokens())
+		gift := limit.Give(s.giver(ws, now, host, r), limit.Ask{
+			Want:     r.GetWantMicroTokens(),
+			Room:     r.GetRoomMicroTokens(),
+			Capacity: r.GetWantCapacityMicroTokens(),
+		})
+		transfer.Rate, transfer.Burst, transfer.MicroTokens = gift.Rate, gift.Burst, gift.MicroTokens
 	}
 	if err := s.ledger.Debit(epoch, transfer); err != nil {
 		return escrow.Transfer{}, err
 	}
-	if ok && transfer.Fraction > 0 {
-		now := s.options.Clock.Now()
+	if ok {
 		ws.bucket.Withdraw(now, transfer.MicroTokens)
-		ws.bucket.SetFraction(now, s.ledger.Held(id))
-		ws.wakeFirst()
+		s.resizeOne(now, id, ws)
 	}
 	return transfer, nil
 }
 
-func (s *Service) giver(ws *workspace, now time.Time, asker model.HostID, want int64) limit.Giver {
-	level := ws.bucket.Level(now)
-	own := int64(len(ws.waiters))*limit.Token - level
-	refill, ok := ws.bucket.Wait(now, limit.Token)
-	soon := ok && refill <= s.options.LimitWait/soonPart
+func (s *Service) giver(ws *workspace, now time.Time, asker model.HostID, r *peerpb.MoveShareRequest) limit.Giver {
 	return limit.Giver{
 		Contract: ws.bucket.Contract(),
-		Fraction: ws.bucket.Fraction(),
-		Level:    level,
+		Rate:     ws.bucket.Rate(),
+		Burst:    ws.bucket.Burst(),
+		Level:    ws.bucket.Level(now),
+		Reserved: ws.bucket.Reserved(),
 		Demand:   ws.demand.Rate(now),
 		Waiting:  len(ws.waiters),
-		Yields:   !soon && limit.Yields(own, want, string(s.options.Host), string(asker)),
+		Yields:   len(ws.waiters) > 0 && s.yields(ws, asker, r.GetWaitingSinceUnixUs()),
 	}
 }
+
+// yields reports whether the requests of the asker go before those that wait
+// here: the oldest request in the fleet goes first. Wall clocks that differ make
+// the order less fair, but it is the same on all hosts, so of two hosts that each
+// hold a part of a token one always completes it.
+func (s *Service) yields(ws *workspace, asker model.HostID, since int64) bool {
+	return cmp.Or(
+		cmp.Compare(since, ws.waiters[0].since.UnixMicro()),
+		cmp.Compare(asker, s.options.Host),
+	) < 0
+}
--- a/app/limits/limits.go
+++ b/app/limits/limits.go
@@ -58,7 +58,7 @@
 	Host        model.HostID
 	Incarnation model.Incarnation
 	Epoch       model.Epoch
-	Holdings    map[model.WorkspaceID]int64 // units of 2^-30
+	Holdings    map[model.WorkspaceID]int64 // units of 2^-30 by escrow account
 }
 
 // Peers sends requests to other hosts. Implemented by io/peer.
@@ -116,7 +116,10 @@
 }
 
 // waiter is a request without a token. wake has room for one signal.
-type waiter struct{ wake chan struct{} }
+type waiter struct {
+	since time.Time
+	wake  chan struct{}
+}
 
 // New returns a Service without holdings. Close ends its background work.
 func New(options Options) *Service {
@@ -157,7 +160,7 @@
 	if !s.options.MayAct() {
 		return noRight()
 	}
-	w := &waiter{wake: make(chan struct{}, 1)}
+	w := &waiter{since: s.options.Clock.Now(), wake: make(chan struct{}, 1)}
 	if err := s.enqueue(id, w); err != nil {
 		return err
 	}
@@ -317,7 +320,7 @@
 			continue
 		}
 		s.workspaces[c.Name] = &workspace{
-			bucket: limit.NewBucket(now, contract, s.ledger.Held(c.Name)),
+			bucket: limit.NewBucket(now, contract, s.ledger.Held(c.Name), s.ledger.Held(escrow.BurstAccount(c.Name))),
 			peers:  map[model.HostID]*peerState{},
 		}
 	}
@@ -353,7 +356,9 @@
 		slog.Error("epoch not entered", "epoch", current.Epoch, "error", err)
 	}
 	for _, ws := range s.workspaces {
+		// Transfers of older epochs can no longer be credited.
 		ws.peers = map[model.HostID]*peerState{}
+		ws.bucket.Reserve(s.options.Clock.Now(), 0)
 	}
 	s.applyRounds()
 	s.resize()
@@ -373,10 +378,15 @@
 func (s *Service) resize() {
 	now := s.options.Clock.Now()
 	for id, ws := range s.workspaces {
-		if held := s.ledger.Held(id); held != ws.bucket.Fraction() {
-			ws.bucket.SetFraction(now, held)
-			ws.wakeFirst()
-		}
+		s.resizeOne(now, id, ws)
+	}
+}
+
+func (s *Service) resizeOne(now time.Time, id model.WorkspaceID, ws *workspace) {
+	rate, burst := s.ledger.Held(id), s.ledger.Held(escrow.BurstAccount(id))
+	if rate != ws.bucket.Rate() || burst != ws.bucket.Burst() {
+		ws.bucket.SetFractions(now, rate, burst)
+		ws.wakeFirst()
 	}
 }
 
@@ -402,8 +412,10 @@
 
 // WorkspaceDump is the state of one workspace on one host.
 type WorkspaceDump struct {
-	Fraction    int64 // units of 2^-30
+	Rate        int64 // units of 2^-30
+	Burst       int64 // units of 2^-30
 	MicroTokens int64
+	Reserved    int64 // micro tokens
 	Waiting     int
 	Demand      float64 // requests per second
 }
@@ -421,8 +433,10 @@
 	}
 	for id, ws := range s.workspaces {
 		d.Workspaces[id] = WorkspaceDump{
-			Fraction:    s.ledger.Held(id),
+			Rate:        s.ledger.Held(id),
+			Burst:       s.ledger.Held(escrow.BurstAccount(id)),
 			MicroTokens: ws.bucket.Level(now),
+			Reserved:    ws.bucket.Reserved(),
 			Waiting:     len(ws.waiters),
 			Demand:      ws.demand.Rate(now),
 		}
--- a/app/limits/limits_test.go
+++ b/app/limits/limits_test.go
@@ -129,6 +129,31 @@
 	}
 }
 
+// Guards against refill that is lost a little at a time, which refuses requests
+// only after minutes at exactly the rate.
+func TestWithinRateForFiveMinutes(t *testing.T) {
+	for name, route := range map[string]func(i int) model.HostID{
+		"one host":                       oneHost,
+		"host changes with each request": host,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(t, 6, contracts)
+				defer f.close()
+				time.Sleep(5 * time.Second)
+				c := newChecker()
+				load(f, c, 1, 5*time.Minute, route)
+				for id, times := range c.refused {
+					t.Errorf("workspace %q: %d refused, %d admitted", id, len(times), len(c.admitted[id]))
+				}
+				assert.NilError(t, c.check(contracts))
+				f.logMessages()
+			})
+		})
+	}
+}
+
 // Guards against a dead host whose shares stay lost: 10 s after its death, no
 // request within the rate is refused.
 func TestDeadHost(t *testing.T) {
@@ -152,6 +177,7 @@
 		died := time.Now()
 		f.wg.Go(func() { f.kill("h0") })
 		load(f, c, factor, 40*time.Second, func(i int) model.HostID { return host(1 + i%6) })
+		f.logMessages()
 		for id, times := range c.refused {
 			for _, at := range times {
 				if at.Sub(died) > 10*time.Second {
@@ -163,6 +189,7 @@
 		time.Sleep(time.Second) // transfers in flight arrive
 		for _, w := range contracts.Workspaces {
 			assert.Equal(t, f.total(w.Name), escrow.Whole)
+			assert.Equal(t, f.total(escrow.BurstAccount(w.Name)), escrow.Whole)
 		}
 	})
 }
@@ -185,8 +212,10 @@
 		least = math.MaxInt
 		for _, w := range contracts.Workspaces {
 			least = min(least, len(c.admitted[w.Name]))
-			if sum := f.total(w.Name); sum > escrow.Whole && !twice {
-				t.Errorf("workspace %q: shares sum to %d", w.Name, sum)
+			for _, account := range []model.WorkspaceID{w.Name, escrow.BurstAccount(w.Name)} {
+				if sum := f.total(account); sum > escrow.Whole && !twice {
+					t.Errorf("account %q: shares sum to %d", account, sum)
+				}
 			}
 		}
 	})
@@ -316,7 +345,7 @@
 		process model.Incarnation
 		want    int
 	}{
-		"same incarnation": {"p2", len(contracts.Workspaces)},
+		"same incarnation": {"p2", 2 * len(contracts.Workspaces)},
 		"joined again":     {"p9", 0},
 	}
 	for name, tc := range cases {
--- a/core/escrow/ledger.go
+++ b/core/escrow/ledger.go
@@ -1,6 +1,9 @@
-// Package escrow divides the limit of each workspace among hosts. A share is a
-// number of units of 2^-30 of the limit. The sum of the shares that hosts hold
-// and that are in flight between them never exceeds Whole per workspace.
+// Package escrow divides the limits of each workspace among hosts. A share is a
+// number of units of 2^-30 of a limit. Each workspace has two accounts, one for
+// its rate and one for its burst, whose shares move independently: a burst share
+// covers tokens that move, while a rate share in flight would lose its refill.
+// The sum of the shares that hosts hold and that are in flight between them
+// never exceeds Whole per account.
 package escrow
 
 import (
@@ -19,6 +22,13 @@
 // one of them, so forgetting can lose a share but never create one.
 const maxKept = 4096
 
+// burstSuffix contains a character that names of workspaces exclude.
+const burstSuffix = "#burst"
+
+// BurstAccount returns the account of the burst of a workspace. The account of
+// its rate is the workspace itself.
+func BurstAccount(workspace model.WorkspaceID) model.WorkspaceID { return workspace + burstSuffix }
+
 // Sentinel errors, tested with errors.Is.
 var (
 	// ErrStaleEpoch reports an operation of another epoch than the current.
@@ -35,17 +45,18 @@
 	ErrGap = errors.New("escrow: earlier round is missing")
 )
 
-// Transfer is a part of a holding on its way to another host.
+// Transfer is a part of the holdings on its way to another host.
 type Transfer struct {
 	ID        string
 	Workspace model.WorkspaceID
-	Fraction  int64 // units of 2^-30
-	// MicroTokens accompany the fraction; the ledger only keeps them for
-	// repeated answers.
+	Rate      int64 // units of 2^-30
+	Burst     int64 // units of 2^-30
+	// MicroTokens accompany the shares; the ledger only keeps them for repeated
+	// answers.
 	MicroTokens int64
 }
 
-// Ledger holds the shares of one host. It is not safe for concurrent use.
+// Ledger holds the shares of one host, by account. It is not safe for concurrent use.
 type Ledger struct {
 	epoch  model.Epoch
 	held   map[model.WorkspaceID]int64
@@ -74,8 +85,8 @@
 // Epoch returns the current epoch.
 func (l *Ledger) Epoch() model.Epoch { return l.epoch }
 
-// Held returns the holding of a workspace.
-func (l *Ledger) Held(workspace model.WorkspaceID) int64 { return l.held[workspace] }
+// Held returns the holding of an account.
+func (l *Ledger) Held(account model.WorkspaceID) int64 { return l.held[account] }
 
 // Holdings returns a copy of all holdings.
 func (l *Ledger) Holdings() map[model.WorkspaceID]int64 { return maps.Clone(l.held) }
@@ -131,10 +142,12 @@
 	if _, ok := l.given[t.ID]; ok {
 		return fmt.Errorf("%w: transfer %q", ErrDuplicate, t.ID)
 	}
-	if t.Fraction < 0 || t.MicroTokens < 0 || t.Fraction > l.held[t.Workspace] {
-		return fmt.Errorf("%w: %d of %d held for workspace %q", ErrOverdraw, t.Fraction, l.held[t.Workspace], t.Workspace)
+	rate, burst := l.held[t.Workspace], l.held[BurstAccount(t.Workspace)]
+	if t.Rate < 0 || t.Burst < 0 || t.MicroTokens < 0 || t.Rate > rate || t.Burst > burst {
+		return fmt.Errorf("%w: rate %d of %d, burst %d of %d held for workspace %q", ErrOverdraw, t.Rate, rate, t.Burst, burst, t.Workspace)
 	}
-	l.held[t.Workspace] -= t.Fraction
+	l.held[t.Workspace] -= t.Rate
+	l.held[BurstAccount(t.Workspace)] -= t.Burst
 	l.given[t.ID] = t
 	l.order = append(l.order, t.ID)
 	if len(l.order) > maxKept {
@@ -165,11 +178,13 @@
 	if workspace, ok := l.asked[t.ID]; !ok || workspace != t.Workspace {
 		return fmt.Errorf("%w: %q", ErrUnknownTransfer, t.ID)
 	}
-	if t.Fraction < 0 || t.Fraction > Whole-l.held[t.Workspace] {
-		return fmt.Errorf("%w: credit of %d to %d", ErrOverdraw, t.Fraction, l.held[t.Workspace])
+	rate, burst := l.held[t.Workspace], l.held[BurstAccount(t.Workspace)]
+	if t.Rate < 0 || t.Burst < 0 || t.Rate > Whole-rate || t.Burst > Whole-burst {
+		return fmt.Errorf("%w: credit of rate %d to %d, burst %d to %d", ErrOverdraw, t.Rate, rate, t.Burst, burst)
 	}
 	delete(l.asked, t.ID)
-	l.held[t.Workspace] += t.Fraction
+	l.held[t.Workspace] += t.Rate
+	l.held[BurstAccount(t.Workspace)] += t.Burst
 	return nil
 }
 
@@ -191,14 +206,14 @@
 	case index > l.rounds:
 		return fmt.Errorf("%w: round %d after %d", ErrGap, index, l.rounds)
 	}
-	for workspace, grants := range round.Grants {
-		if g := grants[host]; g < 0 || g > Whole-l.held[workspace] {
-			return fmt.Errorf("%w: grant of %d to %d held for workspace %q", ErrOverdraw, g, l.held[workspace], workspace)
+	for account, grants := range round.Grants {
+		if g := grants[host]; g < 0 || g > Whole-l.held[account] {
+			return fmt.Errorf("%w: grant of %d to %d held for account %q", ErrOverdraw, g, l.held[account], account)
 		}
 	}
-	for workspace, grants := range round.Grants {
+	for account, grants := range round.Grants {
 		if g := grants[host]; g > 0 {
-			l.held[workspace] += g
+			l.held[account] += g
 		}
 	}
 	l.rounds++
--- a/core/escrow/ledger_test.go
+++ b/core/escrow/ledger_test.go
@@ -13,11 +13,13 @@
 
 const ws = model.WorkspaceID("w")
 
+var accounts = []model.WorkspaceID{ws, BurstAccount(ws)}
+
 func entered(t *testing.T, epoch model.Epoch, held int64) *Ledger {
 	t.Helper()
 	l := NewLedger()
 	assert.NilError(t, l.Enter(epoch))
-	round := Round{Grants: map[model.WorkspaceID]map[model.HostID]int64{ws: {"a": held}}}
+	round := Round{Grants: map[model.WorkspaceID]map[model.HostID]int64{ws: {"a": held}, BurstAccount(ws): {"a": held}}}
 	assert.NilError(t, l.Apply(epoch, 0, "a", round))
 	return l
 }
@@ -30,8 +32,13 @@
 		run  func(l *Ledger) error
 		want error
 	}{
-		"debit too much":     {func(l *Ledger) error { return l.Debit(2, Transfer{ID: "x", Workspace: ws, Fraction: 101}) }, ErrOverdraw},
-		"negative debit":     {func(l *Ledger) error { return l.Debit(2, Transfer{ID: "x", Workspace: ws, Fraction: -1}) }, ErrOverdraw},
+		"debit too much":       {func(l *Ledger) error { return l.Debit(2, Transfer{ID: "x", Workspace: ws, Rate: 101}) }, ErrOverdraw},
+		"debit too much burst": {func(l *Ledger) error { return l.Debit(2, Transfer{ID: "x", Workspace: ws, Burst: 101}) }, ErrOverdraw},
+		"negative burst":       {func(l *Ledger) error { return l.Debit(2, Transfer{ID: "x", Workspace: ws, Burst: -1}) }, ErrOverdraw},
+		"credit beyond the whole": {func(l *Ledger) error {
+			return errors.Join(l.Ask(2, "x", ws), l.Credit(2, Transfer{ID: "x", Workspace: ws, Burst: Whole - 99}))
+		}, ErrOverdraw},
+		"negative debit":     {func(l *Ledger) error { return l.Debit(2, Transfer{ID: "x", Workspace: ws, Rate: -1}) }, ErrOverdraw},
 		"debit, stale epoch": {func(l *Ledger) error { return l.Debit(1, Transfer{ID: "x", Workspace: ws}) }, ErrStaleEpoch},
 		"debit twice": {func(l *Ledger) error {
 			return errors.Join(l.Debit(2, Transfer{ID: "x", Workspace: ws}), l.Debit(2, Transfer{ID: "x", Workspace: ws}))
@@ -60,26 +67,32 @@
 func TestEntryReportIsFixed(t *testing.T) {
 	l := entered(t, 1, 100)
 	assert.NilError(t, l.Enter(2))
-	assert.NilError(t, l.Debit(2, Transfer{ID: "x", Workspace: ws, Fraction: 40}))
+	assert.NilError(t, l.Debit(2, Transfer{ID: "x", Workspace: ws, Rate: 40, Burst: 30}))
 	report, err := l.EntryReport(2)
 	assert.NilError(t, err)
 	assert.Equal(t, report[ws], int64(100))
+	assert.Equal(t, report[BurstAccount(ws)], int64(100))
+	assert.Equal(t, l.Held(ws), int64(60))
+	assert.Equal(t, l.Held(BurstAccount(ws)), int64(70))
 }
 
 // Guards against settlement beyond the whole, and against division that loses
 // units, which would leave a burst of 1 forever below one token.
 func TestSettle(t *testing.T) {
 	hosts := []model.HostID{"a", "b", "c", "d", "e", "f", "g"}
-	reports := Reports{"a": {ws: 10}, "b": {ws: 5}}
+	reports := Reports{"a": {ws: 10, BurstAccount(ws): 7}, "b": {ws: 5}}
 	round, err := Settle(reports, Shares{}, hosts, []model.WorkspaceID{ws})
 	assert.NilError(t, err)
 	granted := Shares{Rounds: []Round{round}}
 	assert.Equal(t, granted.Granted(ws), Whole-15)
+	assert.Equal(t, granted.Granted(BurstAccount(ws)), Whole-7)
 	again, err := Settle(reports, granted, hosts, []model.WorkspaceID{ws})
 	assert.NilError(t, err)
 	assert.Equal(t, len(again.Grants), 0)
-	_, err = Settle(Reports{"a": {ws: Whole}, "b": {ws: 1}}, Shares{}, hosts, []model.WorkspaceID{ws})
-	assert.ErrorIs(t, err, ErrOverdraw)
+	for _, account := range accounts {
+		_, err = Settle(Reports{"a": {account: Whole}, "b": {account: 1}}, Shares{}, hosts, []model.WorkspaceID{ws})
+		assert.ErrorIs(t, err, ErrOverdraw)
+	}
 }
 
 // fleet is a model of hosts, of the network and of the store record Shares.
@@ -165,10 +178,10 @@
 	}
 }
 
-func (f *fleet) send(from, to model.HostID, fraction int64) {
+func (f *fleet) send(from, to model.HostID, rate, burst int64) {
 	f.next++
 	epoch := f.ledgers[to].Epoch()
-	t := Transfer{ID: fmt.Sprint(f.next), Workspace: ws, Fraction: fraction}
+	t := Transfer{ID: fmt.Sprint(f.next), Workspace: ws, Rate: rate, Burst: burst}
 	if f.ledgers[to].Ask(epoch, t.ID, ws) == nil && f.ledgers[from].Debit(epoch, t) == nil {
 		f.messages = append(f.messages, message{to, epoch, t})
 	}
@@ -177,26 +190,27 @@
 func (f *fleet) deliver(i int, keep bool) {
 	m := f.messages[i]
 	if err := f.ledgers[m.to].Credit(m.epoch, m.t); errors.Is(err, ErrUnknownTransfer) && f.creditTwice {
-		f.ledgers[m.to].held[ws] += m.t.Fraction
+		f.ledgers[m.to].held[ws] += m.t.Rate
+		f.ledgers[m.to].held[BurstAccount(ws)] += m.t.Burst
 	}
 	if !keep {
 		f.messages = append(f.messages[:i], f.messages[i+1:]...)
 	}
 }
 
-// total sums the holdings, the grants that a member in their epoch can still
+// total sums, for one account, the holdings, the grants that a member in their epoch can still
 // apply, and the transfers that can still be credited, over the hosts of the
 // newest epoch.
-func (f *fleet) total() int64 {
+func (f *fleet) total(account model.WorkspaceID) int64 {
 	var sum int64
 	for h, l := range f.ledgers {
 		if l.Epoch() != f.epoch {
 			continue
 		}
-		sum += l.Held(ws)
+		sum += l.Held(account)
 		if f.shares.Epoch == f.epoch {
 			for _, r := range f.shares.Rounds[l.Rounds():] {
-				sum += r.Grants[ws][h]
+				sum += r.Grants[account][h]
 			}
 		}
 	}
@@ -205,7 +219,7 @@
 		_, open := f.ledgers[m.to].asked[m.t.ID]
 		if open && m.epoch == f.epoch && !counted[m.t.ID] {
 			counted[m.t.ID] = true
-			sum += m.t.Fraction
+			sum += map[bool]int64{true: m.t.Rate, false: m.t.Burst}[account == ws]
 		}
 	}
 	return sum
@@ -225,7 +239,7 @@
 	case "apply":
 		f.applyAll(h)
 	case "send":
-		f.send(h, rapid.SampledFrom(f.members).Draw(t, "to"), rapid.Int64Range(0, Whole).Draw(t, "fraction"))
+		f.send(h, rapid.SampledFrom(f.members).Draw(t, "to"), rapid.Int64Range(0, Whole).Draw(t, "rate"), rapid.Int64Range(0, Whole).Draw(t, "burst"))
 	case "deliver", "double", "lose":
 		if len(f.messages) == 0 {
 			return nil
@@ -256,8 +270,10 @@
 	if err != nil {
 		return err
 	}
-	if sum := f.total(); sum > Whole {
-		return fmt.Errorf("%w: total is %d", ErrOverdraw, sum)
+	for _, account := range accounts {
+		if sum := f.total(account); sum > Whole {
+			return fmt.Errorf("%w: total of %q is %d", ErrOverdraw, account, sum)
+		}
 	}
 	return nil
 }
--- a/core/escrow/settle.go
+++ b/core/escrow/settle.go
@@ -9,7 +9,7 @@
 	"mimosarelay/core/model"
 )
 
-// Round is one settlement round: the units granted per workspace and host.
+// Round is one settlement round: the units granted per account and host.
 type Round struct {
 	Grants map[model.WorkspaceID]map[model.HostID]int64
 }
@@ -22,21 +22,21 @@
 }
 
 // Granted returns the units granted to all hosts in this epoch.
-func (s Shares) Granted(workspace model.WorkspaceID) int64 {
+func (s Shares) Granted(account model.WorkspaceID) int64 {
 	var sum int64
 	for _, r := range s.Rounds {
-		for _, g := range r.Grants[workspace] {
+		for _, g := range r.Grants[account] {
 			sum += g
 		}
 	}
 	return sum
 }
 
-// Reports holds the entry reports of the members of one epoch.
+// Reports holds the entry reports of the members of one epoch, by account.
 type Reports map[model.HostID]map[model.WorkspaceID]int64
 
-// Settle computes the next round: for each workspace, what is neither reported
-// nor granted in this epoch is divided among the receivers. Every member of the
+// Settle computes the next round: for both accounts of each workspace, what is
+// neither reported nor granted in this epoch is divided among the receivers. Every member of the
 // epoch must be in reports. The result depends on the arguments only. An empty
 // round means that nothing is left to grant.
 func Settle(reports Reports, granted Shares, receivers []model.HostID, workspaces []model.WorkspaceID) (Round, error) {
@@ -48,15 +48,17 @@
 		return round, nil
 	}
 	for _, w := range workspaces {
-		rest := Whole - granted.Granted(w)
-		for _, holdings := range reports {
-			rest -= holdings[w]
-		}
-		if rest < 0 {
-			return Round{}, fmt.Errorf("%w: workspace %q by %d", ErrOverdraw, w, -rest)
-		}
-		if rest > 0 {
-			round.Grants[w] = divide(rest, hosts, w)
+		for _, account := range []model.WorkspaceID{w, BurstAccount(w)} {
+			rest := Whole - granted.Granted(account)
+			for _, holdings := range reports {
+				rest -= holdings[account]
+			}
+			if rest < 0 {
+				return Round{}, fmt.Errorf("%w: account %q by %d", ErrOverdraw, account, -rest)
+			}
+			if rest > 0 {
+				round.Grants[account] = divide(rest, hosts, w)
+			}
 		}
 	}
 	return round, nil
--- a/core/limit/bucket.go
+++ b/core/limit/bucket.go
@@ -39,12 +39,15 @@
 	return int64(min(requests*float64(Token), float64(maxContract)))
 }
 
-// Bucket refills at fraction × rate up to fraction × burst. Only the passing of
-// time and Deposit add tokens. It is not safe for concurrent use.
+// Bucket refills at its fraction of the rate up to its fraction of the burst less
+// the reserved room. Only the passing of time and Deposit add tokens. It is not
+// safe for concurrent use.
 type Bucket struct {
 	contract Contract
-	fraction int64 // units of 2^-30
+	rate     int64 // units of 2^-30
+	burst    int64 // units of 2^-30
 	level    int64 // micro tokens
+	reserved int64 // micro tokens
 	at       time.Time
 	// carryRate and carryShare are the remainders of the two divisions of a
 	// refill; without them, frequent refills of a small share add nothing.
@@ -52,13 +55,35 @@
 	carryShare uint64 // 2^-30 micro tokens
 }
 
-// NewBucket returns an empty bucket.
-func NewBucket(now time.Time, c Contract, fraction int64) *Bucket {
-	return &Bucket{contract: c, fraction: fraction, at: now}
+// NewBucket returns an empty bucket with fractions of the rate and the burst, in
+// units of 2^-30.
+func NewBucket(now time.Time, c Contract, rate, burst int64) *Bucket {
+	return &Bucket{contract: c, rate: rate, burst: burst, at: now}
 }
 
-// Fraction returns the share the bucket is sized by, in units of 2^-30.
-func (b *Bucket) Fraction() int64 { return b.fraction }
+// Rate returns the fraction of the rate, in units of 2^-30.
+func (b *Bucket) Rate() int64 { return b.rate }
+
+// Burst returns the fraction of the burst, in units of 2^-30.
+func (b *Bucket) Burst() int64 { return b.burst }
+
+// Reserved returns the room kept for tokens in flight to this bucket, in micro
+// tokens.
+func (b *Bucket) Reserved() int64 { return b.reserved }
+
+// Capacity returns the micro tokens that the bucket can hold now.
+func (b *Bucket) Capacity() int64 {
+	return max(0, b.contract.Capacity(b.burst)-b.reserved)
+}
+
+// Refill returns the micro tokens that the bucket earns in a period, up to 1e12.
+func (b *Bucket) Refill(d time.Duration) int64 {
+	return mulDiv(refillOf(b.contract, d), b.rate, escrow.Whole)
+}
+
+func refillOf(c Contract, d time.Duration) int64 {
+	return mulDiv(c.Rate, int64(min(d, time.Second)), int64(time.Second))
+}
 
 // Contract returns the limit the bucket is sized by.
 func (b *Bucket) Contract() Contract { return b.contract }
@@ -101,7 +126,7 @@
 	lo, carry := bits.Add64(lo, b.carryRate, 0)
 	var whole uint64
 	whole, b.carryRate = bits.Div64(hi+carry, lo, uint64(time.Second))
-	hi, lo = bits.Mul64(whole, uint64(b.fraction))
+	hi, lo = bits.Mul64(whole, uint64(b.rate))
 	lo, carry = bits.Add64(lo, b.carryShare, 0)
 	var gain uint64
 	gain, b.carryShare = bits.Div64(hi+carry, lo, uint64(escrow.Whole))
@@ -112,7 +137,7 @@
 // clamp removes the tokens above the capacity. A full bucket earns no
 // remainder either.
 func (b *Bucket) clamp() {
-	if c := b.contract.Capacity(b.fraction); b.level >= c {
+	if c := b.Capacity(); b.level >= c {
 		b.level = c
 		b.carryRate, b.carryShare = 0, 0
 	}
@@ -125,13 +150,21 @@
 	b.resize()
 }
 
-// SetFraction applies a changed holding. It never adds tokens.
-func (b *Bucket) SetFraction(now time.Time, fraction int64) {
+// SetFractions applies changed holdings. It never adds tokens.
+func (b *Bucket) SetFractions(now time.Time, rate, burst int64) {
 	b.refill(now)
-	b.fraction = fraction
+	b.rate, b.burst = rate, burst
 	b.resize()
 }
 
+// Reserve sets the room kept for tokens in flight to this bucket. Tokens in it
+// are lost.
+func (b *Bucket) Reserve(now time.Time, microTokens int64) {
+	b.refill(now)
+	b.reserved = max(0, microTokens)
+	b.clamp()
+}
+
 func (b *Bucket) resize() {
 	b.carryRate, b.carryShare = 0, 0
 	b.clamp()
@@ -158,15 +191,15 @@
 }
 
 // Wait returns the time until refill provides the given micro tokens, and
-// false if it never does at the current share.
+// false if it never does at the current fractions.
 func (b *Bucket) Wait(now time.Time, microTokens int64) (time.Duration, bool) {
 	b.refill(now)
 	missing := microTokens - b.level
 	if missing <= 0 {
 		return 0, true
 	}
-	speed := mulDiv(b.contract.Rate, b.fraction, escrow.Whole) // micro tokens per second
-	if speed == 0 || b.contract.Capacity(b.fraction) < microTokens {
+	speed := mulDiv(b.contract.Rate, b.rate, escrow.Whole) // micro tokens per second
+	if speed == 0 || b.Capacity() < microTokens {
 		return 0, false
 	}
 	seconds := float64(missing) / float64(speed)
--- a/core/limit/give.go
+++ b/core/limit/give.go
@@ -32,66 +32,154 @@
 	return d.rate * math.Exp(-age.Seconds()/demandTime.Seconds())
 }
 
+// Parameters of Give.
+const (
+	// holdTime is how long the capacity of an idle host holds its refill without
+	// being asked. Hosts that lack tokens ask each peer more often than that.
+	holdTime = 250 * time.Millisecond
+	// demandMargin is the part of its demand that a host keeps in rate, in
+	// percent. The estimate of an even demand of 0.7 requests per second falls
+	// to 86 % of it between requests.
+	demandMargin = 125
+	// minMove is the least excess of rate that moves, unless all of it does. The
+	// refill of rate in flight is lost, so small differences stay where they are.
+	minMove = escrow.Whole / 1024
+	// restRate is the rate of an idle host that moves at once.
+	restRate = escrow.Whole / 64
+)
+
 // Giver describes a host that is asked for a part of its holding.
 type Giver struct {
 	Contract Contract
-	Fraction int64   // units of 2^-30
+	Rate     int64   // units of 2^-30
+	Burst    int64   // units of 2^-30
 	Level    int64   // micro tokens
+	Reserved int64   // micro tokens on their way to this host
 	Demand   float64 // requests per second that arrive here
 	Waiting  int     // requests waiting here
 	// Yields says that the asker goes first if both have waiting requests.
 	Yields bool
 }
 
-// Yields reports whether a host that misses own micro tokens lets an asker go
-// first that misses want. The order is total, so of two hosts that each hold a
-// part of a token one always completes it.
-func Yields(own, want int64, ownHost, asker string) bool {
-	if own != want {
-		return want < own
-	}
-	return asker < ownHost
+// Ask describes what an asker lacks, in micro tokens.
+type Ask struct {
+	Want     int64 // tokens
+	Room     int64 // capacity reserved for them
+	Capacity int64 // capacity that is missing to hold one token
+}
+
+// Gift is what moves to an asker.
+type Gift struct {
+	Rate        int64 // units of 2^-30
+	Burst       int64 // units of 2^-30
+	MicroTokens int64
+}
+
+// Small reports whether hosts can't keep capacity for their refill while one
+// host holds a token. The limit then moves as a whole.
+func (c Contract) Small() bool { return c.Burst < Token+refillOf(c, holdTime) }
+
+// held returns the capacity that holds the refill of a fraction for holdTime.
+func (c Contract) held(rate int64) int64 {
+	return mulDiv(refillOf(c, holdTime), rate, escrow.Whole)
 }
 
-// Give returns the fraction and the micro tokens to hand to an asker that
-// misses want micro tokens: enough to hold the tokens it wants, and half of
-// what the giver's own demand leaves over, so that shares follow demand. A
-// giver with waiting requests of its own adds no such half, because two busy
-// hosts would pass it back and forth and lose the refill of each passage.
-func Give(g Giver, want int64) (fraction, microTokens int64) {
-	if want <= 0 || g.Fraction <= 0 {
-		return 0, 0
+// Give returns what to hand to an asker: tokens, the capacity that they and one
+// whole token need beyond the room of the asker, and rate that is not needed
+// here. The moved tokens never exceed the room and the moved capacity.
+func Give(g Giver, a Ask) Gift {
+	if a.Want <= 0 || g.Rate <= 0 && g.Burst <= 0 {
+		return Gift{}
 	}
-	keep := g.keep()
-	needed := min(g.Contract.Fraction(want), g.Fraction-keep)
-	spare := g.Fraction - needed - max(keep, g.forecast())
-	fraction = max(0, needed)
+	tokens := min(a.Want, g.spareTokens())
 	if g.Waiting == 0 {
-		fraction += max(0, spare) / 2
+		tokens += max(0, min(a.Room-tokens, g.Level-tokens)) / 2
 	}
-	if fraction == 0 {
-		return 0, 0
+	burst := g.moveBurst(max(a.Capacity, tokens-a.Room))
+	tokens = min(tokens, a.Room+g.Contract.Capacity(burst))
+	// The remaining capacity can't hold all tokens. Those above it fit in the
+	// moved capacity.
+	above := g.Level + g.Reserved - g.Contract.Capacity(g.Burst-burst)
+	tokens = max(tokens, min(above, g.Level, a.Room+g.Contract.Capacity(burst)))
+	return Gift{Rate: g.moveRate(burst), Burst: burst, MicroTokens: tokens}
+}
+
+// busy reports whether requests here go before those of the asker.
+func (g Giver) busy() bool { return g.Waiting > 0 && !g.Yields }
+
+func (g Giver) spareTokens() int64 {
+	if g.busy() {
+		return max(0, g.Level-int64(g.Waiting)*Token)
 	}
-	microTokens = max(min(want, g.spareTokens()), mulDiv(g.Level, fraction, g.Fraction))
-	return fraction, min(microTokens, g.spareTokens(), g.Contract.Capacity(fraction))
+	return g.Level
 }
 
-// keep returns the fraction that holds the tokens of the requests waiting here.
-func (g Giver) keep() int64 {
-	if g.Waiting == 0 || g.Yields {
+// moveBurst returns the part of the burst to move for micro tokens of capacity.
+func (g Giver) moveBurst(microTokens int64) int64 {
+	if microTokens <= 0 {
 		return 0
 	}
-	return min(g.Fraction, max(g.Contract.Fraction(int64(g.Waiting)*Token), g.forecast()))
+	keep := g.Reserved
+	switch {
+	case g.busy():
+		keep += max(Token, min(g.Level, int64(g.Waiting)*Token))
+	case !g.Contract.Small():
+		keep += g.Contract.held(g.Rate)
+	}
+	spare := max(0, g.Burst-g.Contract.Fraction(keep))
+	if g.Contract.Small() && !g.busy() {
+		return spare
+	}
+	return min(spare, g.Contract.Fraction(microTokens))
 }
 
-func (g Giver) spareTokens() int64 {
-	if g.Waiting == 0 || g.Yields {
-		return g.Level
+// moveRate returns the part of the rate to move along with a part of the burst.
+func (g Giver) moveRate(burst int64) int64 {
+	if g.busy() {
+		return 0
+	}
+	if g.Burst == burst {
+		return g.Rate
+	}
+	if g.Contract.Small() {
+		return mulDiv(g.Rate, burst, g.Burst)
+	}
+	if g.Waiting > 0 {
+		return 0
+	}
+	return max(g.aboveDemand(), g.aboveCapacity(burst))
+}
+
+// aboveDemand returns half of the rate that exceeds the demand here, so that
+// rate follows demand. It returns all of what an idle host has left.
+func (g Giver) aboveDemand() int64 {
+	forecast := g.forecast() * demandMargin / 100
+	excess := g.Rate - forecast
+	switch {
+	case g.Rate <= restRate && forecast < minMove:
+		return g.Rate
+	case excess < minMove:
+		return 0
+	}
+	return excess / 2
+}
+
+// aboveCapacity returns the rate whose refill the remaining capacity can't hold
+// for holdTime.
+func (g Giver) aboveCapacity(burst int64) int64 {
+	refill := refillOf(g.Contract, holdTime)
+	held := g.Contract.Capacity(g.Burst - burst)
+	if refill <= held {
+		return 0
+	}
+	excess := g.Rate - mulDiv(held, escrow.Whole, refill)
+	if excess < minMove {
+		return 0
 	}
-	return max(0, g.Level-int64(g.Waiting)*Token)
+	return excess
 }
 
-// forecast returns the fraction whose refill meets the demand at this host.
+// forecast returns the fraction of the rate whose refill meets the demand here.
 func (g Giver) forecast() int64 {
 	if g.Contract.Rate == 0 {
 		return 0
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -13,36 +13,39 @@
 var start = time.Unix(1_700_000_000, 0)
 
 // Guards against tokens that a change of contract or share mints, and against
-// admissions above fraction × (burst + rate × t).
+// admissions above fraction of burst + fraction of rate × t.
 func TestBucketBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		draw := func() Contract {
 			return NewContract(rapid.Float64Range(0, 1000).Draw(t, "rate"), rapid.Float64Range(0, 100).Draw(t, "burst"))
 		}
 		now, largest := start, draw()
-		b := NewBucket(now, largest, rapid.Int64Range(0, escrow.Whole).Draw(t, "fraction"))
-		top, taken := b.Fraction(), 0
+		share := func(name string) int64 { return rapid.Int64Range(0, escrow.Whole).Draw(t, name) }
+		b := NewBucket(now, largest, share("rate share"), share("burst share"))
+		topRate, topBurst, taken := b.Rate(), b.Burst(), 0
 		for range rapid.IntRange(1, 100).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "pause")))
 			before := b.Level(now)
-			switch rapid.IntRange(0, 3).Draw(t, "action") {
+			switch rapid.IntRange(0, 4).Draw(t, "action") {
 			case 0:
 				c := draw()
 				b.SetContract(now, c)
 				largest = Contract{Rate: max(largest.Rate, c.Rate), Burst: max(largest.Burst, c.Burst)}
 			case 1:
-				b.SetFraction(now, rapid.Int64Range(0, escrow.Whole).Draw(t, "fraction"))
-				top = max(top, b.Fraction())
+				b.SetFractions(now, share("rate share"), share("burst share"))
+				topRate, topBurst = max(topRate, b.Rate()), max(topBurst, b.Burst())
+			case 2:
+				b.Reserve(now, rapid.Int64Range(0, 10*Token).Draw(t, "reserved"))
 			default:
 				if b.Take(now) {
 					taken++
 				}
 			}
-			if b.Level(now) > before || b.Level(now) > b.Contract().Capacity(b.Fraction()) {
+			if b.Level(now) > before || b.Level(now) > max(0, b.Contract().Capacity(b.Burst())-b.Reserved()) {
 				t.Fatalf("level rose from %d to %d", before, b.Level(now))
 			}
 		}
-		bound := float64(largest.Capacity(top)) + float64(largest.Rate)*now.Sub(start).Seconds()*float64(top)/float64(escrow.Whole)
+		bound := float64(largest.Capacity(topBurst)) + float64(largest.Rate)*now.Sub(start).Seconds()*float64(topRate)/float64(escrow.Whole)
 		if float64(int64(taken)*Token) > bound+1 {
 			t.Fatalf("took %d tokens, bound is %f micro tokens", taken, bound)
 		}
@@ -52,7 +55,7 @@
 // Guards against rounding that stops the refill of a small share that is looked
 // at often.
 func TestSmallShareRefills(t *testing.T) {
-	b := NewBucket(start, NewContract(0.001, 1), escrow.Whole)
+	b := NewBucket(start, NewContract(0.001, 1), escrow.Whole, escrow.Whole)
 	now := start
 	for range 1_001_000 {
 		now = now.Add(time.Millisecond)
@@ -63,65 +66,102 @@
 
 // Guards against a wait after which the token is still missing.
 func TestWait(t *testing.T) {
-	b := NewBucket(start, NewContract(3, 7), escrow.Whole/7+1)
+	b := NewBucket(start, NewContract(3, 7), escrow.Whole/7+1, escrow.Whole/7+1)
 	wait, ok := b.Wait(start, Token)
 	assert.Assert(t, ok)
 	assert.Assert(t, !b.Take(start.Add(wait-time.Millisecond)))
 	assert.Assert(t, b.Take(start.Add(wait)))
-	_, ok = NewBucket(start, NewContract(3, 1), escrow.Whole/7).Wait(start, Token)
+	_, ok = NewBucket(start, NewContract(3, 1), escrow.Whole/7, escrow.Whole/7).Wait(start, Token)
 	assert.Assert(t, !ok)
 }
 
-// Guards against gifts above the giver's holding or tokens that the moved share
-// can't hold.
+// Guards against gifts above the giver's holding, and against tokens that neither
+// the moved capacity nor the room of the asker covers.
 func TestGiveBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := NewContract(rapid.Float64Range(0, 1000).Draw(t, "rate"), rapid.Float64Range(0, 100).Draw(t, "burst"))
 		g := Giver{
 			Contract: c,
-			Fraction: rapid.Int64Range(0, escrow.Whole).Draw(t, "fraction"),
+			Rate:     rapid.Int64Range(0, escrow.Whole).Draw(t, "rate share"),
+			Burst:    rapid.Int64Range(0, escrow.Whole).Draw(t, "burst share"),
 			Demand:   rapid.Float64Range(0, 2000).Draw(t, "demand"),
 			Waiting:  rapid.IntRange(0, 10).Draw(t, "waiting"),
 			Yields:   rapid.Bool().Draw(t, "yields"),
 		}
-		g.Level = rapid.Int64Range(0, c.Capacity(g.Fraction)).Draw(t, "level")
-		f, m := Give(g, rapid.Int64Range(0, 20*Token).Draw(t, "want"))
-		if f < 0 || f > g.Fraction || m < 0 || m > g.Level || m > c.Capacity(f) {
-			t.Fatalf("gave %d, %d of %+v", f, m, g)
+		g.Reserved = rapid.Int64Range(0, c.Capacity(g.Burst)).Draw(t, "reserved")
+		g.Level = rapid.Int64Range(0, c.Capacity(g.Burst)-g.Reserved).Draw(t, "level")
+		a := Ask{
+			Want:     rapid.Int64Range(0, 20*Token).Draw(t, "want"),
+			Room:     rapid.Int64Range(0, 20*Token).Draw(t, "room"),
+			Capacity: rapid.Int64Range(0, Token).Draw(t, "capacity"),
 		}
-		if g.Waiting > 0 && !g.Yields && g.Level-m < min(g.Level, int64(g.Waiting)*Token) {
-			t.Fatalf("gave %d micro tokens that requests wait for: %+v", m, g)
+		m := Give(g, a)
+		if m.Rate < 0 || m.Rate > g.Rate || m.Burst < 0 || m.Burst > g.Burst || m.MicroTokens < 0 || m.MicroTokens > g.Level {
+			t.Fatalf("gave %+v of %+v", m, g)
+		}
+		if m.MicroTokens > a.Room+c.Capacity(m.Burst) {
+			t.Fatalf("gave uncovered tokens %+v to %+v", m, a)
+		}
+		// Rounding of fractions loses at most one micro token.
+		if over := g.Level - m.MicroTokens + g.Reserved - c.Capacity(g.Burst-m.Burst); over > 1 {
+			t.Fatalf("%d micro tokens above the remaining capacity: gave %+v of %+v", over, m, g)
+		}
+		if g.Waiting > 0 && !g.Yields && g.Level-m.MicroTokens < min(g.Level, int64(g.Waiting)*Token) {
+			t.Fatalf("gave %d micro tokens that requests wait for: %+v", m.MicroTokens, g)
 		}
 	})
 }
 
-// Guards against a policy under which no host ever holds a whole token, or
-// under which shares do not follow demand.
+// Guards against a policy under which no host ever holds a whole token, under
+// which rate does not follow demand, or under which a host keeps rate without
+// the capacity to hold its refill.
 func TestGivePolicy(t *testing.T) {
 	seventh := escrow.Whole / 7
 	one := NewContract(1, 1)
 	large := NewContract(70, 70)
 	cases := map[string]struct {
-		giver      Giver
-		want       int64
-		min, limit int64
+		giver Giver
+		ask   Ask
+		want  Gift
 	}{
-		"burst of one is given whole": {Giver{Contract: one, Fraction: seventh, Level: Token / 7}, Token * 6 / 7, seventh, seventh},
-		"idle giver hands over half":  {Giver{Contract: large, Fraction: seventh, Level: 10 * Token}, Token, seventh / 2, seventh * 6 / 10},
-		"giver with demand gives what is wanted": {
-			Giver{Contract: large, Fraction: seventh, Level: 10 * Token, Demand: 10}, Token, escrow.Whole / 70, escrow.Whole/70 + 1,
+		"burst of one is given whole": {
+			Giver{Contract: one, Rate: seventh, Burst: seventh, Level: Token / 7},
+			Ask{Want: Token * 6 / 7, Capacity: Token * 6 / 7}, Gift{seventh, seventh, Token / 7},
+		},
+		"idle giver hands over half of its rate": {
+			Giver{Contract: large, Rate: seventh, Burst: seventh, Level: 8 * Token},
+			Ask{Want: Token, Room: Token}, Gift{seventh / 2, 0, Token},
+		},
+		"idle giver hands over the rest of its rate": {
+			Giver{Contract: large, Rate: restRate, Burst: seventh, Level: 8 * Token},
+			Ask{Want: Token, Room: Token}, Gift{restRate, 0, Token},
+		},
+		"room is filled with half of the tokens": {
+			Giver{Contract: large, Rate: seventh, Burst: seventh, Level: 9 * Token, Demand: 10},
+			Ask{Want: Token, Room: 9 * Token}, Gift{0, 0, 5 * Token},
+		},
+		"capacity moves for tokens beyond the room": {
+			Giver{Contract: large, Rate: seventh, Burst: seventh, Level: 5 * Token, Demand: 10},
+			Ask{Want: 2 * Token, Room: Token}, Gift{0, large.Fraction(Token), 2 * Token},
+		},
+		"capacity for the refill stays": {
+			Giver{Contract: large, Rate: seventh, Burst: large.Fraction(3 * Token), Level: Token, Demand: 10},
+			Ask{Want: Token, Capacity: Token}, Gift{0, large.Fraction(3*Token) - large.Fraction(large.held(seventh)), 3*Token - large.held(seventh)},
 		},
 		"giver with waiting requests keeps its share": {
-			Giver{Contract: one, Fraction: seventh, Waiting: 1}, Token, 0, 0,
+			Giver{Contract: one, Rate: seventh, Burst: seventh, Waiting: 1}, Ask{Want: Token, Capacity: Token}, Gift{},
+		},
+		"yielding giver": {
+			Giver{Contract: one, Rate: seventh, Burst: seventh, Waiting: 1, Yields: true},
+			Ask{Want: Token, Capacity: Token}, Gift{seventh, seventh, 0},
+		},
+		"rate without capacity is given": {
+			Giver{Contract: large, Rate: seventh, Demand: 10}, Ask{Want: Token, Capacity: Token}, Gift{seventh, 0, 0},
 		},
-		"yielding giver": {Giver{Contract: one, Fraction: seventh, Waiting: 1, Yields: true}, Token, seventh, seventh},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			f, _ := Give(tc.giver, tc.want)
-			assert.Assert(t, f >= tc.min && f <= tc.limit, "gave %d, want %d to %d", f, tc.min, tc.limit)
+			assert.DeepEqual(t, Give(tc.giver, tc.ask), tc.want)
 		})
 	}
-	assert.Assert(t, Yields(5, 4, "a", "b") && !Yields(4, 5, "a", "b"))
-	assert.Assert(t, Yields(5, 5, "b", "a") != Yields(5, 5, "a", "b"))
 }
