--- a/app/limits/gather.go
+++ b/app/limits/gather.go
@@ -18,8 +18,8 @@
 	"mimosarelay/io/peer/peerpb"
 )
 
-// Pauses before a peer is asked again. The longest is less than the time for
-// which an idle peer holds its refill.
+// Pauses before a peer is asked again. Hold bounds them, the time for which an
+// idle peer holds its refill.
 const (
 	// partPause follows an answer with a part of the wanted tokens. Asking again
 	// at once for ever smaller parts cost up to 1,000 messages per second.
@@ -28,6 +28,8 @@
 	// maxPause after answers with nothing and failures.
 	minPause = 80 * time.Millisecond
 	maxPause = 200 * time.Millisecond
+	// fullHold is the hold that the pauses above suit.
+	fullHold = 250 * time.Millisecond
 )
 
 // smallPart is in micro tokens. A workspace with 5 requests per second and a
@@ -201,7 +203,7 @@
 	if err != nil {
 		slog.Debug("share not moved", "workspace", id, "peer", a.peer.Host, "error", err)
 		state.failed = true
-		state.backOff(s.options.Clock.Now())
+		state.backOff(s.options.Clock.Now(), ws)
 		return
 	}
 	s.credit(id, ws, state, a.request.GetWantMicroTokens(), response)
@@ -218,7 +220,7 @@
 	if err := s.ledger.Credit(s.ledger.Epoch(), transfer); err != nil {
 		slog.Warn("transfer refused", "workspace", id, "transfer", transfer.ID, "error", err)
 		s.ledger.Forget(transfer.ID)
-		state.backOff(now)
+		state.backOff(now, ws)
 		return
 	}
 	if current, ok := s.workspaces[id]; ok {
@@ -232,17 +234,27 @@
 	case tokens >= want:
 		state.pause, state.next = 0, now
 	case tokens == 0 && transfer.Rate == 0 && transfer.Burst == 0:
-		state.backOff(now)
+		state.backOff(now, ws)
 	case tokens < smallPart:
-		state.pause, state.next = 0, now.Add(minPause)
+		state.pause, state.next = 0, now.Add(ws.shorten(minPause))
 	default:
 		state.pause, state.next = 0, now.Add(partPause)
 	}
 }
 
-func (p *peerState) backOff(now time.Time) {
+func (p *peerState) backOff(now time.Time, ws *workspace) {
 	p.pause = min(max(2*p.pause, minPause), maxPause)
-	p.next = now.Add(p.pause)
+	p.next = now.Add(ws.shorten(p.pause))
+}
+
+// shorten returns the pause in proportion to the hold of a contract with little
+// burst.
+func (ws *workspace) shorten(pause time.Duration) time.Duration {
+	hold := ws.bucket.Contract().Hold()
+	if hold == 0 || hold >= fullHold {
+		return pause
+	}
+	return time.Duration(float64(pause) * float64(hold) / float64(fullHold))
 }
 
 // Errors of HandleMoveShare.
--- a/core/limit/bucket.go
+++ b/core/limit/bucket.go
@@ -76,15 +76,6 @@
 	return max(0, b.contract.Capacity(b.burst)-b.reserved)
 }
 
-// Refill returns the micro tokens that the bucket earns in a period, up to 1e12.
-func (b *Bucket) Refill(d time.Duration) int64 {
-	return mulDiv(refillOf(b.contract, d), b.rate, escrow.Whole)
-}
-
-func refillOf(c Contract, d time.Duration) int64 {
-	return mulDiv(c.Rate, int64(min(d, time.Second)), int64(time.Second))
-}
-
 // Contract returns the limit the bucket is sized by.
 func (b *Bucket) Contract() Contract { return b.contract }
 
--- a/core/limit/give.go
+++ b/core/limit/give.go
@@ -34,9 +34,12 @@
 
 // Parameters of Give.
 const (
-	// holdTime is how long the capacity of an idle host holds its refill without
-	// being asked. Hosts that lack tokens ask each peer more often than that.
-	holdTime = 250 * time.Millisecond
+	// longHold is the longest hold of a contract with several requests per second.
+	// It lets hosts ask idle peers a few times per second.
+	longHold = 250 * time.Millisecond
+	// shortHold is the shortest. A host asks its peers one after the other, which
+	// takes milliseconds for each.
+	shortHold = 50 * time.Millisecond
 	// demandMargin is the part of its demand that a host keeps in rate, in
 	// percent. The estimate of an even demand of 0.7 requests per second falls
 	// to 86 % of it between requests.
@@ -75,13 +78,34 @@
 	MicroTokens int64
 }
 
-// Small reports whether hosts can't keep capacity for their refill while one
-// host holds a token. The limit then moves as a whole.
-func (c Contract) Small() bool { return c.Burst < Token+refillOf(c, holdTime) }
+// Hold returns how long the capacity of idle hosts holds their refill without
+// being asked, while one host can hold a token. It is 0 if that is less than the
+// time between two requests, in which nobody asks; the limit then moves as a
+// whole.
+func (c Contract) Hold() time.Duration {
+	between := c.period(Token)
+	hold := min(max(longHold, between), c.period(c.Burst-Token))
+	if hold < max(shortHold, between) {
+		return 0
+	}
+	return hold
+}
+
+// period returns the time for which the entire rate earns micro tokens, up to
+// maxRefill.
+func (c Contract) period(microTokens int64) time.Duration {
+	if c.Rate == 0 {
+		return maxRefill
+	}
+	seconds := float64(max(0, microTokens)) / float64(c.Rate)
+	return time.Duration(min(seconds, maxRefill.Seconds()) * float64(time.Second))
+}
 
-// held returns the capacity that holds the refill of a fraction for holdTime.
+// held returns the capacity that holds the refill of a fraction of the rate for
+// Hold.
 func (c Contract) held(rate int64) int64 {
-	return mulDiv(refillOf(c, holdTime), rate, escrow.Whole)
+	refill := mulDiv(c.Rate, int64(c.Hold()), int64(time.Second))
+	return mulDiv(refill, rate, escrow.Whole)
 }
 
 // Give returns what to hand to an asker: tokens, the capacity that they and one
@@ -123,11 +147,11 @@
 	switch {
 	case g.busy():
 		keep += max(Token, min(g.Level, int64(g.Waiting)*Token))
-	case !g.Contract.Small():
+	default:
 		keep += g.Contract.held(g.Rate)
 	}
 	spare := max(0, g.Burst-g.Contract.Fraction(keep))
-	if g.Contract.Small() && !g.busy() {
+	if g.Contract.Hold() == 0 && !g.busy() {
 		return spare
 	}
 	return min(spare, g.Contract.Fraction(microTokens))
@@ -141,7 +165,7 @@
 	if g.Burst == burst {
 		return g.Rate
 	}
-	if g.Contract.Small() {
+	if g.Contract.Hold() == 0 {
 		return mulDiv(g.Rate, burst, g.Burst)
 	}
 	if g.Waiting > 0 {
@@ -165,9 +189,9 @@
 }
 
 // aboveCapacity returns the rate whose refill the remaining capacity can't hold
-// for holdTime.
+// for Hold.
 func (g Giver) aboveCapacity(burst int64) int64 {
-	refill := refillOf(g.Contract, holdTime)
+	refill := g.Contract.held(escrow.Whole)
 	held := g.Contract.Capacity(g.Burst - burst)
 	if refill <= held {
 		return 0
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -75,6 +75,35 @@
 	assert.Assert(t, !ok)
 }
 
+// Guards against a hold for which the burst does not suffice, and against one that
+// is shorter than the time in which nobody asks.
+func TestHold(t *testing.T) {
+	cases := map[string]struct {
+		rate, burst float64
+		want        time.Duration
+	}{
+		"long":                                   {5, 3, 250 * time.Millisecond},
+		"one request per second":                 {1, 2, time.Second},
+		"little burst":                           {100, 11, 100 * time.Millisecond},
+		"burst of one":                           {1, 1, 0},
+		"less than the time between requests":    {2, 1.5, 0},
+		"less than the time to ask all peers":    {100, 5, 0},
+		"no rate":                                {0, 5, maxRefill},
+		"neither rate nor burst for one request": {0, 0.5, maxRefill},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, NewContract(tc.rate, tc.burst).Hold(), tc.want)
+		})
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		c := NewContract(rapid.Float64Range(0.001, 1000).Draw(t, "rate"), rapid.Float64Range(0, 100).Draw(t, "burst"))
+		if c.Hold() > 0 && c.held(escrow.Whole)+Token > c.Burst {
+			t.Fatalf("hold %v of %+v", c.Hold(), c)
+		}
+	})
+}
+
 // Guards against gifts above the giver's holding, and against tokens that neither
 // the moved capacity nor the room of the asker covers.
 func TestGiveBounds(t *testing.T) {
