--- a/app/limits/gather.go
+++ b/app/limits/gather.go
@@ -36,6 +36,11 @@
 // backlog asked 410 times per second when smaller parts had partPause.
 const smallPart = limit.Token / 8
 
+// soonPart divides LimitWait into the time that counts as soon. If hosts always
+// yielded to older requests, seven of them at three times a rate of 100 asked 529
+// instead of 209 times per second.
+const soonPart = 8
+
 // peerState is what this host remembers of a peer for one workspace and epoch.
 type peerState struct {
 	// open is the id of a transfer whose answer was lost. It is asked for
@@ -336,17 +341,20 @@
 		Reserved: ws.bucket.Reserved(),
 		Demand:   ws.demand.Rate(now),
 		Waiting:  len(ws.waiters),
-		Yields:   len(ws.waiters) > 0 && s.yields(ws, asker, r.GetWaitingSinceUnixUs()),
+		Yields:   len(ws.waiters) > 0 && s.yields(ws, now, asker, r.GetWaitingSinceUnixUs()),
 	}
 }
 
 // yields reports whether the requests of the asker go before those that wait
 // here: the oldest request in the fleet goes first. Wall clocks that differ make
 // the order less fair, but it is the same on all hosts, so of two hosts that each
-// hold a part of a token one always completes it.
-func (s *Service) yields(ws *workspace, asker model.HostID, since int64) bool {
-	return cmp.Or(
-		cmp.Compare(since, ws.waiters[0].since.UnixMicro()),
-		cmp.Compare(asker, s.options.Host),
-	) < 0
+// hold a part of a token one always completes it. A host that refill serves soon
+// does not yield for small differences of age.
+func (s *Service) yields(ws *workspace, now time.Time, asker model.HostID, since int64) bool {
+	own := ws.waiters[0].since.UnixMicro()
+	slack := s.options.LimitWait / soonPart
+	if wait, ok := ws.bucket.Wait(now, limit.Token); ok && wait <= slack {
+		return since < own-slack.Microseconds()
+	}
+	return cmp.Or(cmp.Compare(since, own), cmp.Compare(asker, s.options.Host)) < 0
 }
