spec: model of the non-idempotent call

The order of record, commit, right check and send, together with takeover and handover, was only covered by tests of single schedules.

call.pml models one call on three hosts with kills, removals of live hosts and moves of the shard.

--- /dev/null
+++ b/spec/call.pml
@@ -0,0 +1,411 @@
+/*
+ * Non-idempotent call: record before send, takeover, retries of the caller.
+ *
+ * Stands for core/program, app/programs (call.go, commit.go, takeover.go) and
+ * the order of steps in app/relay/service_call.go.
+ *
+ * Three hosts in three zones, one program with one non-idempotent call. The
+ * caller resends the call to the owner at any time, MAXRUN times in total.
+ *
+ * Abstracted:
+ * - A host has the right to act until it is removed or killed; rights.pml covers
+ *   that rule. A right that lapses and returns only delays steps.
+ * - A record is a version (epoch, sequence) and a state. Each journal has keys
+ *   of its own in the store, so the store keeps the newest of all versions.
+ * - Only the newest commit of a host is under way; the older ones count as lost
+ *   where they have not arrived. Writing a copy and checking the epoch are one
+ *   step, which HandleReplicate achieves by a second check after the write.
+ * - Shard ownership is arbitrary after each change of the membership.
+ * - A frozen process is one whose steps come late. A pause may lie between the
+ *   check of the right and the first byte. A lost answer is a late one, because
+ *   a run may give up at any time.
+ * - A takeover is two steps: hand over and read the copies of all members, then
+ *   read the store and install.
+ * - At most MAXFAULT copies are lost by kills and removals of live hosts. Re-
+ *   replication after an epoch change is not modelled, therefore the bound
+ *   covers the whole run instead of the faults at one time.
+ *
+ * Properties: at most one arrival at the target; a run that answered Ran: no
+ * has not sent and never sends a byte.
+ *
+ * KILLS_ONLY leaves out removals of live hosts and moves of the shard, which
+ * keeps the search small with three epochs.
+ *
+ * Wrong variants: SEND_BEFORE_COMMIT, ONE_ACK, NO_RIGHT_CHECK,
+ * TAKEOVER_WITHOUT_STORE, TAKEOVER_WITHOUT_PEERS, RERUN_STARTED,
+ * HANDOVER_OF_OPEN_CALL, RAN_NO_AFTER_SEND.
+ */
+
+#define N 3
+#ifndef MAXRUN
+#define MAXRUN 2
+#endif
+#ifndef MAXEPOCH
+#define MAXEPOCH 2
+#endif
+#ifndef MAXFAULT
+#define MAXFAULT 2
+#endif
+#define ALL 7
+
+/* States of the call in memory and in records. */
+#define ABSENT  0 /* not loaded, or no record */
+#define NONE    1 /* loaded, call not open */
+#define STARTED 2
+#define FINAL   3 /* done, failed or unknown */
+
+/* Steps of a run. */
+#define IDLE       0
+#define COMMITTING 1
+#define CHECKED    2
+#define SENT       3
+
+byte epoch = 1;            /* of the membership record in the store */
+byte members[MAXEPOCH + 1];
+byte owner[MAXEPOCH + 1];
+byte faults;
+byte runs;
+byte arrivals;
+
+byte entered[N];           /* epoch that a host has entered; 0: none */
+bit alive[N];
+bit right[N];
+byte state[N];
+byte version[N];
+byte step[N];
+
+byte copyState[N];         /* copies for the owner in the memory of a peer */
+byte copyVersion[N];
+byte storeState;
+byte storeVersion;
+
+/* Record of the last commit of a host, and where it is still under way: bits
+ * of peers, and bit N for the store. */
+byte sent[N];
+byte sentState[N];
+byte sentVersion[N];
+byte sentEpoch[N];
+byte acks[N];              /* bit set of peers for the present version */
+
+bit stored[N];             /* the store confirmed the present version */
+
+/* Takeover of a host: the newest record that members had. */
+bit loading[N];
+byte foundState[N];
+byte foundVersion[N];
+
+#define has(set, h) (((set) >> (h)) & 1)
+#define others(h)   (members[entered[h]] & (ALL - (1 << (h))))
+#define owns(h)     (entered[h] > 0 && owner[entered[h]] == (h))
+
+/* Gives the tree of h a new version and starts a commit. */
+inline touch(h, s) {
+	state[h] = s;
+	if
+	:: version[h] / 16 < entered[h] -> version[h] = entered[h] * 16 + 1
+	:: else -> version[h]++
+	fi;
+	acks[h] = 0;
+	stored[h] = 0;
+	sent[h] = others(h) | (1 << N);
+	sentState[h] = s;
+	sentVersion[h] = version[h];
+	sentEpoch[h] = entered[h]
+}
+
+/* Ends a run that was not sent. The answer says Ran: no. */
+inline refuse(h) {
+	assert(step[h] != SENT);
+	if
+	:: state[h] == STARTED -> touch(h, NONE)
+	:: else /* the program left this host */
+	fi;
+	step[h] = IDLE
+}
+
+inline stopLoad(h) {
+	loading[h] = 0;
+	foundState[h] = 0;
+	foundVersion[h] = 0
+}
+
+inline clear(h) {
+	state[h] = ABSENT;
+	version[h] = 0;
+	acks[h] = 0;
+	stored[h] = 0;
+	stopLoad(h)
+}
+
+inline find(h, s, v) {
+	if
+	:: v > foundVersion[h] ->
+		foundState[h] = s;
+		foundVersion[h] = v
+	:: else
+	fi
+}
+
+#ifdef ONE_ACK
+#define peersCommitted(h) (acks[h] != 0)
+#else
+#define peersCommitted(h) (acks[h] == ALL - (1 << (h)))
+#endif
+#ifdef NO_RIGHT_CHECK
+#define mayAct(h) true
+#else
+#define mayAct(h) right[h]
+#endif
+#ifdef SEND_BEFORE_COMMIT
+#define committed(h) true
+#else
+#define committed(h) (peersCommitted(h) || (stored[h] && mayAct(h)))
+#endif
+
+proctype Host(byte h) {
+	byte p = 0;
+end:
+	do
+	/* app/programs.Begin and Run.Started; the state Admitted is never
+	 * committed, so both are one step. */
+	:: atomic { alive[h] && step[h] == IDLE && owns(h) && state[h] == NONE && right[h] && runs < MAXRUN ->
+		runs++;
+		touch(h, STARTED);
+		step[h] = COMMITTING }
+	:: atomic { alive[h] && step[h] == COMMITTING ->
+		if
+		:: state[h] == STARTED && committed(h) && mayAct(h) -> step[h] = CHECKED
+		:: true -> refuse(h) /* timeout, no right, or the program has left */
+		fi }
+	/* The first byte leaves, perhaps long after the check. */
+	:: atomic { alive[h] && step[h] == CHECKED ->
+		arrivals++;
+		assert(arrivals <= 1);
+		step[h] = SENT }
+	:: atomic { alive[h] && step[h] == SENT ->
+#ifdef RAN_NO_AFTER_SEND
+		refuse(h)
+#else
+		if
+		:: state[h] == STARTED -> touch(h, FINAL) /* answered, or the answer was lost */
+		:: else
+		fi;
+		step[h] = IDLE
+#endif
+	   }
+
+	/* EpochChanged. */
+	:: atomic { alive[h] && entered[h] > 0 && entered[h] < epoch ->
+		entered[h] = epoch;
+		stopLoad(h);
+		if
+		:: !has(members[epoch], h) ->
+			clear(h);
+			entered[h] = 0
+		:: else
+		fi }
+
+	/* Takeover: ask each member to hand over and for its copies. All must be
+	 * in the same epoch, and none may run the call. */
+	:: atomic { alive[h] && owns(h) && state[h] == ABSENT && step[h] == IDLE && !loading[h] ->
+		p = 0;
+		do
+		:: p < N ->
+			if
+			:: has(others(h), p) && !(alive[p] && entered[p] == entered[h]) -> break
+#ifndef HANDOVER_OF_OPEN_CALL
+			:: has(others(h), p) && alive[p] && entered[p] == entered[h] && state[p] == STARTED -> break
+#endif
+			:: else -> p++
+			fi
+		:: else -> break
+		od;
+		if
+		:: p < N /* tried again later */
+		:: else ->
+			loading[h] = 1;
+			find(h, copyState[h], copyVersion[h]);
+			p = 0;
+			do
+			:: p < N ->
+				if
+				:: has(others(h), p) ->
+					if
+					:: state[p] == NONE || state[p] == FINAL ->
+						if
+						:: version[p] > copyVersion[p] ->
+							copyState[p] = state[p];
+							copyVersion[p] = version[p]
+						:: else
+						fi;
+						clear(p)
+					:: else
+					fi;
+#ifndef TAKEOVER_WITHOUT_PEERS
+					find(h, copyState[p], copyVersion[p])
+#endif
+				:: else
+				fi;
+				p++
+			:: else -> break
+			od
+		fi;
+		p = 0 }
+	/* Then read the store, and install. */
+	:: atomic { alive[h] && loading[h] ->
+#ifndef TAKEOVER_WITHOUT_STORE
+		find(h, storeState, storeVersion);
+#endif
+		version[h] = foundVersion[h];
+		if
+		:: foundState[h] == ABSENT -> state[h] = NONE
+#ifdef RERUN_STARTED
+		:: foundState[h] == STARTED -> touch(h, NONE)
+#else
+		:: foundState[h] == STARTED -> touch(h, FINAL)
+#endif
+		:: foundState[h] == NONE || foundState[h] == FINAL -> touch(h, foundState[h])
+		fi;
+		stopLoad(h) }
+	od
+}
+
+/* Delivers messages and store writes, each of which may also never arrive. */
+proctype Network() {
+	byte from = 0;
+	byte to = 0;
+end:
+	do
+	:: atomic { sent[0] != 0 || sent[1] != 0 || sent[2] != 0 ->
+		do
+		:: from < N - 1 -> from++
+		:: to < N -> to++
+		:: has(sent[from], to) -> break
+		:: from == N - 1 && to == N -> break
+		od;
+		if
+		:: !has(sent[from], to)
+		:: else ->
+			sent[from] = sent[from] & ~(1 << to);
+			if
+			:: to == N ->
+				if
+				:: sentVersion[from] > storeVersion ->
+					storeVersion = sentVersion[from];
+					storeState = sentState[from]
+				:: else
+				fi;
+				if
+				:: alive[from] && sentVersion[from] == version[from] -> stored[from] = 1
+				:: else
+				fi
+			/* HandleReplicate. */
+			:: to < N && alive[to] && entered[to] > 0 && entered[to] <= sentEpoch[from] ->
+				if
+				:: sentVersion[from] > copyVersion[to] ->
+					copyVersion[to] = sentVersion[from];
+					copyState[to] = sentState[from]
+				:: else
+				fi;
+				if
+				:: alive[from] && sentVersion[from] == version[from] -> acks[from] = acks[from] | (1 << to)
+				:: else
+				fi
+			:: else
+			fi;
+			if
+			:: sent[from] == 0 ->
+				sentState[from] = 0;
+				sentVersion[from] = 0;
+				sentEpoch[from] = 0
+			:: else
+			fi
+		fi;
+		from = 0; to = 0 }
+	od
+}
+
+inline nextEpoch(set) {
+	members[epoch + 1] = set;
+	epoch++;
+	owner[epoch] = owner[epoch - 1]
+}
+
+#ifdef KILLS_ONLY
+#define removable false
+#else
+#define removable (faults < MAXFAULT)
+#endif
+
+/* Faults and changes of the membership. */
+proctype Fleet() {
+	byte h = 0;
+end:
+	do
+	:: atomic {
+		do
+		:: h < N - 1 -> h++
+		:: break
+		od;
+		if
+		/* Kill: memory and copies are lost; messages under way are not. */
+		:: alive[h] && faults < MAXFAULT ->
+			faults++;
+			alive[h] = 0;
+			right[h] = 0;
+			entered[h] = 0;
+			step[h] = IDLE;
+			copyState[h] = 0;
+			copyVersion[h] = 0;
+			clear(h)
+		/* Removal of a host whose right has lapsed; a majority must remain. */
+		:: has(members[epoch], h) && members[epoch] == ALL && epoch < MAXEPOCH && (!alive[h] || removable) ->
+			if
+			:: alive[h] -> faults++
+			:: else
+			fi;
+			right[h] = 0;
+			nextEpoch(ALL - (1 << h));
+			if
+			:: owner[epoch] == h -> owner[epoch] = (h + 1) % N
+			:: owner[epoch] == h -> owner[epoch] = (h + 2) % N
+			:: else
+			fi
+		/* A new incarnation joins: restart of a killed host, or return of a
+		 * removed one that has noticed its removal. */
+		:: epoch < MAXEPOCH && entered[h] == 0 && (!alive[h] || !has(members[epoch], h)) && step[h] == IDLE ->
+			alive[h] = 1;
+			nextEpoch(members[epoch] | (1 << h));
+			if
+			:: owner[epoch] = h
+			:: true
+			fi;
+			entered[h] = epoch;
+			right[h] = 1
+#ifndef KILLS_ONLY
+		/* The shard moves between live hosts. */
+		:: epoch < MAXEPOCH && has(members[epoch], h) && owner[epoch] != h ->
+			nextEpoch(members[epoch]);
+			owner[epoch] = h
+#endif
+		:: else
+		fi;
+		h = 0 }
+	od
+}
+
+init {
+	atomic {
+		members[1] = ALL;
+		owner[1] = 0;
+		entered[0] = 1; entered[1] = 1; entered[2] = 1;
+		alive[0] = 1; alive[1] = 1; alive[2] = 1;
+		right[0] = 1; right[1] = 1; right[2] = 1;
+		state[0] = NONE;
+		run Host(0);
+		run Host(1);
+		run Host(2);
+		run Network();
+		run Fleet()
+	}
+}
