Drop the claims of removed hosts

Cause: copies of a request are claimed before they are sent. A killed host never reports the end of its copies, so calls with the same content waited up to 30 s for them; TestKilledOwner of test/e2e, which repeats two streams with equal content, failed with calls that took more than 10 s. Change: a claim names the incarnation of its host; a new epoch drops the claims of incarnations that are no longer members. Before: TestClaimsOfRemovedHostsEnd fails without the drop ("other copies of this request run"). Conclusion: a host that was removed but still runs a copy for a moment can let a third copy run; its streams end with its right to act.

--- a/app/host/membership.go
+++ b/app/host/membership.go
@@ -17,6 +17,11 @@
 	h.limits.EpochChanged(h.limitMembers(current))
 	h.programs.EpochChanged(h.topology(old), h.topology(current))
 	h.owners.epochChanged(old, current)
+	var live []model.Incarnation
+	for _, m := range current.Members {
+		live = append(live, m.Incarnation)
+	}
+	h.suspects.MembersChanged(live)
 	h.log.Info("epoch entered", "epoch", current.Epoch, "members", len(current.Members))
 }
 
--- a/app/host/wire.go
+++ b/app/host/wire.go
@@ -130,7 +130,8 @@
 	})
 	h.suspects = suspects.New(suspects.Options{
 		Host: h.settings.Host.Name, Self: h.settings.Peer.Advertise, Peers: suspectPeers{h.peers, h},
-		Store: h.documents, Clock: h.clock, Log: h.log,
+		Incarnation: func() model.Incarnation { return h.fleet.Self().Incarnation },
+		Store:       h.documents, Clock: h.clock, Log: h.log,
 	})
 	return nil
 }
--- a/app/suspects/service.go
+++ b/app/suspects/service.go
@@ -65,7 +65,10 @@
 	Host  model.HostID
 	Self  string
 	Peers Peers
-	Store store.Store
+	// Incarnation returns that of this host, which marks its claims; nil means
+	// that it has none.
+	Incarnation func() model.Incarnation
+	Store       store.Store
 	// KeyPrefix is the prefix of the store keys; empty means
 	// DefaultKeyPrefix.
 	KeyPrefix string
@@ -367,7 +370,7 @@
 // it waits up to ClaimWait while other copies run that may crash their targets.
 // It fails with a *model.Refusal that says that the copy did not run.
 func (s *Service) Begin(ctx context.Context, f model.Fingerprint) (*Run, error) {
-	r := &Run{service: s, print: f, id: suspect.ClaimID(uuid.NewString())}
+	r := &Run{service: s, print: f, id: s.newClaim()}
 	deadline := s.options.Clock.Now().Add(s.options.ClaimWait)
 	for {
 		if s.known(f) {
@@ -398,6 +401,22 @@
 	}
 }
 
+func (s *Service) newClaim() suspect.ClaimID {
+	holder := ""
+	if s.options.Incarnation != nil {
+		holder = string(s.options.Incarnation())
+	}
+	return suspect.ClaimID(holder + "/" + uuid.NewString())
+}
+
+// MembersChanged drops the claims of hosts that are no longer members. Without
+// it, calls with the content of a killed host's calls would wait for their end.
+func (s *Service) MembersChanged(live []model.Incarnation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.claims.KeepHolders(func(holder string) bool { return slices.Contains(live, model.Incarnation(holder)) })
+}
+
 func busy(reason string) error {
 	return model.NewRefusal(model.ErrUnavailable, model.RanNo, "%s", reason).Retry(time.Second)
 }
--- a/app/suspects/service_test.go
+++ b/app/suspects/service_test.go
@@ -91,7 +91,7 @@
 
 func (n *network) start(address string) *Service {
 	return New(Options{
-		Host: model.HostID(address), Self: address, Peers: link{net: n, self: address},
+		Host: model.HostID(address), Incarnation: func() model.Incarnation { return model.Incarnation(address) }, Self: address, Peers: link{net: n, self: address},
 		Store: n.store.NewClient(address), Clock: n.clock, Log: slog.New(slog.DiscardHandler),
 	})
 }
@@ -321,3 +321,34 @@
 	assert.NilError(t, err)
 	assert.Assert(t, alone)
 }
+
+// Guards against calls that wait for copies whose host was killed: nobody
+// reports the end of these.
+func TestClaimsOfRemovedHostsEnd(t *testing.T) {
+	n := newNetwork(t, 3)
+	const content = model.Fingerprint("same")
+	for range 2 {
+		_, err := n.hosts[n.names[0]].Begin(context.Background(), content)
+		assert.NilError(t, err)
+	}
+	began := make(chan error, 1)
+	go func() {
+		_, err := n.hosts[n.names[1]].Begin(context.Background(), content)
+		began <- err
+	}()
+	select {
+	case err := <-began:
+		t.Fatalf("a third copy ran beside two others: %v", err)
+	case <-time.After(100 * time.Millisecond):
+	}
+	live := []model.Incarnation{model.Incarnation(n.names[1]), model.Incarnation(n.names[2])}
+	for _, a := range n.names {
+		n.hosts[a].MembersChanged(live)
+	}
+	select {
+	case err := <-began:
+		assert.NilError(t, err)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the copy still waits for those of the removed host")
+	}
+}
--- a/core/suspect/claims.go
+++ b/core/suspect/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,7 +32,8 @@
 	Refused
 )
 
-// ClaimID identifies one run of a request, fleet-wide.
+// ClaimID identifies one run of a request, fleet-wide. It consists of the
+// incarnation of the host that runs it, a slash and a unique part.
 type ClaimID string
 
 // Claims counts the runs of the requests whose owner this host is. It is not
@@ -105,6 +107,21 @@
 	}
 }
 
+// KeepHolders drops the claims of processes that are no longer members: nobody
+// will report their end. The holder is the part of a ClaimID before the slash.
+func (c *Claims) KeepHolders(live func(holder string) bool) {
+	for f, runs := range c.running {
+		for id := range runs {
+			if holder, _, ok := strings.Cut(string(id), "/"); ok && !live(holder) {
+				delete(runs, id)
+			}
+		}
+		if len(runs) == 0 {
+			delete(c.running, f)
+		}
+	}
+}
+
 // Running returns the number of requests with running copies.
 func (c *Claims) Running() int { return len(c.running) }
 
--- a/test/e2e/client_test.go
+++ b/test/e2e/client_test.go
@@ -320,9 +320,11 @@
 	t.Helper()
 	var h struct {
 		Turns []struct {
-			Call             int
-			Messages, Answer string
-			Status           int
+			Call        int
+			After, Kept int
+			Messages    []engine.Message
+			Answer      string
+			Status      int
 		}
 	}
 	eventually(t, 10*time.Second, "history of "+c.program, func() bool {
@@ -330,14 +332,18 @@
 		return err == nil && json.Unmarshal(data, &h) == nil
 	})
 	assert.Equal(t, len(h.Turns), c.calls, "turns in the history of %s", c.program)
+	full := make([][]engine.Message, len(h.Turns)) // messages of each call
 	for i, turn := range h.Turns {
 		assert.Equal(t, turn.Call, i+1)
 		text, err := readEvents(strings.NewReader(turn.Answer), nil)
 		assert.NilError(t, err, "answer of call %d", turn.Call)
 		assert.Equal(t, text, string(c.messages[2*i+1].Content), "answer of call %d", turn.Call)
-		var sent []engine.Message
-		assert.NilError(t, json.Unmarshal([]byte(turn.Messages), &sent))
-		assert.DeepEqual(t, sent[len(sent)-1], c.messages[2*i])
+		if turn.Kept > 0 {
+			assert.Assert(t, turn.After >= 1 && turn.After <= i, "call %d continues call %d", turn.Call, turn.After)
+			full[i] = slices.Clone(full[turn.After-1][:turn.Kept])
+		}
+		full[i] = append(full[i], turn.Messages...)
+		assert.DeepEqual(t, full[i], c.messages[:2*i+1])
 	}
 }
 
