bench: follow the renamed share of the dump

Cause: rate and burst are divided independently now. Change: the dump's field Rate. Before: bench did not build. After: it does. Conclusion: none.

--- a/bench/storecalls_test.go
+++ b/bench/storecalls_test.go
@@ -225,7 +225,7 @@
 		}
 		s.Close()
 		t.Logf("%d hosts, %d workspaces: %d rounds applied, share of the first workspace %d, writes %+v",
-			n, w, dump.Rounds, dump.Workspaces[workspaceName(0)].Fraction, counted.counts())
+			n, w, dump.Rounds, dump.Workspaces[workspaceName(0)].Rate, counted.counts())
 		if !*full {
 			assert.Equal(t, dump.Rounds, 1)
 		}
