Test that a resumed host spends no share of a burst

Change: calls without a record wait at a frozen host and the other hosts get the whole burst when it resumes.

--- a/test/e2e/limit_test.go
+++ b/test/e2e/limit_test.go
@@ -8,6 +8,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,19 +29,25 @@
 type sender struct {
 	site      *site
 	workspace model.WorkspaceID
-	rate      float64                // calls per second
-	batch     int                    // calls sent at once
-	hosts     func(batch int) *entry // where a batch is sent
+	rate      float64               // calls per second
+	batch     int                   // calls sent at once
+	hosts     func(call int) *entry // where a call is sent
+	name      string                // starts the bodies; empty means the workspace
+	once      bool                  // sends one batch at once
 
 	stop chan struct{}
 	work sync.WaitGroup
 
-	mu    sync.Mutex
-	calls map[string]stampedCall // by body
+	started atomic.Int64 // calls
+	mu      sync.Mutex
+	calls   map[string]stampedCall // by body
 }
 
 func (s *site) startSender(d *sender) *sender {
 	d.site, d.stop, d.calls = s, make(chan struct{}), map[string]stampedCall{}
+	if d.name == "" {
+		d.name = string(d.workspace)
+	}
 	d.work.Go(d.run)
 	return d
 }
@@ -49,21 +56,26 @@
 	tick := time.NewTicker(time.Duration(float64(d.batch) * float64(time.Second) / d.rate))
 	defer tick.Stop()
 	for i := range maxLoad {
+		for j := range d.batch {
+			n := i*d.batch + j
+			h := d.hosts(n)
+			d.work.Go(func() { d.send(h, fmt.Sprintf("%s/%d", d.name, n)) })
+		}
+		if d.once {
+			return
+		}
 		select {
 		case <-d.stop:
 			return
 		case <-tick.C:
 		}
-		h := d.hosts(i)
-		for j := range d.batch {
-			d.work.Go(func() { d.send(h, fmt.Sprintf("%s/%d/%d", d.workspace, i, j)) })
-		}
 	}
 }
 
 func (d *sender) send(h *entry, body string) {
 	ctx := timeout(d.site.t, 10*time.Second)
 	c := stampedCall{begin: time.Now()}
+	d.started.Add(1)
 	r := request{key: d.site.keys[d.workspace], route: "stock/x", body: body}
 	c.answer = r.send(ctx, strict, h.caller, nil)
 	d.mu.Lock()
@@ -93,13 +105,13 @@
 // before arrived.
 type admission struct{ begin, arrived time.Time }
 
-// admissions lists the admitted calls. Each arrival counts: repeatable calls
-// may arrive again without another admission, so a body counts once.
+// admissions lists the admitted calls. Repeatable calls may arrive again
+// without another admission, so a body counts once.
 func (d *sender) admissions() []admission {
 	seen := map[string]bool{}
 	var list []admission
 	for _, a := range d.site.arrivals() {
-		if !strings.HasPrefix(a.Body, string(d.workspace)+"/") || seen[a.Body] {
+		if !strings.HasPrefix(a.Body, d.name+"/") || seen[a.Body] {
 			continue
 		}
 		seen[a.Body] = true
@@ -199,3 +211,45 @@
 		assert.DeepEqual(t, d.limited(killed.Add(takeoverLimit), restarted), []string(nil))
 	}
 }
+
+// Guards against a resumed host that spends the share of a workspace's burst
+// that was granted to other hosts while it was frozen for 6 s. Calls wait in the
+// sockets of the frozen host when it resumes, and the others send the whole
+// burst at the same moment; over each window the admitted calls are at most
+// burst + rate × t.
+func TestFrozenHostSpendsNoShare(t *testing.T) {
+	t.Parallel()
+	knownRed(t)
+	const rate, burst = 30, 30
+	s := newSite(t, options{workspaces: []config.Workspace{{Name: "main", Rate: rate, Burst: burst}}})
+	victim := s.hosts[2]
+	// One call on each host, so that all take part in the workspace's limit.
+	for _, h := range s.hosts {
+		r := request{key: s.keys["main"], route: "stock/x", body: "before"}
+		a := r.send(timeout(t, 10*time.Second), strict, h.caller, nil)
+		assert.Assert(t, a.whole, a.String())
+	}
+	victim.freeze()
+	frozen := time.Now()
+	eventually(t, takeoverLimit, "the frozen host is removed", func() bool {
+		for _, h := range s.others(victim) {
+			if st, err := s.status(h); err != nil || len(st.Members) != 2 || !st.Settled {
+				return false
+			}
+		}
+		return true
+	})
+	// The length of the freeze is the fault; the other hosts also need the time
+	// to refill the share that they gained, which is at most burst / rate.
+	refilled := time.Now().Add(time.Duration(burst / rate * float64(time.Second)))
+	time.Sleep(max(time.Until(frozen.Add(6*time.Second)), time.Until(refilled)))
+	late := s.startSender(&sender{workspace: "main", name: "late", rate: rate, batch: 2 * burst, once: true, hosts: func(int) *entry { return victim }})
+	eventually(t, 5*time.Second, "calls are on their way to the frozen host", func() bool { return late.started.Load() == 2*burst })
+	victim.resume()
+	prompt := s.startSender(&sender{workspace: "main", name: "prompt", rate: rate, batch: 2 * burst, once: true, hosts: func(n int) *entry { return s.hosts[n%2] }})
+	prompt.work.Wait()
+	late.work.Wait()
+	list := append(prompt.admissions(), late.admissions()...)
+	t.Logf("%d calls admitted; largest share of the bound: %.3f", len(list), checkWindows(t, list, rate, burst))
+	assert.Assert(t, len(list) >= burst/2, "only %d calls admitted", len(list))
+}
