--- a/app/limits/limits_test.go
+++ b/app/limits/limits_test.go
@@ -39,6 +39,14 @@
 	mu       sync.Mutex
 	admitted map[model.WorkspaceID][]time.Time
 	refused  map[model.WorkspaceID][]time.Time
+	waited   []wait
+}
+
+// wait is that of an admitted request.
+type wait struct {
+	id      model.WorkspaceID
+	arrived time.Time
+	d       time.Duration
 }
 
 func newChecker() *checker {
@@ -52,6 +60,7 @@
 	defer c.mu.Unlock()
 	if err == nil {
 		c.admitted[id] = append(c.admitted[id], time.Now())
+		c.waited = append(c.waited, wait{id, arrived, time.Since(arrived)})
 		return
 	}
 	c.refused[id] = append(c.refused[id], arrived)
@@ -141,7 +150,8 @@
 func afterDeath(i int) model.HostID { return host(1 + i%6) }
 
 // Guards against the same at exactly the rate, where nothing makes up for tokens
-// that are lost later, and the backlog of the fault stays.
+// that are lost later, and against a backlog of the fault that stays near
+// LimitWait, so that the next delay refuses requests.
 func TestDeadHostAtFullRate(t *testing.T) {
 	cases := map[string]struct{ before, after func(i int) model.HostID }{
 		"host changes with each request": {nil, afterDeath},
@@ -179,6 +189,11 @@
 				}
 			}
 		}
+		for _, w := range c.waited {
+			if w.arrived.Sub(died) > 10*time.Second && w.d > defaultLimitWait*3/4 {
+				t.Errorf("workspace %q waited %v at %v after the death", w.id, w.d, w.arrived.Sub(died))
+			}
+		}
 		assert.NilError(t, c.check(contracts))
 		time.Sleep(time.Second) // transfers in flight arrive
 		for _, w := range contracts.Workspaces {
