--- a/spec/call.pml
+++ b/spec/call.pml
@@ -271,57 +271,52 @@
 }
 
 /* Delivers messages and store writes, each of which may also never arrive. */
-proctype Network() {
-	byte from = 0;
+proctype Network(byte from) {
 	byte to = 0;
 end:
 	do
-	:: atomic { sent[0] != 0 || sent[1] != 0 || sent[2] != 0 ->
-		do
-		:: from < N - 1 -> from++
-		:: to < N -> to++
-		:: has(sent[from], to) -> break
-		:: from == N - 1 && to == N -> break
-		od;
+	:: atomic { sent[from] != 0 ->
 		if
-		:: !has(sent[from], to)
-		:: else ->
-			sent[from] = sent[from] & ~(1 << to);
+		:: has(sent[from], 0) -> to = 0
+		:: has(sent[from], 1) -> to = 1
+		:: has(sent[from], 2) -> to = 2
+		:: has(sent[from], N) -> to = N
+		fi;
+		sent[from] = sent[from] & ~(1 << to);
+		if
+		:: to == N ->
 			if
-			:: to == N ->
-				if
-				:: sentVersion[from] > storeVersion ->
-					storeVersion = sentVersion[from];
-					storeState = sentState[from]
-				:: else
-				fi;
-				if
-				:: alive[from] && sentVersion[from] == version[from] -> stored[from] = 1
-				:: else
-				fi
-			/* HandleReplicate. */
-			:: to < N && alive[to] && entered[to] > 0 && entered[to] <= sentEpoch[from] ->
-				if
-				:: sentVersion[from] > copyVersion[to] ->
-					copyVersion[to] = sentVersion[from];
-					copyState[to] = sentState[from]
-				:: else
-				fi;
-				if
-				:: alive[from] && sentVersion[from] == version[from] -> acks[from] = acks[from] | (1 << to)
-				:: else
-				fi
+			:: sentVersion[from] > storeVersion ->
+				storeVersion = sentVersion[from];
+				storeState = sentState[from]
+			:: else
+			fi;
+			if
+			:: alive[from] && sentVersion[from] == version[from] -> stored[from] = 1
+			:: else
+			fi
+		/* HandleReplicate. */
+		:: to < N && alive[to] && entered[to] > 0 && entered[to] <= sentEpoch[from] ->
+			if
+			:: sentVersion[from] > copyVersion[to] ->
+				copyVersion[to] = sentVersion[from];
+				copyState[to] = sentState[from]
 			:: else
 			fi;
 			if
-			:: sent[from] == 0 ->
-				sentState[from] = 0;
-				sentVersion[from] = 0;
-				sentEpoch[from] = 0
+			:: alive[from] && sentVersion[from] == version[from] -> acks[from] = acks[from] | (1 << to)
 			:: else
 			fi
+		:: else
+		fi;
+		if
+		:: sent[from] == 0 ->
+			sentState[from] = 0;
+			sentVersion[from] = 0;
+			sentEpoch[from] = 0
+		:: else
 		fi;
-		from = 0; to = 0 }
+		to = 0 }
 	od
 }
 
@@ -405,7 +400,9 @@
 		run Host(0);
 		run Host(1);
 		run Host(2);
-		run Network();
+		run Network(0);
+		run Network(1);
+		run Network(2);
 		run Fleet()
 	}
 }
