--- a/spec/rights.pml
+++ b/spec/rights.pml
@@ -33,7 +33,8 @@
  *
  * Wrong variants: CONFIRM_WITHOUT_MAJORITY, CONFIRM_OTHER_EPOCH,
  * REPORT_WITHOUT_WAIT, RESTART_WITHOUT_WAIT, REMOVE_WITHOUT_MAJORITY,
- * REMOVE_WITHOUT_CAS, ATTACH_WITHOUT_WRITE, GRANT_WITHOUT_REPORTS, NO_RECHECK.
+ * REMOVE_WITHOUT_CAS, ATTACH_WITHOUT_WRITE, GRANT_WITHOUT_REPORTS, NO_RECHECK,
+ * JOIN_SAME_INCARNATION.
  */
 
 #define N 3
@@ -167,6 +168,19 @@
 	/* Removed: an incarnation never joins twice. */
 	:: atomic { joined[h] && !has(members[epoch], h) ->
 		rename(h) }
+#ifdef JOIN_SAME_INCARNATION
+	/* The first write of the join took effect and its answer was lost; the
+	 * process was removed before it tries again, and has not noticed. */
+	:: atomic { joined[h] && !has(members[epoch], h) && epoch < MAXEPOCH ->
+		members[epoch + 1] = members[epoch] | (1 << h);
+		epoch++;
+		report[h] = 0;
+		written();
+		attached[h] = 1;
+		away[h] = 0;
+		held[h] = 0;
+		check() }
+#endif
 #ifndef NO_JOIN
 	/* Join; the majority rule does not apply to a join. */
 	:: atomic { !joined[h] && epoch < MAXEPOCH ->
