app/relay: do not cut off a non-idempotent call that was sent

Cause: the withdrawal of a key, or a lost caller's host, closed the connection to the service, and the outcome of a payment was unknown for good. Change: once sent, such a call runs to its end or timeout and is recorded. Before: TestPaymentOfWithdrawnKeyIsRecorded fails with Ran unknown. After: it passes with Ran yes. Conclusion: the caller still gets its 401; the outcome can be asked for.

--- a/app/relay/service_call.go
+++ b/app/relay/service_call.go
@@ -120,6 +120,13 @@
 // a cut response is never passed on.
 func (s *Service) exchange(ctx context.Context, c *serviceCall, place Place, timeout time.Duration) (*Answer, error) {
 	t := place.Target()
+	if c.run != nil && !c.route.Repeatable {
+		// Once sent, such a call is not cut off when its caller leaves: its
+		// outcome would never be known.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), timeout)
+		defer cancel()
+	}
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	c.fill(req, t.Address)
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -199,6 +199,32 @@
 	assert.Assert(t, strings.Contains(a.body, "withdrawn"), a.body)
 }
 
+// Guards against a payment that is cut off, and so has no known outcome, because
+// the key of its caller was withdrawn or its caller left meanwhile.
+func TestPaymentOfWithdrawnKeyIsRecorded(t *testing.T) {
+	s := newSite(t, engine.Options{})
+	assert.NilError(t, s.service.SetFault(fault.Fault{Slow: fault.Duration(300 * time.Millisecond)}))
+	done := make(chan answer, 1)
+	go func() {
+		done <- s.do("POST", "/v1/routes/pay/charge", `{"amount":5}`, "Mimosarelay-Program", "p1", "Mimosarelay-Call", "1")
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if s.service.Arrivals().Total > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("the payment has not arrived")
+	}, poll.WithTimeout(5*time.Second))
+	other := config.NewKey("k2")
+	hash, err := config.HashKey(other)
+	assert.NilError(t, err)
+	s.change(func(d *config.Document) { d.Workspaces[0].Keys = []config.Key{{ID: "k2", Hash: hash}} })
+	<-done
+	s.key = other
+	outcome := s.do("GET", "/v1/programs/p1/calls/1", "")
+	assert.Assert(t, strings.Contains(outcome.body, `"Ran":"yes"`), outcome.body)
+	assert.Equal(t, s.service.Arrivals().Total, int64(1))
+}
+
 // Guards against malformed input that crashes the host, reaches a target or
 // gets no clear error.
 func TestMalformedInput(t *testing.T) {
