--- a/spec/shares.pml
+++ b/spec/shares.pml
@@ -20,9 +20,7 @@
  * - A settlement divides what is left arbitrarily among the members. The hosts
  *   0 and 1 settle, at the same time if they like.
  *
- * Property: the units held by processes with the right to act and the units of
- * the epoch of the store record that are granted but not applied yet never
- * exceed WHOLE.
+ * Property: the units held by processes with the right to act never exceed WHOLE.
  *
  * Wrong variants: CREDIT_WITHOUT_ID, CREDIT_OLD_EPOCH, SETTLE_WITHOUT_REPORTS,
  * SETTLE_WITHOUT_CAS, APPLY_TWICE, REPORT_PRESENT, KEEP_ON_REMOVAL,
