app/fleet: an incarnation never joins twice

If the answer to a host's join was lost, and the host was removed before it saw that epoch, it joined again with the same incarnation and kept its share, its shards and its programs, which had been granted to others. Change: a join whose answer was lost is remembered; if the record does not hold the incarnation afterwards, the host takes a new one. Before: TestIncarnationNeverJoinsTwice fails ("the same incarnation joined again in epoch 4"). After: it passes, and app/fleet with -race passes.

--- /dev/null
+++ b/app/fleet/join_test.go
@@ -0,0 +1,84 @@
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"mimosarelay/core/member"
+	"mimosarelay/core/model"
+	"mimosarelay/core/store"
+	"mimosarelay/core/store/memstore"
+	"mimosarelay/io/peer/peerpb"
+)
+
+// lostJoin loses the answer to the first write of the membership, after which
+// another member removes the host that joined.
+type lostJoin struct {
+	store.Store
+	t    *testing.T
+	host model.HostID
+	lost bool
+}
+
+func (l *lostJoin) Put(ctx context.Context, key string, value []byte, prev store.Version) (store.Version, error) {
+	version, err := l.Store.Put(ctx, key, value, prev)
+	if key != "Membership" || l.lost {
+		return version, err
+	}
+	l.lost = true
+	assert.NilError(l.t, err)
+	record, err := member.Decode(value)
+	assert.NilError(l.t, err)
+	joined, ok := record.Member(l.host)
+	assert.Assert(l.t, ok)
+	removed, err := record.RemoveGone(l.host, joined.Incarnation)
+	assert.NilError(l.t, err)
+	next, err := removed.Encode()
+	assert.NilError(l.t, err)
+	_, err = l.Store.Put(ctx, key, next, version)
+	assert.NilError(l.t, err)
+	return 0, store.ErrUnknown
+}
+
+type silentPeers struct{}
+
+func (silentPeers) Heartbeat(context.Context, string, *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
+	return nil, context.DeadlineExceeded
+}
+
+// Guards against an incarnation that joins twice: its share and shards may have
+// been granted to others in between, and it would still hold them.
+func TestIncarnationNeverJoinsTwice(t *testing.T) {
+	clock := clockwork.NewRealClock()
+	client := memstore.New(clock).NewClient("h1")
+	first := member.Member{Host: "h0", Incarnation: "i0", Zone: "a", PeerAddress: "10.0.0.1:1"}
+	record, err := member.Record{}.Join(first)
+	assert.NilError(t, err)
+	value, err := record.Encode()
+	assert.NilError(t, err)
+	ctx := context.Background()
+	_, err = client.Put(ctx, "Membership", value, 0)
+	assert.NilError(t, err)
+	s := New(Options{
+		Store: &lostJoin{Store: client, t: t, host: "h1"}, Clock: clock, Peers: silentPeers{},
+		Self:     member.Member{Host: "h1", Incarnation: "i1", Zone: "b", PeerAddress: "10.0.0.2:1"},
+		Holdings: func(model.Epoch) map[model.WorkspaceID]int64 { return nil }, ConfigRevision: func() model.Revision { return 0 },
+		PeerRevision: func(member.Member, model.Revision) {}, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+	})
+	assert.NilError(t, s.hold(ctx))
+	assert.NilError(t, s.attach(ctx)) // finds that it was removed
+	assert.NilError(t, s.attach(ctx))
+	entry, err := client.Get(ctx, "Membership")
+	assert.NilError(t, err)
+	record, err = member.Decode(entry.Value)
+	assert.NilError(t, err)
+	joined, ok := record.Member("h1")
+	assert.Assert(t, ok)
+	assert.Assert(t, joined.Incarnation != "i1", "the same incarnation joined again in epoch %d", record.Epoch)
+	assert.Equal(t, joined.Incarnation, s.Self().Incarnation)
+}
--- a/app/fleet/lease.go
+++ b/app/fleet/lease.go
@@ -99,7 +99,7 @@
 		switch {
 		case r.Has(self.Host, self.Incarnation):
 			return r, nil
-		case again:
+		case again || s.mayHaveJoined():
 			return r, errRemoved
 		}
 		return r.Join(self)
@@ -126,6 +126,14 @@
 	return nil
 }
 
+// mayHaveJoined tells whether the answer to a join of this incarnation was lost:
+// it may have joined and been removed since.
+func (s *Service) mayHaveJoined() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.joinUnknown
+}
+
 var errRemoved = errors.New("this incarnation was removed")
 
 // removed tells whether the record lost this incarnation. mu is held.
@@ -136,7 +144,7 @@
 // rename continues as a new process after a removal. mu is held.
 func (s *Service) rename() {
 	s.self.Incarnation = newIncarnation()
-	s.joinEpoch, s.reported, s.attached, s.settled = 0, 0, false, false
+	s.joinEpoch, s.joinUnknown, s.reported, s.attached, s.settled = 0, false, 0, false, false
 	s.right.Rename(s.self)
 	s.tenure.Drop()
 	s.options.Logger.Info("removed from the fleet, joining again", "host", s.self.Host, "incarnation", s.self.Incarnation)
@@ -162,6 +170,11 @@
 	var err error
 	for range attempts {
 		record, err = s.changeOnce(ctx, f)
+		if errors.Is(err, store.ErrUnknown) {
+			s.mu.Lock()
+			s.joinUnknown = s.joinEpoch == 0
+			s.mu.Unlock()
+		}
 		if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrUnknown) {
 			return record, err
 		}
--- a/app/fleet/service.go
+++ b/app/fleet/service.go
@@ -146,17 +146,19 @@
 	attached bool      // the lease counts: self was a member after acquiring it
 	// joinEpoch is the epoch in which this incarnation joined; 0 before.
 	joinEpoch model.Epoch
-	stopped   bool // Leave has begun
-	settled   bool
-	reported  model.Epoch // epoch of the last entry report written
-	entries   []store.Entry
-	leases    map[model.HostID]bool
-	reports   map[model.HostID]EntryReport
-	missing   map[model.Incarnation]time.Time // first seen without a lease
-	peerAway  map[model.HostID]bool
-	revision  map[model.Incarnation]model.Revision
-	onEpoch   []func(old, current member.Record)
-	watchers  []*subscriber
+	// joinUnknown is set if the answer to a join was lost.
+	joinUnknown bool
+	stopped     bool // Leave has begun
+	settled     bool
+	reported    model.Epoch // epoch of the last entry report written
+	entries     []store.Entry
+	leases      map[model.HostID]bool
+	reports     map[model.HostID]EntryReport
+	missing     map[model.Incarnation]time.Time // first seen without a lease
+	peerAway    map[model.HostID]bool
+	revision    map[model.Incarnation]model.Revision
+	onEpoch     []func(old, current member.Record)
+	watchers    []*subscriber
 
 	wakeLease, wakeBeat, wakeControl, wakeDispatch chan struct{}
 
