--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -288,3 +288,14 @@
 	assert.Equal(t, s.do("GET", "/readyz", "").status, 503)
 	assert.Equal(t, s.do("GET", "/healthz", "").status, 200)
 }
+
+// Guards against a leaving host that refuses callers which were told its
+// address before, and against one that still tells new callers to come.
+func TestLeavingHostServes(t *testing.T) {
+	s := newSite(t, engine.Options{})
+	s.ready(false)
+	s.leaving.Store(true)
+	a := s.do("POST", "/v1/chat/completions", chatBody("x", false))
+	assert.Equal(t, a.status, 200, a.body)
+	assert.Equal(t, s.do("GET", "/readyz", "").status, 503)
+}
--- a/io/caller/harness_test.go
+++ b/io/caller/harness_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,6 +42,7 @@
 	streams  *relay.Streams
 	server   *caller.Server
 	ready    func(bool)
+	leaving  atomic.Bool // serves although it is not ready
 }
 
 func newSite(t testing.TB, engineOptions engine.Options) *site {
@@ -132,6 +134,11 @@
 	s.server = caller.New(caller.Options{
 		Relay: calls, Streams: s.streams, Hosts: alone{}, Snapshot: s.snapshot, Log: log,
 		Ready: func() (bool, string) { mu.Lock(); defer mu.Unlock(); return serving, "switched off" },
+		Serves: func() (bool, string) {
+			mu.Lock()
+			defer mu.Unlock()
+			return serving || s.leaving.Load(), "switched off"
+		},
 		// Small limits, so that tests reach them.
 		MaxBody: 64 << 10, WriteTimeout: 500 * time.Millisecond,
 	})
