bench/policy: compare the placement policies with their baseline

Cause: the policies of core/placement have default values that no measurement supports.

Change: go run ./bench/policy plays both sites of the design in simulated time with fakes of engines, at loads of 50, 85 and 110 percent, with the faults of the design, and prints one table.

--- /dev/null
+++ b/bench/policy/events.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"container/heap"
+	"time"
+)
+
+// epoch is the time at which each run starts.
+var epoch = time.Unix(1_800_000_000, 0)
+
+// event is a function that runs at a time.
+type event struct {
+	at       time.Duration // since epoch
+	sequence uint64
+	run      func()
+}
+
+// eventQueue is the fake clock. Events at the same time run in the order in
+// which they were added.
+type eventQueue struct {
+	now      time.Duration
+	sequence uint64
+	list     eventHeap
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].sequence < h[j].sequence
+}
+
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop implements heap.Interface.
+func (h *eventHeap) Pop() any {
+	last := len(*h) - 1
+	x := (*h)[last]
+	(*h)[last] = event{}
+	*h = (*h)[:last]
+	return x
+}
+
+func (q *eventQueue) time() time.Time { return epoch.Add(q.now) }
+
+func (q *eventQueue) after(d time.Duration, run func()) {
+	q.sequence++
+	heap.Push(&q.list, event{at: q.now + d, sequence: q.sequence, run: run})
+}
+
+// step runs the next event. It returns false if there is none.
+func (q *eventQueue) step() bool {
+	if len(q.list) == 0 {
+		return false
+	}
+	x := heap.Pop(&q.list).(event)
+	q.now = x.at
+	x.run()
+	return true
+}
--- /dev/null
+++ b/bench/policy/policy_test.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mimosarelay/core/model"
+)
+
+// smallPlan is short enough for a test. Its runs fill the engines.
+func smallPlan() plan {
+	return plan{sites: sites[:1], loads: []int{110}, seeds: 2, arrivals: time.Minute}
+}
+
+func tables(t *testing.T, p plan) (string, []cell) {
+	t.Helper()
+	cells, err := p.play()
+	assert.NilError(t, err)
+	var out bytes.Buffer
+	assert.NilError(t, writeTable(&out, cells))
+	assert.NilError(t, writeGoals(&out, cells))
+	assert.NilError(t, writeCSV(&out, cells))
+	return out.String(), cells
+}
+
+// Guards against figures that depend on map order, on the real time or on the
+// order in which runs end, and against seeds that all give the same run.
+func TestSameTableTwice(t *testing.T) {
+	first, cells := tables(t, smallPlan())
+	second, _ := tables(t, smallPlan())
+	assert.Equal(t, first, second)
+	for _, x := range cells {
+		assert.Assert(t, x.measures[0].mean != x.measures[1].mean, "%s: both seeds gave the same run", x.setup.policy.name)
+	}
+}
+
+// Guards against engines above their bound, calls that never end and programs
+// whose calls overlap or run out of order, which play reports.
+func TestInvariants(t *testing.T) {
+	for _, s := range sites {
+		d := s.capacity()
+		for _, x := range disturbances {
+			for _, p := range policies[:2] {
+				t.Run(strings.Join([]string{s.name, string(x), p.name}, "/"), func(t *testing.T) {
+					r, err := play(setup{
+						site: s, demand: d, load: 110, disturbance: x, policy: p, seed: 3, arrivals: time.Minute,
+					})
+					assert.NilError(t, err)
+					assert.Equal(t, r.sent, r.done, "calls sent and ended")
+					assert.Assert(t, r.sent > 1000, "only %d calls", r.sent)
+					assert.Assert(t, r.peak > 1 && r.peak <= maxInFlight, "%d calls at an engine", r.peak)
+					assert.Assert(t, r.blocks <= cacheBlocks, "%d blocks in an engine", r.blocks)
+				})
+			}
+		}
+	}
+}
+
+// Guards against a cache that forgets what fits, keeps more than fits, or
+// evicts the start of a prefix before its end.
+func TestCacheEvictsLeastRecentlyUsed(t *testing.T) {
+	var q eventQueue
+	e := newEngine("e", 0, &q)
+	call := func(id uint64, prompt, output int) (cached int) {
+		s := &sequence{script: &script{id: id}, prompt: blockTokens * model.Tokens(prompt), output: blockTokens * model.Tokens(output)}
+		ended := false
+		s.done = func(_ *sequence, failed bool) {
+			assert.Assert(t, !failed)
+			ended = true
+		}
+		e.submit(s)
+		for !ended {
+			assert.Assert(t, q.step())
+		}
+		return int(s.cached / blockTokens)
+	}
+	assert.Equal(t, call(1, 10, 1), 0)
+	assert.Equal(t, call(1, 12, 1), 11)
+	for id := uint64(2); len(e.cache.byHash)+100 <= cacheBlocks; id++ {
+		call(id, 99, 1)
+	}
+	free := cacheBlocks - len(e.cache.byHash)
+	call(1000, free+4, 1) // evicts the last 5 blocks of program 1
+	assert.Equal(t, call(1, 14, 1), 8)
+}
+
+// Guards against flags that are accepted although no run can follow them.
+func TestBadFlags(t *testing.T) {
+	tests := map[string][]string{
+		"--seeds is 0":       {"--seeds", "0"},
+		"--load has 0":       {"--load", "85,0"},
+		"\"--load\" flag":    {"--load", ""},
+		"--site \"nowhere\"": {"--site", "nowhere"},
+	}
+	for want, args := range tests {
+		t.Run(want, func(t *testing.T) {
+			c := command()
+			c.SetArgs(args)
+			c.SetErr(&bytes.Buffer{})
+			assert.ErrorContains(t, c.Execute(), want)
+		})
+	}
+}
