core/placement: weigh a call as 256 prompt tokens

Cause: with CallCost 512 small differences of load moved programs away from their prefix, most with load reports that are 10 s late.

Change: CallCost is 256.

--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -38,7 +38,7 @@
 // the same target.
 type CacheAware struct {
 	// CallCost is the number of prompt tokens that weigh as much as one call
-	// at the target; 0 means 512.
+	// at the target; 0 means 256.
 	CallCost float64
 	// Slack is the difference in prompt tokens within which targets count as
 	// equal; 0 means 256.
@@ -82,7 +82,7 @@
 const (
 	defaultAgeBound     = 5 * time.Second
 	defaultOutputWeight = 2
-	defaultCallCost     = 512 // prompt tokens
+	defaultCallCost     = 256 // prompt tokens
 	defaultSlack        = 256 // prompt tokens
 	defaultTokenTime    = 100 * time.Microsecond
 	defaultPauseFactor  = 32
