core/placement: keep places at engines for workspaces below their part

Cause: a workspace at 5 times its rate is admitted up to its rate, which is 1.5 times its calls at 100 percent load, and fills all free places.

Change: FairShare has Open, 0.8. While more than this part of the places is taken, workspaces start calls only up to the level of a max-min fair division of the open places, or up to their part of all places by weight. The level is computed on each tick.

--- a/core/placement/class.go
+++ b/core/placement/class.go
@@ -188,10 +188,14 @@
 	delete(c.byName, l.share.workspace)
 }
 
-// first returns the lane that is served next, or nil.
-func (c *class) first(order Order, now time.Time) *lane {
+// first returns the lane that is served next, or nil. It passes over lanes of
+// workspaces that exceed a part of the engines.
+func (c *class) first(order Order, now time.Time, part float64) *lane {
 	var best *lane
 	for _, l := range c.lanes {
+		if c.key.model != "" && l.share.exceeds(part) {
+			continue
+		}
 		if best == nil || before(l, best, order, now) {
 			best = l
 		}
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -19,6 +19,11 @@
 	// OutputWeight is the cost of a completion token in prompt tokens; 0
 	// means 2.
 	OutputWeight float64
+	// Open is the part of the places at engines that workspaces may fill beyond
+	// their part by weight; 0 means 0.8. The rest is kept for workspaces below
+	// their part, because each call slows down all calls in the same batch. 1
+	// or more keeps nothing.
+	Open float64
 }
 
 func (FirstCome) isOrder() {}
@@ -77,11 +82,12 @@
 func (HoldThroughPause) isRetention() {}
 
 // Defaults of the policies. docs/measurements-policy.md has the measurements
-// behind defaultCallCost, defaultPauseFactor and defaultWaitFactor; the others
+// behind defaultOpen, defaultCallCost, defaultPauseFactor and defaultWaitFactor; the others
 // are starting points.
 const (
 	defaultAgeBound     = 5 * time.Second
 	defaultOutputWeight = 2
+	defaultOpen         = 0.8
 	defaultCallCost     = 256 // prompt tokens
 	defaultSlack        = 256 // prompt tokens
 	defaultTokenTime    = 100 * time.Microsecond
@@ -125,6 +131,7 @@
 func (p FairShare) withDefaults() FairShare {
 	setDefault(&p.AgeBound, defaultAgeBound)
 	setDefault(&p.OutputWeight, defaultOutputWeight)
+	setDefault(&p.Open, defaultOpen)
 	return p
 }
 
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -28,6 +29,14 @@
 	// virtual is the service in prompt tokens divided by the weight.
 	virtual float64
 	calls   int // waiting and running
+	engines int // calls that run at engines
+	wanted  int // calls that wait for engines or run there
+}
+
+// exceeds reports whether one more call exceeds a workspace's part of the
+// places at engines, given as places by weight.
+func (sh *share) exceeds(part float64) bool {
+	return sh.engines > 0 && float64(sh.engines+1) > part*sh.weight
 }
 
 // Scheduler holds the waiting and running calls of one host. It is not safe
@@ -42,6 +51,8 @@
 	waiting  map[CallID]*call
 	running  map[CallID]*call
 	shares   map[model.WorkspaceID]*share
+	level    float64 // see fairLevel
+	kept     bool    // a call waits although a target has room
 	all      *share  // stands for all workspaces with FirstCome
 	virtual  float64 // of the workspace that was served last
 	// scale is the mean of actual prompt tokens by Request.Prompt, which is an
@@ -70,6 +81,7 @@
 		scale:    1,
 		programs: map[model.ProgramKey]*program{},
 		index:    newPrefixIndex(),
+		level:    math.Inf(1),
 	}
 }
 
@@ -210,6 +222,9 @@
 		sh.virtual = max(sh.virtual, s.virtual)
 	}
 	sh.calls++
+	if r.Model != "" {
+		sh.wanted++
+	}
 	if t, ends := s.pin(p, c, now); t != nil {
 		k.pinEnds = ends
 		key := c.key
@@ -253,17 +268,83 @@
 	return p
 }
 
+// enginePlaces returns the places at engines in use and those that are taken.
+func (s *Scheduler) enginePlaces() (places, taken int) {
+	for _, t := range s.sorted {
+		if len(t.Models) > 0 && !t.Skip {
+			places += t.Limit
+			taken += len(t.inFlight)
+		}
+	}
+	return places, taken
+}
+
+// part returns the places at engines per weight that bind workspaces now.
+// None are bound while more places are open than FairShare keeps.
+func (s *Scheduler) part() float64 {
+	p, ok := s.options.Order.(FairShare)
+	if !ok || math.IsInf(s.level, 1) {
+		return math.Inf(1)
+	}
+	places, taken := s.enginePlaces()
+	if float64(taken) < p.Open*float64(places) {
+		return math.Inf(1)
+	}
+	return s.level
+}
+
+// fairLevel divides the open places at engines among the workspaces by weight,
+// where none gets more than it wants (max-min fairness), and returns the
+// places by weight of those that want more. It is infinite if all get what
+// they want. It is at least the part of all places that each workspace gets
+// if all want more, so that all places are used then.
+func (s *Scheduler) fairLevel(p FairShare) float64 {
+	var active []*share
+	weights := 0.0
+	for _, sh := range s.shares {
+		if sh.wanted > 0 {
+			active = append(active, sh)
+		}
+	}
+	slices.SortFunc(active, func(a, b *share) int {
+		return cmp.Or(
+			cmp.Compare(float64(a.wanted)/a.weight, float64(b.wanted)/b.weight),
+			cmp.Compare(a.workspace, b.workspace),
+		)
+	})
+	for _, sh := range active {
+		weights += sh.weight
+	}
+	places, _ := s.enginePlaces()
+	least := float64(places) / weights
+	left := p.Open * float64(places)
+	for _, sh := range active {
+		if float64(sh.wanted)*weights > left*sh.weight {
+			return max(left/weights, least)
+		}
+		left -= float64(sh.wanted)
+		weights -= sh.weight
+	}
+	return math.Inf(1)
+}
+
 // fill grants waiting calls of the classes while their targets have room.
 func (s *Scheduler) fill(now time.Time, classes []*class) []Grant {
 	var grants []Grant
 	for {
 		var from *class
 		var next *lane
+		part := s.part()
 		for _, c := range classes {
 			if c.free == 0 || len(c.lanes) == 0 {
 				continue
 			}
-			if l := c.first(s.options.Order, now); next == nil || before(l, next, s.options.Order, now) {
+			l := c.first(s.options.Order, now, part)
+			if l == nil {
+				s.kept = true
+				continue
+			}
+			if next == nil || before(l, next, s.options.Order, now) {
 				from, next = c, l
 			}
 		}
@@ -299,6 +380,9 @@
 	t.begin(k)
 	t.refresh()
 	sh := s.share(k.request.Workspace)
+	if k.request.Model != "" {
+		sh.engines++
+	}
 	s.virtual = max(s.virtual, sh.virtual)
 	prompt := s.expected(&k.request)
 	k.charged = float64(prompt)
@@ -322,7 +406,11 @@
 
 // leave ends the use of the shared records by a call.
 func (s *Scheduler) leave(k *call, ended time.Time) *program {
-	s.share(k.request.Workspace).calls--
+	sh := s.share(k.request.Workspace)
+	sh.calls--
+	if k.request.Model != "" {
+		sh.wanted--
+	}
 	p := k.program
 	if p == nil {
 		return nil
@@ -350,6 +438,9 @@
 	}
 	s.learn(&k.request, u)
 	sh := s.share(k.request.Workspace)
+	if k.request.Model != "" {
+		sh.engines--
+	}
 	sh.virtual += (served - k.charged) / sh.weight
 	p := s.leave(k, now)
 	if p != nil {
@@ -488,6 +579,9 @@
 // Tick handles the passing of time: the ends of holds and of waits for a
 // particular target. It is called about every 100 ms.
 func (s *Scheduler) Tick(now time.Time) []Grant {
+	if p, ok := s.options.Order.(FairShare); ok {
+		s.level = s.fairLevel(p)
+	}
 	s.endHolds(now)
 	moved := s.endPins(now)
 	if now.Sub(s.swept) >= sweepInterval {
@@ -499,9 +593,10 @@
 			}
 		}
 	}
-	if !moved {
+	if !moved && !s.kept {
 		return nil
 	}
+	s.kept = false
 	return s.fillAll(now)
 }
 
--- a/core/placement/scheduler_test.go
+++ b/core/placement/scheduler_test.go
@@ -125,6 +125,64 @@
 	assert.Assert(t, fresh >= 4 && fresh <= 6, "%d of 10 calls went to the new workspace", fresh)
 }
 
+// Guards against a workspace with many calls that fills all places while
+// another has calls, and against places that stay empty without reason.
+func TestOpenPart(t *testing.T) {
+	tests := map[string]struct {
+		order   Order
+		others  int // calls of the other workspace
+		running int // calls of the large workspace in the end
+		starts  int // calls of a new workspace that start at once
+	}{
+		"KeepsPlaces":  {FairShare{}, 1, 7, 2},
+		"PartByWeight": {FairShare{}, 9, 5, 0},
+		"NobodyElse":   {FairShare{}, 0, 10, 0},
+		"KeepsNothing": {FairShare{Open: 1}, 1, 9, 0},
+	}
+	for name, x := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := scheduler(t, Options{Order: x.order}, engines(10, "a"))
+			id, now := CallID(0), start
+			large := map[CallID]bool{}
+			var running []Grant
+			enqueue := func(w model.WorkspaceID) {
+				id++
+				large[id] = w == "large"
+				running = append(running, add(t, s, now, id, Request{Workspace: w, Prompt: 100})...)
+			}
+			for range x.others {
+				enqueue("small")
+			}
+			for range 30 {
+				enqueue("large")
+			}
+			for range 300 { // each call is followed by one of the same workspace
+				now = now.Add(100 * time.Millisecond)
+				running = append(running, s.Tick(now)...)
+				g := running[0]
+				running = append(running[1:], s.Release(now, g.Call, Usage{Prompt: 100})...)
+				if large[g.Call] {
+					enqueue("large")
+				} else {
+					enqueue("small")
+				}
+			}
+			n := 0
+			for _, g := range running {
+				if large[g.Call] {
+					n++
+				}
+			}
+			assert.Equal(t, n, x.running)
+			before := len(running)
+			for range 3 {
+				enqueue("new")
+			}
+			assert.Equal(t, len(running)-before, x.starts)
+		})
+	}
+}
+
 // Guards against a program with much attained service that waits forever
 // behind new programs.
 func TestAgeBound(t *testing.T) {
