core/placement: keep the hold of a program while it calls a service

Cause: a call to a service ended the hold of its program at the engine with its prefix, and the next call to an engine did not wait for that engine.

Change: only calls to engines end a hold and a pause; a call to a service counts as a part of the pause.

--- a/core/placement/retention.go
+++ b/core/placement/retention.go
@@ -8,9 +8,9 @@
 
 // program is what a scheduler remembers of a program between its calls.
 type program struct {
-	attained float64 // in prompt tokens
-	active   int     // waiting and running calls
-	ended    time.Time
+	attained float64       // in prompt tokens
+	active   int           // waiting and running calls
+	ended    time.Time     // last call to an engine
 	messages int           // of the last prompt that ran; 0: none
 	pause    time.Duration // moving average; 0: none seen
 	held     *target       // nil: not held
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -213,7 +213,9 @@
 	if r.Program != "" {
 		p = s.program(r.key())
 		k.program = p
-		p.resume(now)
+		if r.Model != "" {
+			p.resume(now)
+		}
 		p.active++
 		k.attained = p.attained
 	}
@@ -232,7 +234,7 @@
 		c = s.class(key, &r)
 		s.pinned = append(s.pinned, k)
 	}
-	if p != nil {
+	if p != nil && r.Model != "" { // calls to services are part of the pause
 		p.unhold()
 	}
 	s.waiting[id] = k
@@ -416,7 +418,7 @@
 		return nil
 	}
 	p.active--
-	if !ended.IsZero() {
+	if !ended.IsZero() && k.request.Model != "" {
 		p.ended = ended
 	}
 	return p
--- a/core/placement/scheduler_test.go
+++ b/core/placement/scheduler_test.go
@@ -282,6 +282,25 @@
 	assert.DeepEqual(t, soon, []Grant{{Call: 3, Target: "b"}})
 }
 
+// Guards against a program that loses its hold, or counts only a part of its
+// pause, because its tool is a call to a service.
+func TestHoldThroughService(t *testing.T) {
+	list := append(engines(1, "a"), Target{ID: "tool", Limit: 1})
+	s := scheduler(t, Options{}, list)
+	p := Request{Workspace: "w", Program: "p", Prompt: 10_000, Prefixes: []uint64{1}}
+	add(t, s, start, 1, p)
+	s.Release(start, 1, Usage{Prompt: 10_000})
+	g, err := s.Add(start.Add(time.Second), 2, Request{Workspace: "w", Program: "p", Candidates: []model.TargetID{"tool"}})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, g, []Grant{{Call: 2, Target: "tool"}})
+	assert.Equal(t, s.Dump().Held, 1)
+	s.Release(start.Add(2*time.Second), 2, Usage{})
+	assert.Equal(t, s.Dump().Held, 1)
+	add(t, s, start.Add(3*time.Second), 3, p)
+	assert.Equal(t, s.Dump().Held, 0)
+	assert.Equal(t, s.programs[p.key()].pause, 3*time.Second)
+}
+
 // Guards against more calls in flight than the limit, granted calls of
 // excluded, skipped or leaving targets, lost calls, and idle targets while a
 // call waits for them.
