--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -93,23 +93,15 @@
 	if p, ok := s.options.Choice.(CacheAware); ok {
 		return s.chooseCached(c, k, p, now)
 	}
-	usable := s.usable(c, k)
 	for {
 		t := c.targets[c.next%len(c.targets)]
 		c.next = (c.next + 1) % len(c.targets)
-		if usable(t) {
+		if t.free {
 			return t
 		}
 	}
 }
 
-// usable returns which targets have a place that the call may take.
-func (s *Scheduler) usable(c *class, k *call) func(t *target) bool {
-	kept := s.keep()
-	all := c.key.model == "" || !kept.binds(s.share(k.request.Workspace))
-	return func(t *target) bool { return t.free && (all || kept.opens(t)) }
-}
-
 type scored struct {
 	target *target
 	calls  float64
@@ -121,9 +113,8 @@
 	prompt := s.expected(&k.request)
 	s.scratch = s.scratch[:0]
 	lowest := 0.0
-	usable := s.usable(c, k)
 	for _, t := range c.targets {
-		if !usable(t) {
+		if !t.free {
 			continue
 		}
 		calls := t.calls()
--- a/core/placement/class.go
+++ b/core/placement/class.go
@@ -189,11 +189,11 @@
 }
 
 // first returns the lane that is served next, or nil. It passes over lanes of
-// workspaces to which all free targets are closed.
-func (c *class) first(order Order, now time.Time, k keep) *lane {
+// workspaces that exceed a part of the engines.
+func (c *class) first(order Order, now time.Time, part float64) *lane {
 	var best *lane
 	for _, l := range c.lanes {
-		if !c.admits(l.share, k) {
+		if c.key.model != "" && l.share.exceeds(part) {
 			continue
 		}
 		if best == nil || before(l, best, order, now) {
@@ -203,19 +203,6 @@
 	return best
 }
 
-// admits reports whether a free target of the class is open to a workspace.
-func (c *class) admits(sh *share, k keep) bool {
-	if c.key.model == "" || !k.binds(sh) {
-		return true
-	}
-	for _, t := range c.targets {
-		if t.free && k.opens(t) {
-			return true
-		}
-	}
-	return false
-}
-
 func before(a, b *lane, order Order, now time.Time) bool {
 	p, fair := order.(FairShare)
 	switch {
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -33,6 +33,12 @@
 	wanted  int // calls that wait for engines or run there
 }
 
+// exceeds reports whether one more call exceeds a workspace's part of the
+// places at engines, given as places by weight.
+func (sh *share) exceeds(part float64) bool {
+	return sh.engines > 0 && float64(sh.engines+1) > part*sh.weight
+}
+
 // Scheduler holds the waiting and running calls of one host. It is not safe
 // for concurrent use.
 type Scheduler struct {
@@ -275,30 +281,18 @@
 	return places, taken
 }
 
-// keep says which places are kept for workspaces below their part.
-type keep struct {
-	level float64 // places by weight that a workspace may take in any case
-	open  float64 // part of the places of an engine that all may take
-	all   bool    // the engines together have no place that all may take
-}
-
-// binds reports whether a workspace may not take the places that are kept.
-func (k keep) binds(sh *share) bool {
-	return sh.engines > 0 && float64(sh.engines+1) > k.level*sh.weight
-}
-
-// opens reports whether a free target has a place that all may take.
-func (k keep) opens(t *target) bool {
-	return !k.all && float64(len(t.inFlight)) < k.open*float64(t.Limit)
-}
-
-func (s *Scheduler) keep() keep {
+// part returns the places at engines per weight that bind workspaces now.
+// None are bound while more places are open than FairShare keeps.
+func (s *Scheduler) part() float64 {
 	p, ok := s.options.Order.(FairShare)
 	if !ok || math.IsInf(s.level, 1) {
-		return keep{level: math.Inf(1)}
+		return math.Inf(1)
 	}
 	places, taken := s.enginePlaces()
-	return keep{level: s.level, open: p.Open, all: float64(taken) >= p.Open*float64(places)}
+	if float64(taken) < p.Open*float64(places) {
+		return math.Inf(1)
+	}
+	return s.level
 }
 
 // fairLevel divides the open places at engines among the workspaces by weight,
@@ -342,12 +336,12 @@
 	for {
 		var from *class
 		var next *lane
-		k := s.keep()
+		part := s.part()
 		for _, c := range classes {
 			if c.free == 0 || len(c.lanes) == 0 {
 				continue
 			}
-			l := c.first(s.options.Order, now, k)
+			l := c.first(s.options.Order, now, part)
 			if l == nil {
 				s.kept = true
 				continue
@@ -359,7 +353,8 @@
 		if next == nil {
 			return grants
 		}
-		grants = append(grants, s.grant(now, from, next.head(s.options.Order, now)))
+		k := next.head(s.options.Order, now)
+		grants = append(grants, s.grant(now, from, k))
 	}
 }
 
