--- a/bench/policy/events.go
+++ b/bench/policy/events.go
@@ -21,9 +21,10 @@
 	now      time.Duration
 	sequence uint64
 	list     eventHeap
+	unused   []*event // to be used again: allocation took a tenth of the time
 }
 
-type eventHeap []event
+type eventHeap []*event
 
 func (h eventHeap) Len() int { return len(h) }
 
@@ -37,13 +38,13 @@
 func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
 
 // Push implements heap.Interface.
-func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(*event)) }
 
 // Pop implements heap.Interface.
 func (h *eventHeap) Pop() any {
 	last := len(*h) - 1
 	x := (*h)[last]
-	(*h)[last] = event{}
+	(*h)[last] = nil
 	*h = (*h)[:last]
 	return x
 }
@@ -52,7 +53,13 @@
 
 func (q *eventQueue) after(d time.Duration, run func()) {
 	q.sequence++
-	heap.Push(&q.list, event{at: q.now + d, sequence: q.sequence, run: run})
+	x := &event{}
+	if n := len(q.unused); n > 0 {
+		x = q.unused[n-1]
+		q.unused = q.unused[:n-1]
+	}
+	*x = event{at: q.now + d, sequence: q.sequence, run: run}
+	heap.Push(&q.list, x)
 }
 
 // step runs the next event. It returns false if there is none.
@@ -60,8 +67,11 @@
 	if len(q.list) == 0 {
 		return false
 	}
-	x := heap.Pop(&q.list).(event)
+	x := heap.Pop(&q.list).(*event)
 	q.now = x.at
-	x.run()
+	run := x.run
+	x.run = nil
+	q.unused = append(q.unused, x)
+	run()
 	return true
 }
