io/caller: log the end of each call

Cause: only refusals were logged, so that a slow or broken call could not be found. Change: one line with request id, workspace, program, status, whole and duration.

--- a/io/caller/handlers.go
+++ b/io/caller/handlers.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"slices"
 	"strings"
@@ -231,7 +232,17 @@
 		setIdempotency(ctx)
 		return
 	}
-	s.answer(ctx, id, answer, done)
+	s.answer(ctx, r, answer, s.logEnd(r, answer.Status, done))
+}
+
+// logEnd returns a function that ends a call and logs it.
+func (s *Server) logEnd(r *relay.Request, status int, done func()) func(whole bool) {
+	started := time.Now()
+	return func(whole bool) {
+		done()
+		s.options.Log.Info("call ended", "request", r.ID, "workspace", r.Workspace, "key", r.Key, "route", r.Route,
+			"program", r.Program, "call", r.Call, "status", status, "whole", whole, "duration", time.Since(started))
+	}
 }
 
 func setIdempotency(ctx *fasthttp.RequestCtx) {
@@ -240,12 +251,12 @@
 	}
 }
 
-func (s *Server) answer(ctx *fasthttp.RequestCtx, id model.RequestID, a *relay.Answer, done func()) {
+func (s *Server) answer(ctx *fasthttp.RequestCtx, r *relay.Request, a *relay.Answer, done func(whole bool)) {
 	ctx.SetStatusCode(a.Status)
 	for _, h := range a.Headers {
 		ctx.Response.Header.Set(h.Name, h.Value)
 	}
-	ctx.Response.Header.Set("X-Request-Id", string(id))
+	ctx.Response.Header.Set("X-Request-Id", string(r.ID))
 	setIdempotency(ctx)
 	ctx.SetBodyStream(&answerStream{body: a.Body, done: done}, a.Length)
 }
@@ -253,12 +264,17 @@
 // answerStream ends a call when the library is done with its body.
 type answerStream struct {
 	body   io.ReadCloser
-	done   func()
+	done   func(whole bool)
+	whole  bool
 	closed bool
 }
 
 // Read implements io.Reader.
-func (a *answerStream) Read(p []byte) (int, error) { return a.body.Read(p) }
+func (a *answerStream) Read(p []byte) (int, error) {
+	n, err := a.body.Read(p)
+	a.whole = a.whole || errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
+	return n, err
+}
 
 // Close implements io.Closer.
 func (a *answerStream) Close() error {
@@ -267,7 +283,7 @@
 	}
 	a.closed = true
 	err := a.body.Close()
-	a.done()
+	a.done(a.whole)
 	return err
 }
 
