bench: two accounts per workspace; fix a race in a takeover test

Cause: rate and burst have an account each since core/escrow was split, and TestTakeoverWaits could lift the outage while an attempt that had asked all members was under way, which is allowed to succeed. Change: fixtures with both accounts; the test waits for an attempt that misses the dead member.

--- a/app/programs/fault_test.go
+++ b/app/programs/fault_test.go
@@ -246,6 +246,9 @@
 	}
 	assert.Equal(t, ran(t, try()), model.RanNo)
 	w.hosts[3].dead.Store(true) // still a member
+	// An attempt that this host answered before may still be under way; it ends
+	// before the next one asks the host in vain.
+	until(t, "attempt that misses a member", func() bool { return w.hosts[3].missed.Load() > 0 })
 	w.store.set(func(m *memStore) { m.down = false })
 	assert.Equal(t, ran(t, try()), model.RanNo)
 	w.hosts[3].dead.Store(false)
--- a/app/programs/world_test.go
+++ b/app/programs/world_test.go
@@ -106,6 +106,7 @@
 	frozen atomic.Bool  // as dead, and without the right to act
 	lapsed atomic.Bool  // removed from the membership without knowing it
 	mute   atomic.Int32 // answers of this host to lose
+	missed atomic.Int32 // requests that came while it was dead or frozen
 }
 
 func (h *host) reachable() bool { return !h.dead.Load() && !h.frozen.Load() }
@@ -138,6 +139,9 @@
 	lost := fmt.Errorf("%s: connection lost", address)
 	i := slices.IndexFunc(l.w.hosts, func(h *host) bool { return h.Address == address })
 	to := l.w.hosts[i]
+	if !to.reachable() {
+		to.missed.Add(1)
+	}
 	if !l.from.reachable() || !to.reachable() {
 		return zero, lost
 	}
--- a/bench/limits_test.go
+++ b/bench/limits_test.go
@@ -108,7 +108,9 @@
 	s := startLimits(tb, m, w)
 	round := escrow.Round{Grants: map[model.WorkspaceID]map[model.HostID]int64{}}
 	for i := range w {
-		round.Grants[workspaceName(i)] = map[model.HostID]int64{m.Members[0].Host: escrow.Whole}
+		whole := map[model.HostID]int64{m.Members[0].Host: escrow.Whole}
+		round.Grants[workspaceName(i)] = whole
+		round.Grants[escrow.BurstAccount(workspaceName(i))] = whole
 	}
 	value, err := json.Marshal(escrow.Shares{Epoch: m.Epoch, Rounds: []escrow.Round{round}})
 	assert.NilError(tb, err)
--- a/bench/scale_test.go
+++ b/bench/scale_test.go
@@ -87,7 +87,9 @@
 	out := map[model.WorkspaceID]int64{}
 	for i := range w {
 		if perWorkspace >= n || (host-i*perWorkspace%n+n)%n < perWorkspace {
-			out[workspaceName(i)] = escrow.Whole / int64(min(n, perWorkspace))
+			part := escrow.Whole / int64(min(n, perWorkspace))
+			out[workspaceName(i)] = part
+			out[escrow.BurstAccount(workspaceName(i))] = part
 		}
 	}
 	return out
--- a/bench/storecalls_test.go
+++ b/bench/storecalls_test.go
@@ -250,7 +250,7 @@
 		s, _ := newFleetMember(t, n, reports...)
 		for _, e := range reports {
 			r := s.Dump().(fleet.State).Reports[model.HostID(strings.TrimPrefix(e.Key, "Enter/"))]
-			assert.Equal(t, len(r.Holdings), reported)
+			assert.Equal(t, len(r.Holdings), 2*reported) // rate and burst
 		}
 		used := processorTime(t)
 		time.Sleep(rest)
