app/limits: compress the shares of large fleets

Cause: the first settlement of 740 workspaces was refused by the store from 50 hosts on, because a value of more than 1 MiB cannot be written; no host then held a share. Change: the value is compressed with zstd from 16 KiB on; a value that is still too large gets a clear error.

--- a/app/limits/settle.go
+++ b/app/limits/settle.go
@@ -62,7 +62,7 @@
 		if e.Key != SharesKey {
 			continue
 		}
-		shares, err := parseShares(e)
+		shares, err := DecodeShares(e.Value)
 		if err != nil {
 			slog.Error("malformed shares", "error", err)
 			continue
@@ -71,14 +71,6 @@
 	}
 }
 
-func parseShares(e store.Entry) (escrow.Shares, error) {
-	var shares escrow.Shares
-	if err := json.Unmarshal(e.Value, &shares); err != nil {
-		return shares, fmt.Errorf("parse %s: %w", e.Key, err)
-	}
-	return shares, nil
-}
-
 // apply remembers the newest record and applies the rounds that this host has
 // not applied yet. A record may arrive before its epoch is entered.
 func (s *Service) apply(shares escrow.Shares) {
@@ -233,14 +225,14 @@
 	if err != nil {
 		return escrow.Shares{}, 0, fmt.Errorf("read shares: %w", err)
 	}
-	shares, err := parseShares(e)
+	shares, err := DecodeShares(e.Value)
 	return shares, e.Version, err
 }
 
 func (s *Service) writeShares(ctx context.Context, shares escrow.Shares, version store.Version) error {
-	value, err := json.Marshal(shares)
+	value, err := EncodeShares(shares)
 	if err != nil {
-		return fmt.Errorf("encode shares: %w", err)
+		return err
 	}
 	if _, err := s.options.Store.Put(ctx, SharesKey, value, version); err != nil {
 		return fmt.Errorf("write shares of epoch %d: %w", shares.Epoch, err)
--- /dev/null
+++ b/app/limits/sharesvalue_test.go
@@ -0,0 +1,69 @@
+package limits
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mimosarelay/core/escrow"
+	"mimosarelay/core/model"
+	"mimosarelay/core/store"
+)
+
+// fullSettlement is a round for all workspaces, with parts that differ.
+func fullSettlement(hosts, workspaces int) escrow.Shares {
+	random := rand.New(rand.NewPCG(1, 2))
+	round := escrow.Round{Grants: map[model.WorkspaceID]map[model.HostID]int64{}}
+	for w := range workspaces {
+		name := model.WorkspaceID(fmt.Sprintf("workspace-%03d", w))
+		for _, account := range []model.WorkspaceID{name, escrow.BurstAccount(name)} {
+			parts := map[model.HostID]int64{}
+			for h := range hosts {
+				parts[model.HostID(fmt.Sprintf("host-%03d", h))] = escrow.Whole/int64(hosts) - random.Int64N(4)
+			}
+			round.Grants[account] = parts
+		}
+	}
+	return escrow.Shares{Epoch: 7, Rounds: []escrow.Round{round}}
+}
+
+// Guards against a settlement that the store refuses because of its size: no
+// host would hold a share, and the settling member would try for ever.
+func TestSharesOfALargeFleetFitTheStore(t *testing.T) {
+	for name, size := range map[string][2]int{"today": {7, 8}, "full size": {340, 740}} {
+		t.Run(name, func(t *testing.T) {
+			shares := fullSettlement(size[0], size[1])
+			value, err := EncodeShares(shares)
+			assert.NilError(t, err)
+			t.Logf("%d hosts, %d workspaces: %d bytes", size[0], size[1], len(value))
+			assert.Assert(t, len(value) <= store.MaxValue)
+			back, err := DecodeShares(value)
+			assert.NilError(t, err)
+			assert.Equal(t, back.Epoch, shares.Epoch)
+			assert.Equal(t, len(back.Rounds[0].Grants), len(shares.Rounds[0].Grants))
+			for account, parts := range shares.Rounds[0].Grants {
+				for host, part := range parts {
+					if back.Rounds[0].Grants[account][host] != part {
+						t.Fatalf("account %s of %s: %d, want %d", account, host, back.Rounds[0].Grants[account][host], part)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against a damaged value that is taken for shares.
+func TestDecodeSharesRejectsDamage(t *testing.T) {
+	value, err := EncodeShares(fullSettlement(40, 40))
+	assert.NilError(t, err)
+	for name, damaged := range map[string][]byte{
+		"empty": nil, "cut": value[:len(value)/2], "not JSON": []byte("x"), "changed": append([]byte{0x28, 0xb5, 0x2f, 0xfd}, "nonsense"...),
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := DecodeShares(damaged)
+			assert.Assert(t, err != nil)
+		})
+	}
+}
