test/knownred: one list of known red tests

Cause: two packages read KNOWN-RED.txt in their own way. Change: test/e2e uses package test/knownred, with its test. Before and after: no test is listed; the same checks of the reader pass. Conclusion: one place decides what is passed over.

--- a/test/e2e/basic_test.go
+++ b/test/e2e/basic_test.go
@@ -14,6 +14,7 @@
 	"mimosarelay/core/config"
 	"mimosarelay/core/model"
 	"mimosarelay/standin/engine"
+	"mimosarelay/test/knownred"
 )
 
 // Guards against answers that are cut, mixed up or out of order when the calls
@@ -22,7 +23,7 @@
 // before every host follows them.
 func TestDependentCallsAndEditedContract(t *testing.T) {
 	t.Parallel()
-	knownRed(t)
+	knownred.Skip(t)
 	s := newSite(t, options{workspaces: []config.Workspace{
 		{Name: "main", Models: []model.ModelID{engine.DefaultModel}},
 		{Name: "slow", Rate: 200, Burst: 200},
--- a/test/e2e/kill_test.go
+++ b/test/e2e/kill_test.go
@@ -15,6 +15,7 @@
 	"mimosarelay/core/model"
 	"mimosarelay/core/program"
 	"mimosarelay/standin/fault"
+	"mimosarelay/test/knownred"
 )
 
 // takeoverLimit is the stated bound on the removal of a killed host and the
@@ -27,7 +28,7 @@
 // bound is 10 s from the kill to a whole answer of the call sent again.
 func TestKilledOwner(t *testing.T) {
 	t.Parallel()
-	knownRed(t)
+	knownred.Skip(t)
 	s := newSite(t, options{})
 	victim := s.hosts[0]
 	between := s.conversationAt(victim, "between")
@@ -93,7 +94,7 @@
 // after the restart of the owner. The bound is 1 arrival of each call.
 func TestNonIdempotentCallOfKilledOwner(t *testing.T) {
 	t.Parallel()
-	knownRed(t)
+	knownred.Skip(t)
 	s := newSite(t, options{})
 	s.setFault(s.service, fault.Fault{Slow: fault.Duration(3 * time.Second)})
 	victim := s.hosts[0]
@@ -183,7 +184,7 @@
 // and all hosts must be members again within 10 s of its end.
 func TestFrozenHost(t *testing.T) {
 	t.Parallel()
-	knownRed(t)
+	knownred.Skip(t)
 	s := newSite(t, options{})
 	victim := s.hosts[0]
 	c := s.callers(strict)
--- a/test/e2e/limit_test.go
+++ b/test/e2e/limit_test.go
@@ -16,6 +16,7 @@
 
 	"mimosarelay/core/config"
 	"mimosarelay/core/model"
+	"mimosarelay/test/knownred"
 )
 
 // stampedCall is a call of a rate test.
@@ -157,7 +158,7 @@
 // after the kill.
 func TestFleetWideRate(t *testing.T) {
 	t.Parallel()
-	knownRed(t)
+	knownred.Skip(t)
 	const rate, burst = 20, 10
 	s := newSite(t, options{workspaces: []config.Workspace{
 		{Name: "large", Rate: rate, Burst: burst},
@@ -219,7 +220,7 @@
 // burst + rate × t.
 func TestFrozenHostSpendsNoShare(t *testing.T) {
 	t.Parallel()
-	knownRed(t)
+	knownred.Skip(t)
 	const rate, burst = 30, 30
 	s := newSite(t, options{workspaces: []config.Workspace{{Name: "main", Rate: rate, Burst: burst}}})
 	victim := s.hosts[2]
--- a/test/e2e/outage_test.go
+++ b/test/e2e/outage_test.go
@@ -17,6 +17,7 @@
 	"mimosarelay/core/model"
 	"mimosarelay/standin/engine"
 	"mimosarelay/standin/fault"
+	"mimosarelay/test/knownred"
 )
 
 // outage is the stated length of a store outage with real processes.
@@ -29,7 +30,7 @@
 // failed attempts at repeatable calls, and 1 arrival of each payment.
 func TestStoreOutage(t *testing.T) {
 	t.Parallel()
-	knownRed(t)
+	knownred.Skip(t)
 	s := newSite(t, options{})
 	l := s.startLoad(s.callers(strict), loadOptions{chats: 6, payments: 3, limit: takeoverLimit, first: true, sameProgram: true})
 	l.waitCalls(30, 10*time.Second)
@@ -74,7 +75,7 @@
 // with it. The bound is 3 s from the start of the command.
 func TestWithdrawnKey(t *testing.T) {
 	t.Parallel()
-	knownRed(t)
+	knownred.Skip(t)
 	s := newSite(t, options{workspaces: []config.Workspace{{Name: "main"}, {Name: "other"}}})
 	// Each prompt is different, because a few copies of one unproven request run at a time.
 	long := func(name string) []engine.Message {
@@ -143,7 +144,7 @@
 // timeout of 30 s.
 func TestPlannedStopUnderLoad(t *testing.T) {
 	t.Parallel()
-	knownRed(t)
+	knownred.Skip(t)
 	s := newSite(t, options{hosts: 4})
 	keeping := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
 	o := loadOptions{chats: 8, payments: 4, limit: takeoverLimit, first: true, calm: true, tokens: 100}
--- a/test/e2e/target_test.go
+++ b/test/e2e/target_test.go
@@ -15,6 +15,7 @@
 	"mimosarelay/core/config"
 	"mimosarelay/standin/engine"
 	"mimosarelay/standin/fault"
+	"mimosarelay/test/knownred"
 )
 
 // Guards against a request that crashes one target after the other when its
@@ -22,7 +23,7 @@
 // a program and outside. Each request arrives at 2 targets at most.
 func TestCrashingRequest(t *testing.T) {
 	t.Parallel()
-	knownRed(t)
+	knownred.Skip(t)
 	s := newSite(t, options{engines: 5})
 	for _, program := range []string{"", "crashing"} {
 		marker := "crash-marker" + program
@@ -103,7 +104,7 @@
 // them; no engine reports an entry 30 s after their end.
 func TestLeavingTargetAndMemory(t *testing.T) {
 	t.Parallel()
-	knownRed(t)
+	knownred.Skip(t)
 	s := newSite(t, options{})
 	leaving := s.engines[0]
 	l := s.startLoad(s.callers(strict), loadOptions{chats: 8, limit: takeoverLimit, first: true})
--- a/test/knownred/knownred.go
+++ b/test/knownred/knownred.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -13,43 +14,49 @@
 // Variable runs the listed tests all the same if it is set to "run".
 const Variable = "MIMOSARELAY_KNOWN_RED"
 
-// file is the list. An entry starts with a line "test: NAME".
+// file is the list. An entry starts with a line "test: NAME" and ends at the
+// next one.
 const file = "KNOWN-RED.txt"
 
-// Skip ends the test if its full name is listed.
+// Skip ends the test and prints its entry if its exact name is listed.
 func Skip(t testing.TB) {
 	t.Helper()
 	if os.Getenv(Variable) == "run" {
 		return
 	}
-	for _, name := range listed(t) {
-		if name == t.Name() {
-			t.Skipf("listed in %s; set %s=run to run it", file, Variable)
-		}
+	text, err := entry(filepath.Join(root(t), file), t.Name())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text != "" {
+		fmt.Printf("KNOWN RED: %s\n%s", t.Name(), text)
+		t.Skipf("listed in %s; set %s=run to run it", file, Variable)
 	}
 }
 
-func listed(t testing.TB) []string {
-	t.Helper()
-	f, err := os.Open(filepath.Join(root(t), file))
+// entry returns the text of the entry of a test, or "". A missing file lists
+// none.
+func entry(path, name string) (string, error) {
+	f, err := os.Open(path)
 	if os.IsNotExist(err) {
-		return nil
+		return "", nil
 	}
 	if err != nil {
-		t.Fatal(err)
+		return "", err
 	}
 	defer func() { _ = f.Close() }()
-	var names []string
+	var text strings.Builder
+	found := false
 	lines := bufio.NewScanner(f)
 	for lines.Scan() {
-		if name, ok := strings.CutPrefix(lines.Text(), "test: "); ok {
-			names = append(names, strings.TrimSpace(name))
+		if test, ok := strings.CutPrefix(lines.Text(), "test: "); ok {
+			found = strings.TrimSpace(test) == name
+		}
+		if found {
+			text.WriteString(lines.Text() + "\n")
 		}
 	}
-	if err := lines.Err(); err != nil {
-		t.Fatal(err)
-	}
-	return names
+	return text.String(), lines.Err()
 }
 
 // root finds the folder of go.mod from the folder of the test's package.
--- a/test/e2e/known_test.go
+++ b/test/knownred/knownred_test.go
@@ -1,6 +1,4 @@
-//go:build linux
-
-package e2e
+package knownred
 
 import (
 	"os"
@@ -20,11 +18,11 @@
 	for name, want := range map[string]string{
 		"TestA": "test: TestA\nseen: x\n\n", "TestLong": "test: TestLong\nseen: y\n", "TestLon": "", "TestLonger": "", "x": "",
 	} {
-		got, err := knownRedEntry(file, name)
+		got, err := entry(file, name)
 		assert.NilError(t, err)
 		assert.Equal(t, got, want, name)
 	}
-	got, err := knownRedEntry(file+".missing", "TestA")
+	got, err := entry(file+".missing", "TestA")
 	assert.NilError(t, err)
 	assert.Equal(t, got, "")
 }
