--- a/app/contracts/change.go
+++ b/app/contracts/change.go
@@ -238,7 +238,7 @@
 }
 
 // newest returns a copy of the newer one of the document in the store and the
-// one in force here.
+// one in effect here.
 func (s *Service) newest(ctx context.Context) (*config.Document, error) {
 	now, err := s.read(ctx)
 	if err != nil {
@@ -289,7 +289,7 @@
 	return e.Value, nil
 }
 
-// CurrentDocument returns the YAML of the configuration in force at this host.
+// CurrentDocument returns the YAML of the configuration in effect at this host.
 func (s *Service) CurrentDocument() (model.Revision, []byte) {
 	c := s.current.Load()
 	return c.snapshot.Revision(), bytes.Clone(c.raw)
--- a/app/contracts/service.go
+++ b/app/contracts/service.go
@@ -48,7 +48,7 @@
 	ErrKeyExists = errors.New("key exists")
 )
 
-// ConflictError names the revision an operator edited and the one in force.
+// ConflictError names the revision an operator edited and the one in effect.
 type ConflictError struct {
 	Base    model.Revision
 	Current model.Revision
@@ -126,10 +126,10 @@
 	return s
 }
 
-// Current returns the configuration in force at this host.
+// Current returns the configuration in effect at this host.
 func (s *Service) Current() *config.Snapshot { return s.current.Load().snapshot }
 
-// Revision returns the revision in force at this host; 0 means none.
+// Revision returns the revision in effect at this host; 0 means none.
 func (s *Service) Revision() model.Revision { return s.Current().Revision() }
 
 // Ready reports whether Bootstrap has succeeded.
@@ -164,7 +164,7 @@
 		return err
 	}
 	old := s.current.Swap(next)
-	s.o.Log.Info("configuration in force", "revision", revision, "previous", old.snapshot.Revision())
+	s.o.Log.Info("configuration in effect", "revision", revision, "previous", old.snapshot.Revision())
 	for _, f := range s.listeners {
 		f(old.snapshot, next.snapshot)
 	}
--- a/cmd/config_get.go
+++ b/cmd/config_get.go
@@ -9,7 +9,7 @@
 func newConfigGet(o *operatorClient) *cobra.Command {
 	return &cobra.Command{
 		Use:   "get",
-		Short: "Print the configuration in force",
+		Short: "Print the configuration in effect",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			return printDocument(c, o, "/operator/v1/config")
--- a/io/operator/api.go
+++ b/io/operator/api.go
@@ -13,7 +13,7 @@
 // Backend carries out the requests of operators. All methods are safe for
 // concurrent use.
 type Backend interface {
-	// CurrentDocument returns the configuration in force at this host.
+	// CurrentDocument returns the configuration in effect at this host.
 	CurrentDocument() (model.Revision, []byte)
 	// Apply replaces the document of revision base, see contracts.Service.
 	Apply(ctx context.Context, document []byte, base model.Revision) (model.Revision, error)
--- a/io/tlsfiles/tlsfiles.go
+++ b/io/tlsfiles/tlsfiles.go
@@ -113,7 +113,7 @@
 
 // newest returns the content after a look at the files. Files that changed to
 // something unusable, for example halfway through a replacement, leave the
-// last content in force.
+// last content in effect.
 func (f *Files) newest() content {
 	f.mu.Lock()
 	defer f.mu.Unlock()
