Record the time to an answer's head; tidy the host's logs

Cause: trying the README's deployment showed the histogram of first bytes at zero (it was never recorded), two lines for each epoch, host twice in a line and "error=<nil>" at the end of each drain. Change: record it in Handle; one line for an epoch; a line of its own for an incomplete drain.

--- a/app/host/host.go
+++ b/app/host/host.go
@@ -44,6 +44,7 @@
 type Host struct {
 	settings    *settings.Settings
 	log         *slog.Logger
+	plainLog    *slog.Logger // for services that name the host themselves
 	clock       clockwork.Clock
 	incarnation model.Incarnation
 	metrics     *metrics
@@ -96,6 +97,7 @@
 	h := &Host{
 		settings:    o.Settings,
 		log:         o.Log.With("host", o.Settings.Host.Name),
+		plainLog:    o.Log,
 		clock:       o.Clock,
 		incarnation: model.Incarnation(uuid.NewString()),
 		drainAsk:    make(chan struct{}),
@@ -240,8 +242,12 @@
 	errs = append(errs, h.callerServer.Shutdown(ctx), h.programs.Drain(ctx), h.fleet.Leave(ctx))
 	h.unannounce()
 	err := errors.Join(errs...)
-	h.log.Info("drain ended", "calls", h.streams.Count(), "error", err)
-	return err
+	if err != nil {
+		h.log.Error("drain incomplete", "calls", h.streams.Count(), "error", err)
+		return err
+	}
+	h.log.Info("drain ended")
+	return nil
 }
 
 func (h *Host) close() {
--- a/app/host/membership.go
+++ b/app/host/membership.go
@@ -22,7 +22,6 @@
 		live = append(live, m.Incarnation)
 	}
 	h.suspects.MembersChanged(live)
-	h.log.Info("epoch entered", "epoch", current.Epoch, "members", len(current.Members))
 }
 
 func (h *Host) limitMembers(r member.Record) limits.Membership {
--- a/app/host/wire.go
+++ b/app/host/wire.go
@@ -117,7 +117,7 @@
 		Holdings:       func(e model.Epoch) map[model.WorkspaceID]int64 { return h.limits.Holdings(e) },
 		ConfigRevision: func() model.Revision { return h.contracts.Revision() },
 		PeerRevision:   h.peerRevision,
-		Logger:         h.log, Scope: h.metrics.scope,
+		Logger:         h.plainLog, Scope: h.metrics.scope,
 		LeaseTTL: h.settings.Limits.LeaseTTL,
 	})
 	h.contracts = contracts.New(contracts.Options{
--- a/app/relay/service.go
+++ b/app/relay/service.go
@@ -57,7 +57,8 @@
 
 type metrics struct {
 	calls, refusals, forwards, retries, resumes, broken tally.Counter
-	firstByte                                           tally.Histogram
+	// header is the time until the head of an answer is known.
+	header tally.Histogram
 }
 
 // New returns a Service.
@@ -79,13 +80,13 @@
 
 func newMetrics(s tally.Scope) metrics {
 	return metrics{
-		calls:     s.Counter("total"),
-		refusals:  s.Counter("refused"),
-		forwards:  s.Counter("forwarded"),
-		retries:   s.Counter("retried"),
-		resumes:   s.Counter("resumed"),
-		broken:    s.Counter("broken"),
-		firstByte: s.Histogram("first_byte", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)),
+		calls:    s.Counter("total"),
+		refusals: s.Counter("refused"),
+		forwards: s.Counter("forwarded"),
+		retries:  s.Counter("retried"),
+		resumes:  s.Counter("resumed"),
+		broken:   s.Counter("broken"),
+		header:   s.Histogram("header_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)),
 	}
 }
 
@@ -93,11 +94,14 @@
 // at the owner of its program. Errors are *model.Refusal or end of ctx.
 func (s *Service) Handle(ctx context.Context, r *Request) (*Answer, error) {
 	s.metrics.calls.Inc(1)
+	start := s.Clock.Now()
 	answer, err := s.handle(ctx, r)
 	if err != nil {
 		s.metrics.refusals.Inc(1)
+		return nil, err
 	}
-	return answer, err
+	s.metrics.header.RecordDuration(s.Clock.Since(start))
+	return answer, nil
 }
 
 func (s *Service) handle(ctx context.Context, r *Request) (*Answer, error) {
