--- a/app/host/wire.go
+++ b/app/host/wire.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/tls"
 	"fmt"
+	"net"
+	"net/netip"
 	"os"
 	"strings"
 	"time"
@@ -58,7 +60,7 @@
 	open := func(suffix string) (*consul.Client, error) {
 		return consul.New(consul.Options{
 			Address: h.settings.Platform.Address, Prefix: h.settings.Platform.Prefix + suffix,
-			Timeout: h.settings.Platform.Timeout, Token: token,
+			Timeout: h.settings.Platform.Timeout, Token: token, LocalIP: h.localIP(h.settings.Platform.Address),
 		})
 	}
 	if h.control, err = open(controlPrefix); err != nil {
@@ -73,6 +75,21 @@
 	return nil
 }
 
+// localIP is the source address of this host's connections to an address: that
+// of its peer port, so that firewalls and logs on the other side name the host.
+// nil means any, if the port listens on all addresses or the families differ.
+func (h *Host) localIP(to string) net.IP {
+	own, err := netip.ParseAddrPort(h.settings.Peer.Address)
+	if err != nil || own.Addr().IsUnspecified() {
+		return nil
+	}
+	other, err := netip.ParseAddrPort(to)
+	if err != nil || own.Addr().Is4() != other.Addr().Is4() {
+		return nil
+	}
+	return own.Addr().AsSlice()
+}
+
 func readToken(file string) (string, error) {
 	if file == "" {
 		return "", nil
@@ -89,7 +106,7 @@
 const peerStreamIdle = 6 * time.Second
 
 func (h *Host) wirePeers() error {
-	o := peer.Options{StreamIdle: peerStreamIdle}
+	o := peer.Options{StreamIdle: peerStreamIdle, LocalIP: h.localIP(h.settings.Peer.Advertise)}
 	if h.settings.Peer.TLS.Enabled() {
 		files, err := tlsfiles.Load(tlsfiles.Options{TLS: h.settings.Peer.TLS, Clock: h.clock, Log: h.log})
 		if err != nil {
--- a/io/consul/consul.go
+++ b/io/consul/consul.go
@@ -42,6 +42,8 @@
 	Prefix string
 	// Timeout bounds one call; 0 means 1 s.
 	Timeout time.Duration
+	// LocalIP is the source address of connections; nil means any.
+	LocalIP net.IP
 	// Token is sent as X-Consul-Token; "" sends none.
 	Token string
 }
@@ -82,7 +84,7 @@
 	return &fasthttp.HostClient{
 		Addr: c.options.Address,
 		Dial: func(addr string) (net.Conn, error) {
-			conn, err := net.DialTimeout("tcp", addr, c.options.Timeout)
+			conn, err := c.dialer().Dial("tcp", addr)
 			if err != nil {
 				return nil, &dialError{err}
 			}
@@ -99,6 +101,14 @@
 	}
 }
 
+func (c *Client) dialer() *net.Dialer {
+	d := &net.Dialer{Timeout: c.options.Timeout}
+	if c.options.LocalIP != nil {
+		d.LocalAddr = &net.TCPAddr{IP: c.options.LocalIP}
+	}
+	return d
+}
+
 // dialError marks a call whose request was not sent.
 type dialError struct{ err error }
 
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -51,6 +51,8 @@
 	// TLSFor returns the configuration for one connection, so that replaced
 	// certificates are used at once. It goes before TLS.
 	TLSFor func(address string) (*tls.Config, error)
+	// LocalIP is the source address of connections; nil means any.
+	LocalIP net.IP
 	// DialTimeout bounds opening a connection with its TLS handshake; 0 means
 	// 500 ms.
 	DialTimeout time.Duration
@@ -111,8 +113,13 @@
 // NewClient returns a Client without open connections.
 func NewClient(options Options) *Client {
 	options = options.withDefaults()
+	var dialer net.Dialer
+	if options.LocalIP != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: options.LocalIP}
+	}
 	return &Client{
 		options: options,
+		dialer:  dialer,
 		pool: drpcpool.New[poolKey, *drpcconn.Conn](drpcpool.Options{
 			Expiration:  options.Idle,
 			KeyCapacity: options.IdlePerPeer,
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -41,8 +41,6 @@
 type Options struct {
 	// DialTimeout bounds a connection attempt; 0 means 1 s.
 	DialTimeout time.Duration
-	// LocalAddress is the source IP address; empty means any.
-	LocalAddress string
 }
 
 // Client sends requests to targets. It never repeats a request.
@@ -59,9 +57,6 @@
 		o.DialTimeout = time.Second
 	}
 	c := &Client{dialer: net.Dialer{Timeout: o.DialTimeout}, idle: map[string][]*conn{}}
-	if ip := net.ParseIP(o.LocalAddress); ip != nil {
-		c.dialer.LocalAddr = &net.TCPAddr{IP: ip}
-	}
 	return c
 }
 
