app/settings: choose the placement policies

Cause: the policies and their baselines could not be chosen on a host. Before: always the defaults. After: tests of app/settings and app/host pass. Conclusion: a site can run the baseline to compare.

--- a/app/host/wire.go
+++ b/app/host/wire.go
@@ -181,9 +181,14 @@
 func (h *Host) wireTargets() error {
 	h.targets = target.NewClient(target.Options{})
 	engines := orders.Client{Targets: h.targets}
+	policies, err := h.settings.Placement.Policies()
+	if err != nil {
+		return fmt.Errorf("settings section Placement: %w", err)
+	}
 	h.placement = placement.New(placement.Options{
 		Host: h.settings.Host.Name, Hosts: h.liveHosts, Snapshot: h.contracts.Current,
 		Loads: engines, Prober: h.targets, Lenders: lenders{h},
+		Policy:    policies,
 		QueueWait: h.settings.Limits.QueueWait, Clock: h.clock, Log: h.log,
 	})
 	h.release = release.New(release.Options{
--- a/app/settings/settings.go
+++ b/app/settings/settings.go
@@ -12,14 +12,15 @@
 
 // Settings configures one entry host.
 type Settings struct {
-	Host     Host     `yaml:"Host"`
-	Caller   Caller   `yaml:"Caller"`
-	Operator Operator `yaml:"Operator"`
-	Peer     Peer     `yaml:"Peer"`
-	Platform Platform `yaml:"Platform"`
-	Limits   Limits   `yaml:"Limits,omitempty"`
-	Data     Data     `yaml:"Data,omitempty"`
-	Log      Log      `yaml:"Log,omitempty"`
+	Host      Host      `yaml:"Host"`
+	Caller    Caller    `yaml:"Caller"`
+	Operator  Operator  `yaml:"Operator"`
+	Peer      Peer      `yaml:"Peer"`
+	Platform  Platform  `yaml:"Platform"`
+	Limits    Limits    `yaml:"Limits,omitempty"`
+	Placement Placement `yaml:"Placement,omitempty"`
+	Data      Data      `yaml:"Data,omitempty"`
+	Log       Log       `yaml:"Log,omitempty"`
 }
 
 // Load reads a settings file, checks it and fills in the defaults. Relative
@@ -46,6 +47,7 @@
 	s.Peer.complete(folder, r)
 	s.Platform.complete(folder, r)
 	s.Limits.complete(r)
+	s.Placement.complete(r)
 	s.Data.complete(folder, r)
 	s.Log.complete(r)
 	s.distinct(r)
--- a/app/settings/settings_test.go
+++ b/app/settings/settings_test.go
@@ -110,6 +110,7 @@
 		"no credential":       {"CredentialFile: operator.credential", "CredentialFile: none", "Operator.CredentialFile", "must be a readable file"},
 		"empty credential":    {"CredentialFile: operator.credential", "CredentialFile: empty", "Operator.CredentialFile", "is empty"},
 		"short credential":    {"CredentialFile: operator.credential", "CredentialFile: short", "Operator.CredentialFile", "at least 16"},
+		"unknown policy":      {"#Placement:\n", "Placement:\n  Order: LastCome\n", "Placement.Order", "FirstCome"},
 		"bad name":            {"Name: host-1", "Name: host/1", "Host.Name", "is not a name"},
 		"certificate, no key": {"#TLS:\n    #CertFile: caller.crt", "TLS:\n    CertFile: caller.crt", "Caller.TLS.KeyFile", "needs both"},
 		"no certificate":      {"#TLS:\n    #CertFile: caller.crt\n    #K", "TLS:\n    CertFile: none\n    K", "Caller.TLS.CertFile", "must be a readable file"},
