test/fixedseed: the same seed for all property tests

Change: one package sets the seed; -rapid.seed still goes first. Conclusion: goroutine scheduling and real processes remain the only differences between two runs.

--- a/core/escrow/ledger_test.go
+++ b/core/escrow/ledger_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"mimosarelay/core/model"
+	_ "mimosarelay/test/fixedseed"
 )
 
 const ws = model.WorkspaceID("w")
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"mimosarelay/core/escrow"
+	_ "mimosarelay/test/fixedseed"
 )
 
 var start = time.Unix(1_700_000_000, 0)
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -10,6 +10,7 @@
 
 	"mimosarelay/core/member"
 	"mimosarelay/core/model"
+	_ "mimosarelay/test/fixedseed"
 )
 
 var times = member.Times{LeaseTTL: 3 * time.Second, WordTTL: 1500 * time.Millisecond, Margin: 500 * time.Millisecond}
--- a/core/order/order_test.go
+++ b/core/order/order_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"mimosarelay/core/model"
+	_ "mimosarelay/test/fixedseed"
 )
 
 // Guards against tokens that repeat or fall, within an epoch and across epochs
--- a/core/placement/scheduler_test.go
+++ b/core/placement/scheduler_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"mimosarelay/core/model"
+	_ "mimosarelay/test/fixedseed"
 )
 
 var start = time.Unix(1_800_000_000, 0)
--- a/core/program/tree_test.go
+++ b/core/program/tree_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"mimosarelay/core/model"
+	_ "mimosarelay/test/fixedseed"
 )
 
 var epoch0 = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
--- a/core/release/release_test.go
+++ b/core/release/release_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"mimosarelay/core/model"
+	_ "mimosarelay/test/fixedseed"
 )
 
 // Guards against releases of programs that live, of memory outside programs,
--- a/io/disk/disk_test.go
+++ b/io/disk/disk_test.go
@@ -13,6 +13,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	_ "mimosarelay/test/fixedseed"
 )
 
 // noSync spares the disk of the test machine where no crash is simulated.
