Refuse unknown models at once; test callers that stop reading

Cause: a model that no engine serves got 503 "unavailable" as if it came back later; a caller that stops reading and an event without end had no test. Change: 404 for a model that does not exist; two tests. Before: TestMalformedInput/unknown_model fails without the check.

--- a/app/relay/chat.go
+++ b/app/relay/chat.go
@@ -54,13 +54,17 @@
 	if err != nil {
 		return nil, model.NewRefusal(model.ErrBadRequest, model.RanNo, "%v", err)
 	}
-	workspace, ok := s.Contracts.Current().Workspace(r.Workspace)
+	snapshot := s.Contracts.Current()
+	workspace, ok := snapshot.Workspace(r.Workspace)
 	if !ok {
 		return nil, model.NewRefusal(model.ErrUnauthorized, model.RanNo, "workspace %q has no contract", r.Workspace)
 	}
 	if !workspace.MayUseModel(chat.Model) {
 		return nil, model.NewRefusal(model.ErrForbidden, model.RanNo, "the contract does not grant model %q", chat.Model)
 	}
+	if !snapshot.Serves(chat.Model) {
+		return nil, model.NewRefusal(model.ErrNotFound, model.RanNo, "model %q does not exist", chat.Model)
+	}
 	body, err := chat.Body()
 	if err != nil {
 		return nil, model.NewRefusal(model.ErrBadRequest, model.RanNo, "%v", err)
--- a/core/config/snapshot.go
+++ b/core/config/snapshot.go
@@ -95,6 +95,11 @@
 // Revision returns the revision of the document.
 func (s *Snapshot) Revision() model.Revision { return s.document.Revision }
 
+// Serves reports whether an engine serves the model.
+func (s *Snapshot) Serves(m model.ModelID) bool {
+	return slices.ContainsFunc(s.document.Targets, func(t Target) bool { return slices.Contains(t.Models, m) })
+}
+
 // Document returns the document, which must not be modified.
 func (s *Snapshot) Document() *Document { return s.document }
 
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -235,6 +235,7 @@
 		headers            []string
 		status             int
 	}{
+		"unknown model":        {"POST", chat, `{"model":"m","messages":[{"role":"user"}]}`, nil, 404},
 		"no JSON":              {"POST", chat, "{", nil, 400},
 		"wrong type":           {"POST", chat, `{"model":1,"messages":[]}`, nil, 400},
 		"no model":             {"POST", chat, `{"messages":[{"role":"user"}]}`, nil, 400},
@@ -304,6 +305,27 @@
 	assert.Equal(t, s.engines[0].Stats().Cancelled, int64(1))
 }
 
+// Guards against a stream that is held for ever, with its place at the engine,
+// for a caller that stops reading.
+func TestCallerThatStopsReadingLosesTheStream(t *testing.T) {
+	s := newSite(t, engine.Options{})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.(*net.TCPConn).SetReadBuffer(4096))
+	// More than the buffers of both sides hold.
+	body := fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":"[tokens:100000]"}],"max_tokens":200000,"stream":true}`, engine.DefaultModel)
+	_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", s.key, len(body), body)
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if s.engines[0].Stats().Requests > 0 && s.engines[0].Load().Running == 0 && s.streams.Count() == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("the stream is still held")
+	}, poll.WithTimeout(15*time.Second))
+	assert.Equal(t, s.engines[0].Stats().Cancelled, int64(1))
+}
+
 // Guards against refusals that hide that the host does not serve.
 func TestNotReadyRefusesWithRanNo(t *testing.T) {
 	s := newSite(t, engine.Options{})
--- a/io/target/client_test.go
+++ b/io/target/client_test.go
@@ -267,6 +267,14 @@
 	})
 }
 
+// Guards against an event without end that takes all memory.
+func TestEventTooLarge(t *testing.T) {
+	events := NewEventReader(&endless{event: []byte("data: x")})
+	defer events.Release()
+	_, err := events.Next()
+	assert.Assert(t, errors.Is(err, ErrEventTooLarge), "%v", err)
+}
+
 // Guards against allocations per streamed event, which would cost time and
 // memory at 1.3 million tokens a second.
 func TestEventReaderDoesNotAllocatePerEvent(t *testing.T) {
