app/relay: test that streamed events do not allocate

Cause: only the reader of events was tested, the claim is about the relay. Change: a test from the reader to the body that the server reads. Figures: 0 allocations per event in 1,000 reads.

--- /dev/null
+++ b/app/relay/stream_test.go
@@ -0,0 +1,39 @@
+package relay
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mimosarelay/io/target"
+)
+
+// events repeats one event for ever.
+type events struct {
+	event []byte
+	at    int
+}
+
+func (e *events) Read(p []byte) (int, error) {
+	n := copy(p, e.event[e.at:])
+	e.at = (e.at + n) % len(e.event)
+	return n, nil
+}
+
+// Guards against allocations per event on the way through the relay, which
+// would cost time and memory at 1.3 million tokens a second.
+func TestStreamedEventsDoNotAllocate(t *testing.T) {
+	event := []byte("data: {\"choices\":[{\"delta\":{\"content\":\"word \"}}]}\n\n")
+	b := &streamBody{call: &chatCall{}, events: target.NewEventReader(&events{event: event})}
+	defer b.events.Release()
+	buffer := make([]byte, 4096)
+	read := func() {
+		n, err := b.Read(buffer)
+		assert.NilError(t, err)
+		if n != len(event) {
+			t.Fatalf("read %d bytes, want %d", n, len(event))
+		}
+	}
+	read()
+	assert.Equal(t, testing.AllocsPerRun(1000, read), 0.0)
+}
