Call one piece of code for defaults, ends of bodies and pauses

Cause: on reading the whole change, three setDefault and one orDefault did what cmp.Or of the standard library does; the check for the end of a whole body stood in five places; the bootstrap loop had its own pause; and each chat call looked through all targets to see whether a model is served.

--- a/app/host/adapters.go
+++ b/app/host/adapters.go
@@ -4,7 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
+
+	"mimosarelay/io/target"
 
 	"mimosarelay/app/placement"
 	"mimosarelay/app/relay"
@@ -42,7 +43,7 @@
 	all := &peerpb.FetchRecordsResponse{}
 	for {
 		m, err := stream.Recv()
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		if target.AtEnd(err) {
 			return all, nil
 		}
 		if err != nil {
--- a/app/host/host.go
+++ b/app/host/host.go
@@ -187,10 +187,8 @@
 			return nil
 		}
 		h.log.Warn("configuration not known yet", "error", err)
-		select {
-		case <-ctx.Done():
+		if !h.sleep(ctx, bootstrapRetry) {
 			return nil
-		case <-h.clock.After(bootstrapRetry):
 		}
 	}
 }
--- a/app/programs/call.go
+++ b/app/programs/call.go
@@ -1,6 +1,7 @@
 package programs
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -208,7 +209,7 @@
 
 func (s *Service) budget(root model.ProgramKey) program.Budget {
 	b := s.o.Budget(root.Workspace)
-	setDefault(&b.Lifetime, defaultLifetime)
+	b.Lifetime = cmp.Or(b.Lifetime, defaultLifetime)
 	return b
 }
 
--- a/app/programs/programs.go
+++ b/app/programs/programs.go
@@ -4,6 +4,7 @@
 package programs
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"sync"
@@ -49,11 +50,11 @@
 }
 
 func (o *Options) setDefaults() {
-	setDefault(&o.OrderWait, defaultOrderWait)
-	setDefault(&o.CommitWait, defaultCommitWait)
-	setDefault(&o.PeerWait, defaultPeerWait)
-	setDefault(&o.Retention, defaultRetention)
-	setDefault(&o.Workers, defaultWorkers)
+	o.OrderWait = cmp.Or(o.OrderWait, defaultOrderWait)
+	o.CommitWait = cmp.Or(o.CommitWait, defaultCommitWait)
+	o.PeerWait = cmp.Or(o.PeerWait, defaultPeerWait)
+	o.Retention = cmp.Or(o.Retention, defaultRetention)
+	o.Workers = cmp.Or(o.Workers, defaultWorkers)
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
@@ -62,13 +63,6 @@
 	}
 }
 
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
-
 // entry is a tree that this host owns.
 type entry struct {
 	root  model.ProgramKey
--- a/app/relay/stream.go
+++ b/app/relay/stream.go
@@ -109,7 +109,7 @@
 
 // broken handles a stream that ended without [DONE].
 func (b *streamBody) broken(err error) {
-	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+	if target.AtEnd(err) {
 		err = fmt.Errorf("%w: stream ended without [DONE]", target.ErrBroken)
 	}
 	b.service.metrics.broken.Inc(1)
--- a/app/relay/wire.go
+++ b/app/relay/wire.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"mimosarelay/io/target"
+
 	"mimosarelay/core/model"
 	"mimosarelay/io/peer/peerpb"
 )
@@ -180,7 +182,7 @@
 				return err
 			}
 		}
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		if target.AtEnd(err) {
 			return a.send(&peerpb.CallResponse{End: true})
 		}
 		if err != nil {
--- a/core/config/snapshot.go
+++ b/core/config/snapshot.go
@@ -53,6 +53,7 @@
 	targets    map[model.TargetID]*Target
 	routes     map[model.RouteID]*Route
 	keys       map[model.KeyID]indexedKey
+	models     map[model.ModelID]bool // served by an engine
 }
 
 type indexedKey struct {
@@ -70,12 +71,16 @@
 		targets:    make(map[model.TargetID]*Target, len(d.Targets)),
 		routes:     make(map[model.RouteID]*Route, len(d.Routes)),
 		keys:       map[model.KeyID]indexedKey{},
+		models:     map[model.ModelID]bool{},
 	}
 	for i := range d.Workspaces {
 		s.addWorkspace(&d.Workspaces[i])
 	}
 	for i := range d.Targets {
 		s.targets[d.Targets[i].Name] = &d.Targets[i]
+		for _, m := range d.Targets[i].Models {
+			s.models[m] = true
+		}
 	}
 	for i := range d.Routes {
 		s.routes[d.Routes[i].Name] = &d.Routes[i]
@@ -96,9 +101,7 @@
 func (s *Snapshot) Revision() model.Revision { return s.document.Revision }
 
 // Serves reports whether an engine serves the model.
-func (s *Snapshot) Serves(m model.ModelID) bool {
-	return slices.ContainsFunc(s.document.Targets, func(t Target) bool { return slices.Contains(t.Models, m) })
-}
+func (s *Snapshot) Serves(m model.ModelID) bool { return s.models[m] }
 
 // Document returns the document, which must not be modified.
 func (s *Snapshot) Document() *Document { return s.document }
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Order decides which waiting call runs next: FirstCome or FairShare.
 type Order interface{ isOrder() }
@@ -129,29 +132,22 @@
 }
 
 func (p FairShare) withDefaults() FairShare {
-	setDefault(&p.AgeBound, defaultAgeBound)
-	setDefault(&p.OutputWeight, defaultOutputWeight)
-	setDefault(&p.Open, defaultOpen)
+	p.AgeBound = cmp.Or(p.AgeBound, defaultAgeBound)
+	p.OutputWeight = cmp.Or(p.OutputWeight, defaultOutputWeight)
+	p.Open = cmp.Or(p.Open, defaultOpen)
 	return p
 }
 
 func (p CacheAware) withDefaults() CacheAware {
-	setDefault(&p.CallCost, defaultCallCost)
-	setDefault(&p.Slack, defaultSlack)
+	p.CallCost = cmp.Or(p.CallCost, defaultCallCost)
+	p.Slack = cmp.Or(p.Slack, defaultSlack)
 	return p
 }
 
 func (p HoldThroughPause) withDefaults() HoldThroughPause {
-	setDefault(&p.TokenTime, defaultTokenTime)
-	setDefault(&p.PauseFactor, defaultPauseFactor)
-	setDefault(&p.HeldLoad, defaultHeldLoad)
-	setDefault(&p.WaitFactor, defaultWaitFactor)
+	p.TokenTime = cmp.Or(p.TokenTime, defaultTokenTime)
+	p.PauseFactor = cmp.Or(p.PauseFactor, defaultPauseFactor)
+	p.HeldLoad = cmp.Or(p.HeldLoad, defaultHeldLoad)
+	p.WaitFactor = cmp.Or(p.WaitFactor, defaultWaitFactor)
 	return p
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/io/caller/handlers.go
+++ b/io/caller/handlers.go
@@ -4,12 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"slices"
 	"strings"
 	"time"
 
+	"mimosarelay/io/target"
+
 	"github.com/valyala/fasthttp"
 
 	"mimosarelay/app/relay"
@@ -272,7 +273,7 @@
 // Read implements io.Reader.
 func (a *answerStream) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
-	a.whole = a.whole || errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
+	a.whole = a.whole || target.AtEnd(err)
 	return n, err
 }
 
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -3,6 +3,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -71,21 +72,14 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.DialTimeout, defaultDialTimeout)
-	setDefault(&o.CallTimeout, defaultCallTimeout)
-	setDefault(&o.WriteTimeout, defaultWriteTimeout)
-	setDefault(&o.Idle, defaultIdle)
-	setDefault(&o.IdlePerPeer, defaultIdlePerPeer)
+	o.DialTimeout = cmp.Or(o.DialTimeout, defaultDialTimeout)
+	o.CallTimeout = cmp.Or(o.CallTimeout, defaultCallTimeout)
+	o.WriteTimeout = cmp.Or(o.WriteTimeout, defaultWriteTimeout)
+	o.Idle = cmp.Or(o.Idle, defaultIdle)
+	o.IdlePerPeer = cmp.Or(o.IdlePerPeer, defaultIdlePerPeer)
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // class separates connections by use. Heartbeats have connections of their
 // own, so that a large message never delays one.
 type class uint8
--- a/io/target/response.go
+++ b/io/target/response.go
@@ -56,7 +56,7 @@
 	if err == nil {
 		return n, nil
 	}
-	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+	if AtEnd(err) {
 		if !r.Verifiable() {
 			return n, fmt.Errorf("%w: %w", ErrBroken, ErrUnbounded)
 		}
@@ -66,6 +66,12 @@
 	return n, r.conn.classify(r.ctx, err)
 }
 
+// AtEnd says whether a read reached the end of a whole body or stream. An error
+// that also wraps io.ErrUnexpectedEOF marks one that was cut.
+func AtEnd(err error) bool {
+	return errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
+}
+
 // ReadAll reads the whole body, up to limit bytes.
 func (r *Response) ReadAll(limit int) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -13,6 +13,7 @@
 package engine
 
 import (
+	"cmp"
 	"fmt"
 	"sync"
 	"time"
@@ -97,20 +98,13 @@
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
-	o.MaxRunning = orDefault(o.MaxRunning, defaultMaxRunning)
-	o.BlockTokens = orDefault(o.BlockTokens, defaultBlockTokens)
-	o.CacheBlocks = orDefault(o.CacheBlocks, defaultCacheBlocks)
-	o.Retain = orDefault(o.Retain, defaultRetain)
+	o.MaxRunning = cmp.Or(o.MaxRunning, defaultMaxRunning)
+	o.BlockTokens = cmp.Or(o.BlockTokens, defaultBlockTokens)
+	o.CacheBlocks = cmp.Or(o.CacheBlocks, defaultCacheBlocks)
+	o.Retain = cmp.Or(o.Retain, defaultRetain)
 	return nil
 }
 
-func orDefault[T int | time.Duration](v, standard T) T {
-	if v == 0 {
-		return standard
-	}
-	return v
-}
-
 // Server is a running engine.
 type Server struct {
 	*fault.Server
