io/caller: let a caller see the refusal of an overlong request

Cause: a body over the limit was refused unread and the connection closed at once, which resets it: the caller often got "connection reset by peer" instead of 413. Change: after such a refusal the host closes its own direction and reads on for at most 1 s and 8 MiB before it closes the connection. Conclusion: a body of more than 8 MiB over the limit can still be reset.

--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -6,8 +6,10 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -142,6 +144,34 @@
 type deadlineConn struct {
 	net.Conn
 	timeout time.Duration
+	linger  atomic.Bool
+}
+
+const (
+	// lingerTime and lingerBytes bound what is read from a caller after its
+	// request was refused unread. Closing at once would reset the connection,
+	// and the caller would not see the refusal.
+	lingerTime  = time.Second
+	lingerBytes = 8 << 20
+)
+
+// Close implements net.Conn.
+func (c *deadlineConn) Close() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && c.linger.Swap(false) && half.CloseWrite() == nil {
+		_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	}
+	return c.Conn.Close()
+}
+
+// lingerOnClose lets a connection read on when it is closed.
+func lingerOnClose(conn net.Conn) {
+	if t, ok := conn.(*tls.Conn); ok {
+		conn = t.NetConn()
+	}
+	if c, ok := conn.(*deadlineConn); ok {
+		c.linger.Store(true)
+	}
 }
 
 // Write implements net.Conn.
@@ -154,6 +184,7 @@
 
 // malformed answers requests that the library could not parse.
 func (s *Server) malformed(ctx *fasthttp.RequestCtx, err error) {
+	lingerOnClose(ctx.Conn())
 	detail, kind := classifyMalformed(err)
 	s.refuse(ctx, newRequestID(), model.NewRefusal(kind, model.RanNo, "%s", detail))
 	ctx.SetConnectionClose()
