Count members that were not heard as unconfirmed; bound send buffers in a test

TestUnheardMembersConfirmNothing fails without the change. The TLS test used the length of that map as a sign of heartbeats; it now asks for members that were not heard, which is the same condition.

TestCallerThatStopsReadingLosesTheStream took 13 to 15 s with the race detector because the kernel grew the send buffer to 4 MB before the write deadline began. Its limit of 15 s stays.

--- a/app/fleet/fleet_test.go
+++ b/app/fleet/fleet_test.go
@@ -569,6 +569,24 @@
 	})
 }
 
+// Guards against a configuration that is reported as in effect while a member
+// has not told its revision yet.
+func TestUnheardMembersConfirmNothing(t *testing.T) {
+	run(t, 3, func(t *testing.T, c *cluster) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		late := c.add(ctx, "h3", "zone-0")
+		c.cutPeers(late, true)
+		c.pass(bound)
+		c.settled("h0", "h1", "h2", "h3")
+		assert.DeepEqual(t, c.hosts[0].Confirmed(), map[model.HostID]model.Revision{"h0": 7, "h1": 7, "h2": 7, "h3": 0})
+		assert.DeepEqual(t, c.hosts[0].Dump().(fleet.State).Unheard, []model.HostID{"h3"})
+		c.cutPeers(late, false)
+		c.pass(time.Second)
+		assert.Equal(t, c.hosts[0].Confirmed()["h3"], model.Revision(7))
+	})
+}
+
 // Guards against subscribers that miss a change or hear of others' keys,
 // revisions that are not passed on, and entry reports written before OnEpoch.
 func TestNews(t *testing.T) {
--- a/app/fleet/service.go
+++ b/app/fleet/service.go
@@ -278,16 +278,17 @@
 	s.onEpoch = append(s.onEpoch, fn)
 }
 
-// Confirmed returns the revisions that present members reported in heartbeats,
-// and that of this host.
+// Confirmed returns the revision that each member of the record reported in a
+// heartbeat, and that of this host. A member that was not heard yet counts as
+// revision 0, so that nothing is reported as in effect before it has answered.
 func (s *Service) Confirmed() map[model.HostID]model.Revision {
 	own := s.options.ConfigRevision()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := map[model.HostID]model.Revision{s.self.Host: own}
 	for _, m := range s.record.Members {
-		if v, ok := s.revision[m.Incarnation]; ok && m.Host != s.self.Host {
-			out[m.Host] = v
+		if m.Host != s.self.Host {
+			out[m.Host] = s.revision[m.Incarnation]
 		}
 	}
 	return out
@@ -306,6 +307,8 @@
 	Leases    map[model.HostID]bool
 	Reports   map[model.HostID]EntryReport
 	Revisions map[model.HostID]model.Revision
+	// Unheard lists the other members from which no heartbeat arrived yet.
+	Unheard []model.HostID
 }
 
 // Dump returns a State.
@@ -313,10 +316,17 @@
 	revisions, may := s.Confirmed(), s.MayAct()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var unheard []model.HostID
+	for _, m := range s.record.Members {
+		if _, ok := s.revision[m.Incarnation]; !ok && m.Host != s.self.Host {
+			unheard = append(unheard, m.Host)
+		}
+	}
 	return State{
 		Self: s.self, Record: s.record, MayAct: may, StoreAway: s.right.Away(),
 		Attached: s.attached, Settled: s.settled, Stopped: s.stopped, Reported: s.reported,
 		Leases: maps.Clone(s.leases), Reports: maps.Clone(s.reports), Revisions: revisions,
+		Unheard: unheard,
 	}
 }
 
--- a/app/host/tls_test.go
+++ b/app/host/tls_test.go
@@ -23,6 +23,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"mimosarelay/app/fleet"
 	"mimosarelay/app/settings"
 	"mimosarelay/standin/platform"
 )
@@ -122,7 +123,7 @@
 	// Members that know each other's revision have exchanged heartbeats.
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		status := first.Status()
-		if len(status.Members) == 2 && status.Settled && len(first.fleet.Confirmed()) == 2 {
+		if len(status.Members) == 2 && status.Settled && len(first.fleet.Dump().(fleet.State).Unheard) == 0 {
 			return poll.Success()
 		}
 		return poll.Continue("status %+v", status)
--- a/io/caller/harness_test.go
+++ b/io/caller/harness_test.go
@@ -146,7 +146,7 @@
 	assert.NilError(s.t, err)
 	s.url = "http://" + listener.Addr().String()
 	served := make(chan error, 1)
-	go func() { served <- s.server.Serve(listener) }()
+	go func() { served <- s.server.Serve(smallBuffers{listener}) }()
 	s.t.Cleanup(func() {
 		stop, done := context.WithTimeout(context.Background(), 5*time.Second)
 		defer done()
@@ -159,6 +159,24 @@
 	})
 }
 
+// smallBuffers bounds the send buffers of accepted connections, which the
+// kernel otherwise grows to megabytes for a caller that does not read.
+type smallBuffers struct{ net.Listener }
+
+// sendBuffer is the size of a send buffer, in bytes.
+const sendBuffer = 16 << 10
+
+func (l smallBuffers) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if err := conn.(*net.TCPConn).SetWriteBuffer(sendBuffer); err != nil {
+		return nil, err
+	}
+	return conn, nil
+}
+
 type answer struct {
 	status int
 	header http.Header
