--- /dev/null
+++ b/app/catalog/catalog.go
@@ -0,0 +1,245 @@
+// Package catalog keeps the configuration and the targets of one host up to
+// date, and says how old the evidence is that they are in force.
+package catalog
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"mimosarelay/core/discovery"
+	"mimosarelay/core/ingress"
+	"mimosarelay/core/model"
+	"mimosarelay/core/store"
+)
+
+// Source reads what operators and targets write.
+type Source interface {
+	// ReadConfiguration returns nil if the store's revision of the
+	// configuration is still known.
+	ReadConfiguration(ctx context.Context, known uint64) (*ingress.Document, uint64, error)
+	// ReadTargets lists the targets. faults describe entries that name none.
+	ReadTargets(ctx context.Context) (targets []ingress.Target, faults []error, err error)
+}
+
+// Options configures a Service. All fields but the times are required.
+type Options struct {
+	Source Source
+	Clock  clockwork.Clock
+	Log    *slog.Logger
+	// Lifetime is how long a configuration may be used after the store was
+	// asked for it. It is shorter than the time after which a withdrawn key
+	// must not work.
+	Lifetime time.Duration
+	// Interval is the time between two reads; 0 means 500 ms.
+	Interval time.Duration
+	// Timeout bounds one read; 0 means 1 s.
+	Timeout time.Duration
+}
+
+const (
+	defaultInterval = 500 * time.Millisecond
+	defaultTimeout  = time.Second
+)
+
+// defaultLimits bound callers before a configuration is known.
+var defaultLimits = ingress.Limits{HeaderBytes: 16 << 10, BodyBytes: 4 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+
+// Service is the configuration of one host. It is safe for concurrent use.
+type Service struct {
+	options Options
+
+	mu       sync.Mutex // guards all fields below
+	view     *ingress.View
+	document *ingress.Document
+	known    uint64    // revision of document in the store
+	asked    time.Time // when the store was asked for what it confirmed
+	targets  discovery.Targets
+	listed   bool
+	faulty   []string // entries that were logged
+	onChange []func(*ingress.View)
+}
+
+// New returns a Service. Run keeps it up to date.
+func New(o Options) *Service {
+	if o.Interval == 0 {
+		o.Interval = defaultInterval
+	}
+	if o.Timeout == 0 {
+		o.Timeout = defaultTimeout
+	}
+	return &Service{options: o}
+}
+
+// OnChange calls fn with each new view. It must be called before Run.
+func (s *Service) OnChange(fn func(*ingress.View)) { s.onChange = append(s.onChange, fn) }
+
+// Run reads the store until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	for _, read := range []func(context.Context){s.readConfiguration, s.readTargets} {
+		wg.Go(func() { s.every(ctx, read) })
+	}
+	wg.Wait()
+	return ctx.Err()
+}
+
+func (s *Service) every(ctx context.Context, read func(context.Context)) {
+	tick := s.options.Clock.NewTicker(s.options.Interval)
+	defer tick.Stop()
+	for {
+		call, cancel := clockwork.WithTimeout(ctx, s.options.Clock, s.options.Timeout)
+		read(call)
+		cancel()
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.Chan():
+		}
+	}
+}
+
+func (s *Service) readConfiguration(ctx context.Context) {
+	s.mu.Lock()
+	known := s.known
+	s.mu.Unlock()
+	asked := s.options.Clock.Now()
+	d, revision, err := s.options.Source.ReadConfiguration(ctx, known)
+	if err != nil {
+		s.failed(ctx, "configuration not read", err)
+		return
+	}
+	s.mu.Lock()
+	s.asked = asked
+	older := d != nil && s.document != nil && d.Revision < s.document.Revision
+	if d == nil || older {
+		s.mu.Unlock()
+		if older {
+			s.options.Log.Error("older configuration ignored", "revision", d.Revision)
+		}
+		return
+	}
+	s.document, s.known = d, revision
+	view := s.rebuild()
+	s.mu.Unlock()
+	s.options.Log.Info("configuration changed", "revision", d.Revision, "routes", len(d.Routes), "workspaces", len(d.Workspaces))
+	s.tell(view)
+}
+
+func (s *Service) failed(ctx context.Context, event string, err error) {
+	if ctx.Err() != nil && !errors.Is(err, store.ErrUnavailable) {
+		return
+	}
+	s.options.Log.Warn(event, "age", s.Age(), "error", err)
+}
+
+func (s *Service) readTargets(ctx context.Context) {
+	list, faults, err := s.options.Source.ReadTargets(ctx)
+	if err != nil {
+		s.mu.Lock()
+		s.targets.Away()
+		s.mu.Unlock()
+		s.failed(ctx, "targets not read", err)
+		return
+	}
+	s.logFaults(faults)
+	s.mu.Lock()
+	changed := s.targets.Update(s.options.Clock.Now(), list)
+	first := !s.listed
+	s.listed = true
+	var view *ingress.View
+	if changed || first {
+		view = s.rebuild()
+	}
+	s.mu.Unlock()
+	if view != nil {
+		s.options.Log.Info("targets changed", "targets", len(list))
+		s.tell(view)
+	}
+}
+
+// logFaults logs entries that were not faulty before.
+func (s *Service) logFaults(faults []error) {
+	var now []string
+	for _, err := range faults {
+		text := err.Error()
+		now = append(now, text)
+		if !slices.Contains(s.faulty, text) {
+			s.options.Log.Warn("target entry ignored", "error", err)
+		}
+	}
+	s.faulty = now
+}
+
+// rebuild makes a view of what is known, or nil if something is missing. mu is
+// held.
+func (s *Service) rebuild() *ingress.View {
+	if s.document == nil || !s.listed {
+		return nil
+	}
+	list := s.targets.List()
+	slices.SortFunc(list, func(a, b ingress.Target) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	s.view = ingress.NewView(s.document, list)
+	return s.view
+}
+
+func (s *Service) tell(view *ingress.View) {
+	if view == nil {
+		return
+	}
+	for _, fn := range s.onChange {
+		fn(view)
+	}
+}
+
+// Age is the time since the store was asked for what it last confirmed.
+func (s *Service) Age() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.age()
+}
+
+func (s *Service) age() time.Duration {
+	if s.asked.IsZero() {
+		return -1
+	}
+	return s.options.Clock.Since(s.asked)
+}
+
+// staleRetry is the advice to callers while there is no fresh evidence.
+const staleRetry = 300 * time.Millisecond
+
+// View returns the configuration in force. It fails with a *model.Refusal if
+// there is no evidence of it that is young enough.
+func (s *Service) View() (*ingress.View, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.view == nil {
+		return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "the configuration is not known yet").Retry(staleRetry)
+	}
+	if age := s.age(); age > s.options.Lifetime {
+		return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "the store last confirmed configuration %d %v ago", s.view.Revision(), age).Retry(staleRetry)
+	}
+	return s.view, nil
+}
+
+// Latest returns the newest view, however old its evidence, or nil.
+func (s *Service) Latest() *ingress.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view
+}
+
+// Limits returns the bounds of callers.
+func (s *Service) Limits() ingress.Limits {
+	if v := s.Latest(); v != nil {
+		return v.Limits()
+	}
+	return defaultLimits
+}
--- /dev/null
+++ b/app/entry/adapters.go
@@ -0,0 +1,137 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"mimosarelay/app/relay"
+	"mimosarelay/core/config"
+	"mimosarelay/core/model"
+	coreplacement "mimosarelay/core/placement"
+	"mimosarelay/io/peer"
+	"mimosarelay/io/peer/peerpb"
+
+	"mimosarelay/app/placement"
+)
+
+// emptySnapshot stands for the configuration before it is known.
+var emptySnapshot = config.NewSnapshot(&config.Document{})
+
+func (h *Host) snapshot() *config.Snapshot {
+	if v := h.catalog.Latest(); v != nil {
+		return v.Snapshot
+	}
+	return emptySnapshot
+}
+
+// entryHosts lists the members that serve callers and are not leaving.
+func (h *Host) entryHosts() []model.HostID {
+	var list []model.HostID
+	for _, m := range h.fleet.View().Members {
+		if !m.Leaving && m.CallerAddress != "" {
+			list = append(list, m.Host)
+		}
+	}
+	return list
+}
+
+// addresses lists the hosts for callers of a zone, in random order.
+func (h *Host) addresses(string) []string {
+	var list []string
+	for _, m := range h.fleet.View().Members {
+		if m.Leaving || m.CallerAddress == "" || m.Host == h.options.Host && h.draining.Load() {
+			continue
+		}
+		list = append(list, m.CallerAddress)
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
+
+// limiter admits requests where quotas are in force.
+type limiter struct{ host *Host }
+
+// Admit implements relay.Limiter.
+func (l limiter) Admit(ctx context.Context, id model.WorkspaceID) error {
+	if !l.host.options.Quotas {
+		return nil
+	}
+	return l.host.limits.Admit(ctx, id)
+}
+
+// right answers the relay's questions about the membership.
+type right struct{ host *Host }
+
+var _ relay.Owners = right{}
+
+// MayAct implements relay.Owners.
+func (r right) MayAct() bool { return r.host.fleet.MayAct() }
+
+// ActsFor implements relay.Owners.
+func (r right) ActsFor(s model.Shard) bool { return r.host.fleet.ActsFor(s) }
+
+// Changed implements relay.Owners.
+func (r right) Changed() <-chan struct{} { return nil }
+
+// Owner implements relay.Owners.
+func (r right) Owner(s model.Shard) (address string, self bool, err error) {
+	owner, ok := r.host.fleet.View().Owner(s)
+	if !ok {
+		return "", false, model.NewRefusal(model.ErrUnavailable, model.RanNo, "no host owns shard %d", s)
+	}
+	return owner.PeerAddress, owner.Host == r.host.options.Host, nil
+}
+
+// placer adapts placement to the relay.
+type placer struct{ host *Host }
+
+// Acquire implements relay.Placer.
+func (p placer) Acquire(ctx context.Context, r coreplacement.Request) (relay.Place, error) {
+	place, err := p.host.placement.Acquire(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	return place, nil
+}
+
+// suspectPeers adapts the peer client to package suspects.
+type suspectPeers struct {
+	*peer.Client
+	host *Host
+}
+
+// Peers implements suspects.Peers.
+func (p suspectPeers) Peers() []string {
+	var list []string
+	for _, m := range p.host.fleet.View().Members {
+		if m.Host != p.host.options.Host && m.CallerAddress != "" {
+			list = append(list, m.PeerAddress)
+		}
+	}
+	return list
+}
+
+// peerHandler hands the requests of other hosts to the services.
+type peerHandler struct {
+	*peerpb.DRPCPeerUnimplementedServer
+	host *Host
+}
+
+var _ peerpb.DRPCPeerServer = peerHandler{}
+
+// Heartbeat implements peerpb.DRPCPeerServer.
+func (p peerHandler) Heartbeat(ctx context.Context, r *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
+	return p.host.fleet.HandleHeartbeat(ctx, r)
+}
+
+// MoveShare implements peerpb.DRPCPeerServer.
+func (p peerHandler) MoveShare(ctx context.Context, r *peerpb.MoveShareRequest) (*peerpb.MoveShareResponse, error) {
+	return p.host.limits.HandleMoveShare(ctx, r)
+}
+
+// MarkSuspect implements peerpb.DRPCPeerServer.
+func (p peerHandler) MarkSuspect(ctx context.Context, r *peerpb.MarkSuspectRequest) (*peerpb.MarkSuspectResponse, error) {
+	return p.host.suspects.HandleMarkSuspect(ctx, r)
+}
+
+var _ relay.LoadReports = (*placement.Service)(nil)
--- /dev/null
+++ b/app/entry/entry.go
@@ -0,0 +1,306 @@
+// Package entry wires a host whose requests are passed on unchanged, and whose
+// configuration and targets other programs write to the store.
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/valyala/fasthttp"
+
+	"mimosarelay/app/catalog"
+	"mimosarelay/app/fleet"
+	"mimosarelay/app/limits"
+	"mimosarelay/app/placement"
+	"mimosarelay/app/relay"
+	"mimosarelay/app/suspects"
+	coreingress "mimosarelay/core/ingress"
+	"mimosarelay/core/member"
+	"mimosarelay/core/model"
+	coreplacement "mimosarelay/core/placement"
+	"mimosarelay/core/store"
+	"mimosarelay/io/ingress"
+	"mimosarelay/io/peer"
+	"mimosarelay/io/target"
+)
+
+// Dialect reads and writes the fields of callers and targets.
+type Dialect interface {
+	ingress.Dialect
+	relay.Dialect
+}
+
+// Options configures a Host. Addresses are IP:port; those of callers are empty
+// on hosts that serve none.
+type Options struct {
+	Host             model.HostID
+	Zone             model.Zone
+	CallerAddress    string
+	ReadyAddress     string
+	DirectoryAddress string
+	PeerAddress      string
+
+	// Keyspace returns the keys of the store under a prefix.
+	Keyspace func(prefix string) store.Store
+	Source   catalog.Source
+	Dialect  Dialect
+	// Directory answers callers that ask where to connect, and Readiness the
+	// deployment's checks.
+	Directory func(addresses func(zone string) []string, ttl time.Duration) fasthttp.RequestHandler
+	Readiness func(ready func() (bool, string)) fasthttp.RequestHandler
+	// Quotas says whether the rates of workspaces are limited.
+	Quotas bool
+	// Lifetime is how long a configuration may be used after the store was
+	// asked for it.
+	Lifetime time.Duration
+	// Grace is the time in which the process must end when it is told to.
+	Grace time.Duration
+
+	Clock clockwork.Clock
+	Log   *slog.Logger
+}
+
+const (
+	// directoryTTL is how long callers keep an answer of the directory. A
+	// leaving host serves for three times as long, because some callers keep
+	// it for that time.
+	directoryTTL = 1500 * time.Millisecond
+	lingerTime   = 3*directoryTTL + 250*time.Millisecond
+	// exitReserve is the part of Grace that is kept for leaving the fleet.
+	exitReserve = 1500 * time.Millisecond
+	// limitWait is how long a request waits for a token of its workspace.
+	limitWait = 250 * time.Millisecond
+	// queueWait is how long a request waits for a place.
+	queueWait = 2 * time.Second
+	// dialTimeout bounds a connection attempt to a target.
+	dialTimeout = 500 * time.Millisecond
+	// callCost and tokenTime describe engines that read a prompt token in 4 µs:
+	// one more request at a target slows the others by as much as reading 1500
+	// tokens.
+	callCost  = 1500
+	tokenTime = 4 * time.Microsecond
+)
+
+// controlPrefix precedes the keys of the membership and the shares.
+const controlPrefix = "mimosarelay/control/"
+
+// suspectPrefix precedes the keys of requests that crash targets.
+const suspectPrefix = "Suspect/"
+
+// Host is one running process.
+type Host struct {
+	options Options
+	log     *slog.Logger
+
+	catalog   *catalog.Service
+	fleet     *fleet.Service
+	limits    *limits.Service
+	placement *placement.Service
+	suspects  *suspects.Service
+	relay     *relay.Service
+	peers     *peer.Client
+	targets   *target.Client
+	callers   *ingress.Server
+
+	draining atomic.Bool
+	work     sync.WaitGroup
+}
+
+// New wires a host. Nothing runs before Run.
+func New(o Options) *Host {
+	h := &Host{options: o, log: o.Log}
+	h.peers = peer.NewClient(peer.Options{})
+	h.targets = target.NewClient(target.Options{DialTimeout: dialTimeout})
+	h.catalog = catalog.New(catalog.Options{Source: o.Source, Clock: o.Clock, Log: o.Log, Lifetime: o.Lifetime})
+	h.wireFleet()
+	h.wireRelay()
+	h.subscribe()
+	return h
+}
+
+func (h *Host) wireFleet() {
+	o := h.options
+	control := o.Keyspace(controlPrefix)
+	h.fleet = fleet.New(fleet.Options{
+		Store: control, Clock: o.Clock, Peers: h.peers,
+		Self: member.Member{
+			Host: o.Host, Incarnation: model.Incarnation(uuid.NewString()), Zone: o.Zone,
+			CallerAddress: o.CallerAddress, PeerAddress: o.PeerAddress,
+		},
+		Holdings:       func(e model.Epoch) map[model.WorkspaceID]int64 { return h.limits.Holdings(e) },
+		ConfigRevision: h.revision,
+		Logger:         o.Log,
+	})
+	h.limits = limits.New(limits.Options{
+		Host: o.Host, Clock: o.Clock, Store: control, Peers: h.peers, MayAct: h.fleet.MayAct, LimitWait: limitWait,
+	})
+	h.suspects = suspects.New(suspects.Options{
+		Host: o.Host, Self: o.PeerAddress, Peers: suspectPeers{h.peers, h}, Store: control, KeyPrefix: suspectPrefix,
+		Incarnation: func() model.Incarnation { return h.fleet.Self().Incarnation },
+		Clock:       o.Clock, Log: o.Log,
+	})
+}
+
+func (h *Host) revision() model.Revision {
+	if v := h.catalog.Latest(); v != nil {
+		return v.Revision()
+	}
+	return 0
+}
+
+func (h *Host) wireRelay() {
+	o := h.options
+	h.placement = placement.New(placement.Options{
+		Host: o.Host, Hosts: h.entryHosts, Snapshot: h.snapshot, Prober: h.targets,
+		Policy: coreplacement.Options{
+			Choice:    coreplacement.CacheAware{CallCost: callCost, Slack: callCost},
+			Retention: coreplacement.HoldThroughPause{TokenTime: tokenTime},
+		},
+		QueueWait: queueWait, Clock: o.Clock, Log: o.Log,
+	})
+	h.relay = relay.New(relay.Options{
+		Limiter: limiter{h}, Owners: right{h}, Placer: placer{h}, Suspects: h.suspects, Targets: h.targets,
+		Dialect: o.Dialect, Loads: h.placement, Clock: o.Clock, Log: o.Log,
+	})
+	h.callers = ingress.New(ingress.Options{
+		Relay: h.relay, Dialect: o.Dialect, View: h.catalog.View, Limits: h.catalog.Limits,
+		Draining: h.draining.Load, Clock: o.Clock, Log: o.Log,
+	})
+}
+
+func (h *Host) subscribe() {
+	h.fleet.Subscribe(limits.EnterPrefix, h.limits.EntriesChanged)
+	h.fleet.Subscribe(limits.SharesKey, h.limits.SharesChanged)
+	h.fleet.Subscribe(suspectPrefix, h.suspects.EntriesChanged)
+	h.fleet.OnEpoch(h.epochChanged)
+	h.catalog.OnChange(func(v *coreingress.View) { h.limits.ContractsChanged(v.Document()) })
+}
+
+func (h *Host) epochChanged(_, current member.Record) {
+	m := limits.Membership{Epoch: current.Epoch, Incarnation: h.fleet.Self().Incarnation}
+	var live []model.Incarnation
+	for _, one := range current.Members {
+		live = append(live, one.Incarnation)
+		m.Members = append(m.Members, limits.Member{
+			Host: one.Host, Incarnation: one.Incarnation, PeerAddress: one.PeerAddress, Leaving: one.Leaving,
+		})
+	}
+	h.limits.EpochChanged(m)
+	h.suspects.MembersChanged(live)
+}
+
+// Run serves until ctx ends, then shuts down without cutting a request.
+func (h *Host) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	failed := make(chan error, 8) // one for each task
+	if err := h.start(work, failed); err != nil {
+		return err
+	}
+	h.log.Info("host started", "host", h.options.Host, "zone", h.options.Zone, "caller", h.options.CallerAddress, "incarnation", h.fleet.Self().Incarnation)
+	var err error
+	select {
+	case <-ctx.Done():
+		h.drain()
+	case err = <-failed:
+		h.log.Error("host failed", "error", err)
+	}
+	stop()
+	h.limits.Close()
+	h.suspects.Close()
+	h.log.Info("host stopped", "host", h.options.Host)
+	return err
+}
+
+func (h *Host) start(ctx context.Context, failed chan<- error) error {
+	run := func(name string, f func() error) {
+		h.work.Go(func() {
+			if err := f(); err != nil && ctx.Err() == nil {
+				failed <- fmt.Errorf("%s: %w", name, err)
+			}
+		})
+	}
+	peers, err := net.Listen("tcp", h.options.PeerAddress)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	run("peer server", func() error { return peer.Serve(ctx, peers, peerHandler{host: h}) })
+	for _, l := range []struct {
+		name, address string
+		serve         func(net.Listener) error
+	}{
+		{"readiness", h.options.ReadyAddress, serveSmall(h.options.Readiness(h.Ready))},
+		{"directory", h.options.DirectoryAddress, serveSmall(h.options.Directory(h.addresses, directoryTTL))},
+		{"callers", h.options.CallerAddress, h.callers.Serve},
+	} {
+		if l.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return fmt.Errorf("listen for %s: %w", l.name, err)
+		}
+		run(l.name, func() error { return l.serve(listener) })
+	}
+	run("catalog", func() error { return h.catalog.Run(ctx) })
+	run("placement", func() error { return h.placement.Run(ctx) })
+	run("fleet", func() error { return h.fleet.Run(ctx) })
+	return nil
+}
+
+// smallTimeout bounds a request to the directory or for the readiness.
+const smallTimeout = 5 * time.Second
+
+func serveSmall(handler fasthttp.RequestHandler) func(net.Listener) error {
+	s := &fasthttp.Server{
+		Handler: handler, ReadTimeout: smallTimeout, WriteTimeout: smallTimeout, ReadBufferSize: 4096,
+		NoDefaultServerHeader: true, NoDefaultDate: true,
+	}
+	return s.Serve
+}
+
+// Ready says whether this host serves callers, and why not.
+func (h *Host) Ready() (bool, string) {
+	if h.draining.Load() {
+		return false, "the host is leaving"
+	}
+	if _, err := h.catalog.View(); err != nil {
+		return false, err.Error()
+	}
+	return h.fleet.Ready()
+}
+
+// drain leaves the fleet without cutting a request.
+func (h *Host) drain() {
+	h.draining.Store(true)
+	start := h.options.Clock.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), h.options.Grace-exitReserve)
+	defer cancel()
+	h.log.Info("drain started", "requests", h.callers.Running())
+	mark, done := context.WithTimeout(ctx, time.Second)
+	err := h.fleet.MarkLeaving(mark)
+	done()
+	if h.options.CallerAddress != "" {
+		h.sleep(ctx, lingerTime-h.options.Clock.Since(start))
+		err = errors.Join(err, h.callers.Shutdown(ctx))
+	}
+	leave, done := context.WithTimeout(context.Background(), exitReserve/2)
+	defer done()
+	err = errors.Join(err, h.fleet.Leave(leave))
+	h.log.Info("drain ended", "requests", h.callers.Running(), "error", err)
+}
+
+func (h *Host) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-h.options.Clock.After(d):
+	}
+}
--- a/app/placement/service.go
+++ b/app/placement/service.go
@@ -301,6 +301,13 @@
 	s.deliver(now, s.scheduler.Release(now, id, u))
 }
 
+// Report notes the load that a target told of itself in a response.
+func (s *Service) Report(id model.TargetID, running, waiting int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.Report(id, placement.Load{At: s.options.Clock.Now(), Running: running, Waiting: waiting})
+}
+
 // EndProgram forgets what is known of a program that ended.
 func (s *Service) EndProgram(key model.ProgramKey) {
 	s.mu.Lock()
--- /dev/null
+++ b/app/relay/forward.go
@@ -0,0 +1,357 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"mimosarelay/core/config"
+	"mimosarelay/core/dispatch"
+	"mimosarelay/core/ingress"
+	"mimosarelay/core/model"
+	"mimosarelay/core/placement"
+	"mimosarelay/io/target"
+)
+
+// Forward is a request that is passed on unchanged to a target of its route.
+type Forward struct {
+	ID        model.RequestID
+	Workspace model.WorkspaceID // empty on public routes without a key
+	Key       model.KeyID
+	Route     *ingress.Route
+	Service   ingress.Service
+	Method    string
+	// URI is the request target as the caller sent it.
+	URI string
+	// Headers holds the end-to-end fields that targets get to see.
+	Headers []Header
+	Body    []byte
+	// Deadline is when the caller stops waiting or the route's time is over.
+	Deadline time.Time
+	// LastEvent is the event after which the caller resumes a stream; empty
+	// for a stream from its start.
+	LastEvent string
+	// Prompt is zero for requests without one.
+	Prompt Prompt
+	// Turn is nil for requests that no program budget bounds.
+	Turn    *Turn
+	Program model.ProgramID
+}
+
+// Prompt describes the input of a generation.
+type Prompt struct {
+	Tokens    model.Tokens
+	MaxTokens model.Tokens
+	// Prefixes identifies the leading parts, shortest first: one hash over all
+	// parts up to it. Sizes holds the tokens up to each.
+	Prefixes []uint64
+	Sizes    []model.Tokens
+}
+
+// Turn is one generation of a program with a budget.
+type Turn struct {
+	Request model.RequestID
+	// Budget is the number of tokens that all turns of the program may
+	// generate.
+	Budget    model.Tokens
+	MaxTokens model.Tokens
+	// Deadline is when an unfinished turn is over.
+	Deadline time.Time
+}
+
+// Dispatch is one attempt to run a forwarded request.
+type Dispatch struct {
+	Target config.Target
+	// Left is the time until the deadline.
+	Left time.Duration
+	// LastEvent is the event after which the stream goes on; empty: from its
+	// start.
+	LastEvent string
+}
+
+// Reply is what a target says of a forwarded request besides its answer.
+type Reply struct {
+	// ID is the request that the response belongs to.
+	ID model.RequestID
+	// NotRun says that the target did not run the request.
+	NotRun bool
+	// Load is nil if the target does not tell it.
+	Load *TargetLoad
+}
+
+// TargetLoad is the number of requests at a target.
+type TargetLoad struct{ Running, Waiting int }
+
+// onceIdle is the longest idle time of a connection on which a request that
+// must not run twice is sent. Targets close connections that idle longer, and a
+// request that crosses the close has no known outcome.
+const onceIdle = time.Second
+
+// busyRetry is the advice to callers whose request found no place.
+const busyRetry = 200 * time.Millisecond
+
+// forwarding is one forwarded request on its way.
+type forwarding struct {
+	*Forward
+	attempts dispatch.Attempts
+	print    model.Fingerprint
+	pin      model.TargetID // the only target to try, after a loss
+	place    Place
+	lease    TurnLease // nil without a program budget
+	started  time.Time
+}
+
+// Forward admits a request and passes it on to a target. Errors are
+// *model.Refusal. The caller of Forward must Close the body of the answer.
+func (s *Service) Forward(ctx context.Context, f *Forward) (*Answer, error) {
+	s.metrics.calls.Inc(1)
+	w := &forwarding{
+		Forward: f, started: s.Clock.Now(), print: fingerprint([]byte(f.Workspace), []byte(f.URI), f.Body),
+		attempts: dispatch.Attempts{Repeatable: f.Route.Repeatable(), MaxTargets: f.Route.MaxTargets},
+	}
+	answer, err := s.forwardAdmitted(ctx, w)
+	if err != nil {
+		s.metrics.refusals.Inc(1)
+		refusal := w.refusal(ctx, err)
+		w.endTurn(0)
+		return nil, refusal
+	}
+	s.metrics.header.RecordDuration(s.Clock.Since(w.started))
+	return answer, nil
+}
+
+// refusal makes any error the answer to the caller.
+func (w *forwarding) refusal(ctx context.Context, err error) *model.Refusal {
+	ran := w.attempts.Ran()
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) && ran != model.RanNo {
+		return model.NewRefusal(model.ErrOutcomeUnknown, ran, "no answer in time after %d attempts: %v", w.attempts.Sends(), err)
+	}
+	refusal := *asRefusal(err, ran)
+	refusal.Ran = ran
+	if ran == model.RanUnknown {
+		refusal.Kind = model.ErrTargetFailed
+	}
+	return &refusal
+}
+
+func (s *Service) forwardAdmitted(ctx context.Context, w *forwarding) (*Answer, error) {
+	if _, err := s.Suspects.Check(w.print); err != nil {
+		return nil, err
+	}
+	if w.Workspace != "" {
+		if err := s.Limiter.Admit(ctx, w.Workspace); err != nil {
+			return nil, err
+		}
+	}
+	if w.Turn != nil && s.Turns != nil {
+		lease, err := s.Turns.Begin(ctx, model.ProgramKey{Workspace: w.Workspace, Program: w.Program}, *w.Turn)
+		if err != nil {
+			return nil, err
+		}
+		w.lease = lease
+	}
+	for {
+		answer, next, err := s.forwardOnce(ctx, w)
+		if err == nil {
+			return answer, nil
+		}
+		if !w.goOn(ctx, next) {
+			return nil, err
+		}
+		s.metrics.retries.Inc(1)
+	}
+}
+
+// goOn prepares the next attempt and reports false if there is none.
+func (w *forwarding) goOn(ctx context.Context, next dispatch.Next) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	switch next.(type) {
+	case dispatch.Elsewhere:
+		w.pin = ""
+		return true
+	case dispatch.Again:
+		w.pin = w.place.Target().Name
+		return true
+	}
+	return false
+}
+
+func (w *forwarding) placeRequest() placement.Request {
+	r := placement.Request{
+		Workspace: w.Workspace, Program: w.Program, Exclude: w.attempts.Exclude,
+		Prompt: w.Prompt.Tokens, MaxTokens: w.Prompt.MaxTokens,
+		Prefixes: w.Prompt.Prefixes, PrefixTokens: w.Prompt.Sizes, Fingerprint: w.print,
+		Model: model.ModelID(w.Service.ID),
+	}
+	if w.pin != "" {
+		r.Model, r.Exclude = "", nil
+		r.Candidates = []model.TargetID{w.pin}
+	}
+	return r
+}
+
+// forwardOnce makes one attempt. It returns a nil Next if no attempt was made.
+func (s *Service) forwardOnce(ctx context.Context, w *forwarding) (*Answer, dispatch.Next, error) {
+	place, err := s.Placer.Acquire(ctx, w.placeRequest())
+	if err != nil {
+		return nil, nil, err
+	}
+	w.place = place
+	resp, err := s.dispatch(ctx, w, w.LastEvent)
+	if err != nil {
+		next := s.attemptFailed(ctx, w, err)
+		return nil, next, err
+	}
+	if w.Route.Streaming() && resp.Status() == fasthttp.StatusOK && isEventStream(resp.ContentType()) {
+		return s.forwardStream(ctx, w, resp), nil, nil
+	}
+	headers := endToEnd(resp.Message())
+	status := resp.Status()
+	body, err := resp.ReadAll(maxAnswer)
+	_ = resp.Close()
+	if err != nil {
+		next := s.attemptFailed(ctx, w, err)
+		return nil, next, err
+	}
+	place.Release(placement.Usage{Prompt: w.Prompt.Tokens})
+	w.endTurn(0)
+	s.logForward(w, status, true, 0)
+	return &Answer{Status: status, Headers: headers, Body: newBytesBody(body), Length: len(body)}, nil, nil
+}
+
+// dispatch sends the request to the place's target and reads the head of its
+// answer.
+func (s *Service) dispatch(ctx context.Context, w *forwarding, lastEvent string) (*target.Response, error) {
+	t := w.place.Target()
+	left := w.Deadline.Sub(s.Clock.Now())
+	if left <= 0 {
+		return nil, fmt.Errorf("%w: deadline has passed", target.ErrNotSent)
+	}
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetNoDefaultContentType(true)
+	req.Header.DisableNormalizing()
+	req.Header.SetMethod(w.Method)
+	req.Header.SetRequestURI(w.URI)
+	for _, h := range w.Headers {
+		req.Header.Add(h.Name, h.Value)
+	}
+	req.SetBodyRaw(w.Body)
+	s.Dialect.Encode(req, w.Forward, Dispatch{Target: t, Left: left, LastEvent: lastEvent})
+	resp, err := s.Targets.Do(ctx, t.Address, req, target.CallOptions{
+		Fresh:      w.attempts.Sends() > 0,
+		MaxIdle:    w.maxIdle(),
+		Idle:       left,
+		BeforeSend: func() error { return s.checkForward(ctx) },
+		Match:      func(m *fasthttp.Response) bool { return s.Dialect.Decode(m).ID == w.ID },
+		Unframed:   true,
+	})
+	if err != nil {
+		return nil, err
+	}
+	reply := s.Dialect.Decode(resp.Message())
+	if reply.Load != nil && s.Loads != nil {
+		s.Loads.Report(t.Name, reply.Load.Running, reply.Load.Waiting)
+	}
+	if reply.NotRun {
+		status := resp.Status()
+		_, _ = resp.ReadAll(maxAnswer)
+		_ = resp.Close()
+		return nil, fmt.Errorf("%w: target %q answered %d", errNotRun, t.Name, status)
+	}
+	return resp, nil
+}
+
+// errNotRun reports a target's word that it did not run a request.
+var errNotRun = errors.New("request refused by its target")
+
+func (w *forwarding) maxIdle() time.Duration {
+	if w.Route.Repeatable() {
+		return 0
+	}
+	return onceIdle
+}
+
+// checkForward runs immediately before a request is sent, because the process
+// may have been paused since the request was admitted.
+func (s *Service) checkForward(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if !s.Owners.MayAct() {
+		return model.NewRefusal(model.ErrNoRight, model.RanNo, "this host may not act now").Retry(forwardRetry)
+	}
+	return nil
+}
+
+// attemptFailed classifies a failed attempt and gives up its place.
+func (s *Service) attemptFailed(ctx context.Context, w *forwarding, cause error) dispatch.Next {
+	t := w.place.Target()
+	var outcome dispatch.Outcome
+	failed := false
+	var refusal *model.Refusal
+	switch {
+	case errors.As(cause, &refusal):
+		w.place.Release(placement.Usage{})
+		return dispatch.GiveUp{}
+	case errors.Is(cause, errNotRun):
+		outcome = dispatch.NotRun{}
+	case errors.Is(cause, target.ErrNotSent):
+		outcome, failed = dispatch.Unsent{}, ctx.Err() == nil
+	default:
+		s.Targets.DropIdle(t.Address)
+		gone := ctx.Err() == nil && !errors.Is(cause, target.ErrIdle) && !s.Targets.Reachable(ctx, t.Address)
+		outcome, failed = dispatch.Lost{Gone: gone}, gone
+		if gone {
+			s.Suspects.Crashed(ctx, w.print, t.Name)
+		}
+	}
+	w.place.Release(placement.Usage{Failed: failed})
+	next := w.attempts.Ended(t.Name, outcome)
+	s.Log.Info("attempt failed", "request", w.ID, "target", t.Name, "outcome", fmt.Sprintf("%T", outcome), "attempt", w.attempts.Sends(),
+		"next", fmt.Sprintf("%T", next), "error", cause)
+	return next
+}
+
+func (w *forwarding) endTurn(used model.Tokens) {
+	if w.lease != nil {
+		w.lease.End(used)
+		w.lease = nil
+	}
+}
+
+// logForward writes the one line that each forwarded request ends with.
+func (s *Service) logForward(w *forwarding, status int, whole bool, events int) {
+	s.Log.Info("request ended", "request", w.ID, "workspace", w.Workspace, "route", w.Route.Name, "program", w.Program,
+		"target", w.place.Target().Name, "status", status, "whole", whole, "events", events,
+		"attempts", w.attempts.Sends()+1, "duration", s.Clock.Since(w.started))
+}
+
+// hopByHop are the header fields that concern only one connection.
+var hopByHop = map[string]bool{
+	"connection": true, "keep-alive": true, "proxy-authenticate": true, "proxy-authorization": true, "proxy-connection": true,
+	"te": true, "trailer": true, "transfer-encoding": true, "upgrade": true, "content-length": true,
+}
+
+// EndToEnd says whether a header field is passed on by an intermediary.
+func EndToEnd(name string) bool { return !hopByHop[strings.ToLower(name)] }
+
+func endToEnd(m *fasthttp.Response) []Header {
+	var list []Header
+	for name, value := range m.Header.All() {
+		if EndToEnd(string(name)) {
+			list = append(list, Header{Name: string(name), Value: string(value)})
+		}
+	}
+	return list
+}
+
+func isEventStream(contentType string) bool {
+	return strings.HasPrefix(strings.ToLower(contentType), "text/event-stream")
+}
--- a/app/relay/ports.go
+++ b/app/relay/ports.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/valyala/fasthttp"
+
 	"mimosarelay/app/programs"
 	"mimosarelay/app/suspects"
 	"mimosarelay/core/config"
@@ -67,6 +69,37 @@
 	// Begin asks for the right to send one copy of a request to one target. It
 	// fails with a *model.Refusal as not run.
 	Begin(ctx context.Context, f model.Fingerprint) (*suspects.Run, error)
+	// Check fails with a *model.Refusal if the request may not run anywhere.
+	// alone means that it may run once more, without a second attempt.
+	Check(f model.Fingerprint) (alone bool, err error)
 	// Crashed records a crash and tells all peers before it returns.
 	Crashed(ctx context.Context, f model.Fingerprint, target model.TargetID)
 }
+
+// Dialect writes and reads the fields that a deployment's targets use around
+// a forwarded request.
+type Dialect interface {
+	// Encode adds the fields of one dispatch to a request.
+	Encode(req *fasthttp.Request, f *Forward, d Dispatch)
+	// Decode reads the fields of a response.
+	Decode(resp *fasthttp.Response) Reply
+}
+
+// Turns bounds the tokens of each program.
+type Turns interface {
+	// Begin reserves the tokens of a turn. It fails with a *model.Refusal as
+	// not run, of kind model.ErrBudget if the program's budget does not hold
+	// them.
+	Begin(ctx context.Context, key model.ProgramKey, t Turn) (TurnLease, error)
+}
+
+// TurnLease is the reservation of one turn.
+type TurnLease interface {
+	// End settles the turn with the tokens that it generated.
+	End(used model.Tokens)
+}
+
+// LoadReports takes what targets tell of their load in responses.
+type LoadReports interface {
+	Report(id model.TargetID, running, waiting int)
+}
--- a/app/relay/service.go
+++ b/app/relay/service.go
@@ -27,9 +27,14 @@
 	Placer    Placer
 	Suspects  Suspects
 	Targets   *target.Client
-	Clock     clockwork.Clock
-	Log       *slog.Logger
-	Scope     tally.Scope
+	// Dialect, Turns and Loads are needed by Forward only. Turns is nil if
+	// programs have no budget of their own, Loads if targets tell no load.
+	Dialect Dialect
+	Turns   Turns
+	Loads   LoadReports
+	Clock   clockwork.Clock
+	Log     *slog.Logger
+	Scope   tally.Scope
 	// StreamIdle ends a target exchange without progress; 0 means 20 s.
 	StreamIdle time.Duration
 	// ForwardWait bounds how long a call waits for an owner that can be
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -12,28 +13,40 @@
 
 	"mimosarelay/app/host"
 	"mimosarelay/app/settings"
+	"mimosarelay/platform"
 )
 
 func newServe() *cobra.Command {
 	var file string
 	c := &cobra.Command{
-		Use:   "serve --settings FILE",
+		Use:   "serve [--settings FILE]",
 		Short: "Run one entry host",
 		Long: "Run one entry host until SIGTERM or SIGINT, then shut down gracefully: the host leaves the\n" +
-			"membership, accepts calls for a few seconds more and finishes all running calls.",
+			"membership, accepts calls for a few seconds more and finishes all running calls.\n\n" +
+			"Without --settings the host takes its settings from the platform that started the process.",
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGTERM, syscall.SIGINT)
+			ctx, stop := notifyStop(c.Context())
 			defer stop()
+			if file == "" && platform.Managed() {
+				return managed(ctx, c.OutOrStdout())
+			}
 			return serve(ctx, file, c.ErrOrStderr())
 		},
 	}
 	c.Flags().StringVar(&file, "settings", "", "settings file of this host")
-	_ = c.MarkFlagRequired("settings")
 	return c
 }
 
+// notifyStop returns a context that ends when the process is told to stop.
+func notifyStop(ctx context.Context) (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+}
+
 func serve(ctx context.Context, file string, logs io.Writer) error {
+	if file == "" {
+		return errors.New("--settings is missing, and no platform started this process")
+	}
 	s, err := settings.Load(file)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
--- a/core/config/key.go
+++ b/core/config/key.go
@@ -45,8 +45,36 @@
 	if _, err := rand.Read(salt[:]); err != nil {
 		return "", fmt.Errorf("reading random salt: %w", err)
 	}
+	return newHash(salt, key), nil
+}
+
+// opaquePrefix begins the ids of keys that the system did not generate. NewKey
+// cannot produce such an id, because the digest part is longer than names that
+// operators choose for keys.
+const opaquePrefix = "opaque-"
+
+// opaqueIDBytes is the number of digest bytes in the id of an opaque key.
+const opaqueIDBytes = 20
+
+// NewOpaqueKey returns the entry of a credential that the system did not
+// generate, whose text has no form of its own. Its id is derived from the text,
+// so that a host finds the entry to compare with in one step.
+func NewOpaqueKey(text string) (Key, error) {
+	var salt [saltBytes]byte
+	if _, err := rand.Read(salt[:]); err != nil {
+		return Key{}, fmt.Errorf("reading random salt: %w", err)
+	}
+	return Key{ID: opaqueID(text), Hash: newHash(salt, text)}, nil
+}
+
+func opaqueID(text string) model.KeyID {
+	sum := sha256.Sum256([]byte(opaquePrefix + text))
+	return model.KeyID(opaquePrefix + hex.EncodeToString(sum[:opaqueIDBytes]))
+}
+
+func newHash(salt [saltBytes]byte, key string) Hash {
 	d := digest(salt, key)
-	return Hash(hashPrefix + hex.EncodeToString(salt[:]) + ":" + hex.EncodeToString(d[:])), nil
+	return Hash(hashPrefix + hex.EncodeToString(salt[:]) + ":" + hex.EncodeToString(d[:]))
 }
 
 // Matches reports in constant time whether the hash belongs to the key.
--- a/core/config/snapshot.go
+++ b/core/config/snapshot.go
@@ -111,7 +111,7 @@
 func (s *Snapshot) Authenticate(key string) (model.WorkspaceID, model.KeyID, bool) {
 	id, ok := keyID(key)
 	if !ok {
-		return "", "", false
+		id = opaqueID(key)
 	}
 	k, ok := s.keys[id]
 	if !ok || !k.hash.matches(key) {
--- a/core/placement/prefix.go
+++ b/core/placement/prefix.go
@@ -124,7 +124,11 @@
 		return
 	}
 	for i := 0; i < min(leading, n-1); i++ {
-		s.index.add(r.Prefixes[i], prompt*model.Tokens(i+1)/model.Tokens(n), t, now)
+		tokens := prompt * model.Tokens(i+1) / model.Tokens(n)
+		if len(r.PrefixTokens) == n {
+			tokens = r.PrefixTokens[i]
+		}
+		s.index.add(r.Prefixes[i], tokens, t, now)
 	}
 	s.index.add(r.Prefixes[n-1], prompt, t, now)
 }
--- a/core/placement/request.go
+++ b/core/placement/request.go
@@ -20,6 +20,9 @@
 	// Prefixes identifies the leading parts of the prompt, shortest first:
 	// one hash per message, over all messages up to it.
 	Prefixes []uint64
+	// PrefixTokens holds the size of each of Prefixes. If it is empty, the
+	// parts count as equally long.
+	PrefixTokens []model.Tokens
 	// Fingerprint identifies the content of the call.
 	Fingerprint model.Fingerprint
 }
--- a/io/consul/hosts.go
+++ b/io/consul/hosts.go
@@ -13,6 +13,7 @@
 
 	"mimosarelay/core/model"
 	"mimosarelay/core/store"
+	"mimosarelay/io/storehttp"
 )
 
 // ServiceName is the name of this project's hosts in the catalog.
@@ -59,25 +60,25 @@
 	if err != nil {
 		return err
 	}
-	_, err = c.do(ctx, request{method: fasthttp.MethodPut, path: "/v1/agent/service/register", body: body})
+	_, err = c.do(ctx, storehttp.Request{Method: fasthttp.MethodPut, Path: "/v1/agent/service/register", Body: body})
 	return err
 }
 
 // Deregister removes this host from the host list.
 func (c *Client) Deregister(ctx context.Context, name model.HostID) error {
-	_, err := c.do(ctx, request{
-		method: fasthttp.MethodPut,
-		path:   "/v1/agent/service/deregister/" + url.PathEscape(serviceID(name)),
+	_, err := c.do(ctx, storehttp.Request{
+		Method: fasthttp.MethodPut,
+		Path:   "/v1/agent/service/deregister/" + url.PathEscape(serviceID(name)),
 	})
 	return err
 }
 
 // Hosts returns the host list, sorted by name.
 func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
-	res, err := c.do(ctx, request{
-		method:   fasthttp.MethodGet,
-		path:     "/v1/catalog/service/" + ServiceName,
-		harmless: true,
+	res, err := c.do(ctx, storehttp.Request{
+		Method:   fasthttp.MethodGet,
+		Path:     "/v1/catalog/service/" + ServiceName,
+		Harmless: true,
 	})
 	if err != nil {
 		return nil, err
@@ -87,7 +88,7 @@
 		ServicePort    int
 		ServiceMeta    map[string]string
 	}
-	if err := json.Unmarshal(res.body, &services); err != nil {
+	if err := json.Unmarshal(res.Body, &services); err != nil {
 		return nil, fmt.Errorf("catalog of %s: %w: %w", ServiceName, store.ErrUnavailable, err)
 	}
 	hosts := make([]Host, 0, len(services))
--- a/io/consul/kv.go
+++ b/io/consul/kv.go
@@ -6,23 +6,18 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/url"
 	"sort"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
 	"mimosarelay/core/store"
+	"mimosarelay/io/storehttp"
 )
 
-// idLength is the length of a change id with its newline.
-const idLength = 37
-
 // pair is a key as the KV endpoint returns it.
 type pair struct {
 	Key         string
@@ -32,6 +27,12 @@
 	Session     string
 }
 
+// wrote tells whether the key holds the write with the change id.
+func (p pair) wrote(id string) bool {
+	found, _, ok := storehttp.Open(p.Value)
+	return ok && found == id
+}
+
 // Get implements store.Store.
 func (c *Client) Get(ctx context.Context, key string) (store.Entry, error) {
 	p, err := c.getPair(ctx, key)
@@ -43,12 +44,12 @@
 
 // List implements store.Store.
 func (c *Client) List(ctx context.Context, prefix string) ([]store.Entry, store.Version, error) {
-	res, err := c.do(ctx, request{
-		method:   fasthttp.MethodGet,
-		path:     c.keyPath(prefix),
-		mayMiss:  true,
-		harmless: true,
-		query:    url.Values{"recurse": {""}, "consistent": {""}},
+	res, err := c.do(ctx, storehttp.Request{
+		Method:   fasthttp.MethodGet,
+		Path:     c.keyPath(prefix),
+		Accept:   mayMiss,
+		Harmless: true,
+		Query:    url.Values{"recurse": {""}, "consistent": {""}},
 	})
 	if err != nil {
 		return nil, 0, err
@@ -58,42 +59,20 @@
 
 // Watch implements store.Store by a blocking query.
 func (c *Client) Watch(ctx context.Context, prefix string, since store.Version, wait time.Duration) ([]store.Entry, store.Version, error) {
-	r := request{
-		method:   fasthttp.MethodGet,
-		path:     c.keyPath(prefix),
-		mayMiss:  true,
-		harmless: true,
-		query: url.Values{
+	r := storehttp.Request{
+		Method:   fasthttp.MethodGet,
+		Path:     c.keyPath(prefix),
+		Accept:   mayMiss,
+		Harmless: true,
+		Query: url.Values{
 			"recurse": {""},
 			"index":   {strconv.FormatUint(uint64(since), 10)},
 			"wait":    {strconv.FormatInt(wait.Milliseconds(), 10) + "ms"},
 		},
 		// Consul adds up to a sixteenth to the wait.
-		timeout: wait + wait/16 + c.options.Timeout,
+		Timeout: wait + wait/16 + c.options.Timeout,
 	}
-	// A connection of its own lets the end of ctx close a pending query, both
-	// here and at the server.
-	var mu sync.Mutex
-	var conn net.Conn
-	ended := false
-	h := c.newHTTP(func(n net.Conn) {
-		mu.Lock()
-		defer mu.Unlock()
-		conn = n
-		if ended { // ctx ended while the connection was made
-			conn.Close()
-		}
-	})
-	h.MaxConns = 1
-	defer func() {
-		mu.Lock()
-		defer mu.Unlock()
-		ended = true
-		if conn != nil {
-			conn.Close()
-		}
-	}()
-	res, err := c.doWith(ctx, h, r)
+	res, err := c.http.DoCancelable(ctx, r)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -104,15 +83,15 @@
 // the key holds this write's change id, and otherwise ErrUnknown: the write
 // may still be under way, or may have been overwritten.
 func (c *Client) Put(ctx context.Context, key string, value []byte, prev store.Version) (store.Version, error) {
-	id, body, err := envelope(key, value)
+	id, body, err := storehttp.Envelope(key, value)
 	if err != nil {
 		return 0, err
 	}
-	ok, err := c.write(ctx, request{
-		method: fasthttp.MethodPut,
-		path:   c.keyPath(key),
-		query:  url.Values{"cas": {strconv.FormatUint(uint64(prev), 10)}},
-		body:   body,
+	ok, err := c.write(ctx, storehttp.Request{
+		Method: fasthttp.MethodPut,
+		Path:   c.keyPath(key),
+		Query:  url.Values{"cas": {strconv.FormatUint(uint64(prev), 10)}},
+		Body:   body,
 	})
 	switch {
 	case err == nil && !ok:
@@ -123,7 +102,7 @@
 	// Consul does not return the new index of a write, so it is read in any
 	// case.
 	p, readErr := c.readBack(ctx, key, err)
-	if readErr == nil && changeID(p.Value) == id {
+	if readErr == nil && p.wrote(id) {
 		return store.Version(p.ModifyIndex), nil
 	}
 	if err != nil {
@@ -140,10 +119,10 @@
 	if prev == 0 { // Consul would delete without a check
 		return fmt.Errorf("delete %q: version 0 names no existing key", key)
 	}
-	ok, err := c.write(ctx, request{
-		method: fasthttp.MethodDelete,
-		path:   c.keyPath(key),
-		query:  url.Values{"cas": {strconv.FormatUint(uint64(prev), 10)}},
+	ok, err := c.write(ctx, storehttp.Request{
+		Method: fasthttp.MethodDelete,
+		Path:   c.keyPath(key),
+		Query:  url.Values{"cas": {strconv.FormatUint(uint64(prev), 10)}},
 	})
 	switch {
 	case err == nil && !ok:
@@ -163,18 +142,18 @@
 }
 
 // write sends a request that Consul answers with true or false.
-func (c *Client) write(ctx context.Context, r request) (bool, error) {
+func (c *Client) write(ctx context.Context, r storehttp.Request) (bool, error) {
 	res, err := c.do(ctx, r)
 	if err != nil {
 		return false, err
 	}
-	switch string(bytes.TrimSpace(res.body)) {
+	switch string(bytes.TrimSpace(res.Body)) {
 	case "true":
 		return true, nil
 	case "false":
 		return false, nil
 	}
-	return false, fmt.Errorf("%s %s: answer %q is neither true nor false: %w", r.method, r.path, res.body, store.ErrUnknown)
+	return false, fmt.Errorf("%s %s: answer %q is neither true nor false: %w", r.Method, r.Path, res.Body, store.ErrUnknown)
 }
 
 // readBack reads a key after a write that ended with err. After a lost answer
@@ -183,7 +162,7 @@
 // short.
 func (c *Client) readBack(ctx context.Context, key string, err error) (pair, error) {
 	if err != nil {
-		c.http.CloseIdleConnections()
+		c.http.CloseIdle()
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.options.Timeout)
 	defer cancel()
@@ -191,36 +170,36 @@
 }
 
 func (c *Client) getPair(ctx context.Context, key string) (pair, error) {
-	res, err := c.do(ctx, request{
-		method:   fasthttp.MethodGet,
-		path:     c.keyPath(key),
-		mayMiss:  true,
-		harmless: true,
-		query:    url.Values{"consistent": {""}},
+	res, err := c.do(ctx, storehttp.Request{
+		Method:   fasthttp.MethodGet,
+		Path:     c.keyPath(key),
+		Accept:   mayMiss,
+		Harmless: true,
+		Query:    url.Values{"consistent": {""}},
 	})
 	if err != nil {
 		return pair{}, err
 	}
-	if res.status == fasthttp.StatusNotFound {
+	if res.Status == fasthttp.StatusNotFound {
 		return pair{}, fmt.Errorf("get %q: %w", key, store.ErrNotFound)
 	}
 	var pairs []pair
-	if err := json.Unmarshal(res.body, &pairs); err != nil || len(pairs) != 1 {
+	if err := json.Unmarshal(res.Body, &pairs); err != nil || len(pairs) != 1 {
 		return pair{}, fmt.Errorf("get %q: answer is not a list of one key: %w", key, errors.Join(err, store.ErrUnavailable))
 	}
 	return pairs[0], nil
 }
 
-func (c *Client) entries(res response) ([]store.Entry, store.Version, error) {
+func (c *Client) entries(res storehttp.Response) ([]store.Entry, store.Version, error) {
 	var pairs []pair
-	if res.status != fasthttp.StatusNotFound {
-		if err := json.Unmarshal(res.body, &pairs); err != nil {
+	if res.Status != fasthttp.StatusNotFound {
+		if err := json.Unmarshal(res.Body, &pairs); err != nil {
 			return nil, 0, fmt.Errorf("list: %w: %w", store.ErrUnavailable, err)
 		}
 	}
-	index, err := strconv.ParseUint(res.index, 10, 64)
+	index, err := strconv.ParseUint(res.Header, 10, 64)
 	if err != nil {
-		return nil, 0, fmt.Errorf("list: header X-Consul-Index %q: %w: %w", res.index, store.ErrUnavailable, err)
+		return nil, 0, fmt.Errorf("list: header X-Consul-Index %q: %w: %w", res.Header, store.ErrUnavailable, err)
 	}
 	out := make([]store.Entry, 0, len(pairs))
 	for _, p := range pairs {
@@ -236,12 +215,13 @@
 
 func (c *Client) entry(p pair) (store.Entry, error) {
 	key := strings.TrimPrefix(p.Key, c.options.Prefix)
-	if changeID(p.Value) == "" {
+	_, value, ok := storehttp.Open(p.Value)
+	if !ok {
 		return store.Entry{}, fmt.Errorf("key %q: value has no change id", key)
 	}
 	return store.Entry{
 		Key:     key,
-		Value:   p.Value[idLength:],
+		Value:   value,
 		Version: store.Version(p.ModifyIndex),
 		Holder:  store.LeaseID(p.Session),
 	}, nil
@@ -254,24 +234,3 @@
 	}
 	return "/v1/kv/" + strings.Join(parts, "/")
 }
-
-// envelope puts a new change id before value.
-func envelope(key string, value []byte) (string, []byte, error) {
-	if len(value)+idLength > store.MaxValue {
-		return "", nil, fmt.Errorf("put %q: %d bytes exceed the limit of %d", key, len(value), store.MaxValue-idLength)
-	}
-	id := uuid.NewString()
-	return id, append([]byte(id+"\n"), value...), nil
-}
-
-// changeID returns the change id of a stored value, or "" if it has none.
-func changeID(value []byte) string {
-	if len(value) < idLength || value[idLength-1] != '\n' {
-		return ""
-	}
-	id := string(value[:idLength-1])
-	if uuid.Validate(id) != nil {
-		return ""
-	}
-	return id
-}
--- a/io/consul/session.go
+++ b/io/consul/session.go
@@ -11,12 +11,13 @@
 	"github.com/valyala/fasthttp"
 
 	"mimosarelay/core/store"
+	"mimosarelay/io/storehttp"
 )
 
 // Hold implements store.Store. The lease is a session; the store deletes the
 // key when the session ends.
 func (c *Client) Hold(ctx context.Context, key string, value []byte, ttl time.Duration) (store.LeaseID, error) {
-	_, body, err := envelope(key, value)
+	_, body, err := storehttp.Envelope(key, value)
 	if err != nil {
 		return "", err
 	}
@@ -24,11 +25,11 @@
 	if err != nil {
 		return "", err
 	}
-	ok, err := c.write(ctx, request{
-		method: fasthttp.MethodPut,
-		path:   c.keyPath(key),
-		query:  url.Values{"acquire": {session}},
-		body:   body,
+	ok, err := c.write(ctx, storehttp.Request{
+		Method: fasthttp.MethodPut,
+		Path:   c.keyPath(key),
+		Query:  url.Values{"acquire": {session}},
+		Body:   body,
 	})
 	if err == nil && ok {
 		return store.LeaseID(session), nil
@@ -63,34 +64,34 @@
 	if err != nil {
 		return "", err
 	}
-	res, err := c.do(ctx, request{
-		method:   fasthttp.MethodPut,
-		path:     "/v1/session/create",
-		body:     body,
-		harmless: true, // a session without a key has no effect
+	res, err := c.do(ctx, storehttp.Request{
+		Method:   fasthttp.MethodPut,
+		Path:     "/v1/session/create",
+		Body:     body,
+		Harmless: true, // a session without a key has no effect
 	})
 	if err != nil {
 		return "", err
 	}
 	var created struct{ ID string }
-	if err := json.Unmarshal(res.body, &created); err != nil || created.ID == "" {
-		return "", fmt.Errorf("create session: answer %q has no id: %w", res.body, store.ErrUnavailable)
+	if err := json.Unmarshal(res.Body, &created); err != nil || created.ID == "" {
+		return "", fmt.Errorf("create session: answer %q has no id: %w", res.Body, store.ErrUnavailable)
 	}
 	return created.ID, nil
 }
 
 // Renew implements store.Store.
 func (c *Client) Renew(ctx context.Context, id store.LeaseID) error {
-	res, err := c.do(ctx, request{
-		method:   fasthttp.MethodPut,
-		path:     "/v1/session/renew/" + url.PathEscape(string(id)),
-		mayMiss:  true,
-		harmless: true,
+	res, err := c.do(ctx, storehttp.Request{
+		Method:   fasthttp.MethodPut,
+		Path:     "/v1/session/renew/" + url.PathEscape(string(id)),
+		Accept:   mayMiss,
+		Harmless: true,
 	})
 	if err != nil {
 		return err
 	}
-	if res.status == fasthttp.StatusNotFound {
+	if res.Status == fasthttp.StatusNotFound {
 		return fmt.Errorf("renew %s: %w", id, store.ErrLeaseLapsed)
 	}
 	return nil
@@ -98,9 +99,9 @@
 
 // Release implements store.Store. A lapsed lease counts as released.
 func (c *Client) Release(ctx context.Context, id store.LeaseID) error {
-	_, err := c.do(ctx, request{
-		method: fasthttp.MethodPut,
-		path:   "/v1/session/destroy/" + url.PathEscape(string(id)),
+	_, err := c.do(ctx, storehttp.Request{
+		Method: fasthttp.MethodPut,
+		Path:   "/v1/session/destroy/" + url.PathEscape(string(id)),
 	})
 	return err
 }
--- /dev/null
+++ b/io/storehttp/storehttp.go
@@ -0,0 +1,273 @@
+// Package storehttp sends requests to the HTTP API of a key-value service and
+// tells whether a failed request may have been carried out. It never sends a
+// request twice.
+package storehttp
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"mimosarelay/core/store"
+)
+
+const (
+	defaultTimeout = time.Second
+	// idleConn keeps idle connections shorter than the server does, because a
+	// write on a connection that the server just closed has an unknown outcome.
+	idleConn = 5 * time.Second
+	maxConns = 64
+	// maxListBody bounds one response; a recursive read returns many values.
+	maxListBody = 64 << 20
+)
+
+// Options configures a Client.
+type Options struct {
+	// Address is IP:port of the HTTP API.
+	Address string
+	// Timeout bounds one call; 0 means 1 s.
+	Timeout time.Duration
+	// LocalIP is the source address of connections; nil means any.
+	LocalIP net.IP
+	// Headers are added to each request.
+	Headers map[string]string
+	// ReadHeader names the response header that Response.Header holds.
+	ReadHeader string
+}
+
+// Client talks to one HTTP API. It is safe for concurrent use.
+type Client struct {
+	options Options
+	http    *fasthttp.HostClient
+}
+
+// New returns a client. It connects at the first call.
+func New(o Options) (*Client, error) {
+	if _, _, err := net.SplitHostPort(o.Address); err != nil {
+		return nil, fmt.Errorf("store address %q: %w", o.Address, err)
+	}
+	if o.Timeout < 0 {
+		return nil, fmt.Errorf("store timeout %v is negative", o.Timeout)
+	}
+	if o.Timeout == 0 {
+		o.Timeout = defaultTimeout
+	}
+	c := &Client{options: o}
+	c.http = c.NewHTTP(func(net.Conn) {})
+	return c, nil
+}
+
+// Timeout is the bound of one call.
+func (c *Client) Timeout() time.Duration { return c.options.Timeout }
+
+// CloseIdle ends idle connections.
+func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
+
+// NewHTTP returns an HTTP client that never sends a request twice. dialed is
+// called with each new connection.
+func (c *Client) NewHTTP(dialed func(net.Conn)) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr: c.options.Address,
+		Dial: func(addr string) (net.Conn, error) {
+			conn, err := c.dialer().Dial("tcp", addr)
+			if err != nil {
+				return nil, &dialError{err}
+			}
+			dialed(conn)
+			return conn, nil
+		},
+		MaxConns:                  maxConns,
+		MaxIdleConnDuration:       idleConn,
+		MaxResponseBodySize:       maxListBody,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		DisablePathNormalizing:    true, // the server decodes escaped keys
+		NoDefaultUserAgentHeader:  true,
+	}
+}
+
+func (c *Client) dialer() *net.Dialer {
+	d := &net.Dialer{Timeout: c.options.Timeout}
+	if c.options.LocalIP != nil {
+		d.LocalAddr = &net.TCPAddr{IP: c.options.LocalIP}
+	}
+	return d
+}
+
+// dialError marks a call whose request was not sent.
+type dialError struct{ err error }
+
+func (e *dialError) Error() string { return e.err.Error() }
+func (e *dialError) Unwrap() error { return e.err }
+
+// Request is one call.
+type Request struct {
+	Method, Path string
+	Query        url.Values
+	ContentType  string
+	Body         []byte
+	Timeout      time.Duration // 0: the timeout of the options
+	// Accept lists statuses besides 200 that the caller handles.
+	Accept []int
+	// Harmless marks a request that may be repeated or forgotten: a failure to
+	// answer is ErrUnavailable instead of ErrUnknown.
+	Harmless bool
+	// RefusesUnrun says that the service answers 503 only to requests that it
+	// did not carry out.
+	RefusesUnrun bool
+}
+
+// Response is the answer to a Request.
+type Response struct {
+	Status int
+	Header string // value of Options.ReadHeader
+	Body   []byte
+}
+
+// Do sends one request. It fails with store.ErrUnavailable if the request was
+// not sent, and with store.ErrUnknown if it may have been carried out.
+func (c *Client) Do(ctx context.Context, r Request) (Response, error) {
+	return c.DoWith(ctx, c.http, r)
+}
+
+// DoWith is Do with an HTTP client of NewHTTP.
+func (c *Client) DoWith(ctx context.Context, h *fasthttp.HostClient, r Request) (Response, error) {
+	if err := ctx.Err(); err != nil {
+		return Response{}, fmt.Errorf("%s %s: %w: %w", r.Method, r.Path, store.ErrUnavailable, err)
+	}
+	type result struct {
+		response Response
+		err      error
+	}
+	// fasthttp knows no contexts; an abandoned call ends at its timeout.
+	done := make(chan result, 1)
+	go func() {
+		res, err := c.exchange(h, r)
+		done <- result{res, err}
+	}()
+	select {
+	case res := <-done:
+		return res.response, res.err
+	case <-ctx.Done():
+		return Response{}, fmt.Errorf("%s %s: %w: %w", r.Method, r.Path, r.silence(), ctx.Err())
+	}
+}
+
+// DoCancelable is Do on a connection of its own, so that the end of ctx closes
+// a call that waits for a long time, both here and at the server.
+func (c *Client) DoCancelable(ctx context.Context, r Request) (Response, error) {
+	conn := &guardedConn{}
+	h := c.NewHTTP(conn.set)
+	h.MaxConns = 1
+	defer conn.close()
+	return c.DoWith(ctx, h, r)
+}
+
+func (c *Client) exchange(h *fasthttp.HostClient, r Request) (Response, error) {
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	uri := "http://" + c.options.Address + r.Path
+	if len(r.Query) > 0 {
+		uri += "?" + r.Query.Encode()
+	}
+	req.SetRequestURI(uri)
+	req.Header.SetMethod(r.Method)
+	for name, value := range c.options.Headers {
+		req.Header.Set(name, value)
+	}
+	if r.ContentType != "" {
+		req.Header.SetContentType(r.ContentType)
+	}
+	req.SetBodyRaw(r.Body)
+	timeout := r.Timeout
+	if timeout == 0 {
+		timeout = c.options.Timeout
+	}
+	if err := h.DoTimeout(req, res, timeout); err != nil {
+		return Response{}, fmt.Errorf("%s %s: %w: %w", r.Method, r.Path, r.classify(err), err)
+	}
+	out := Response{Status: res.StatusCode(), Body: append([]byte(nil), res.Body()...)}
+	if c.options.ReadHeader != "" {
+		out.Header = string(res.Header.Peek(c.options.ReadHeader))
+	}
+	if r.accepts(out.Status) {
+		return out, nil
+	}
+	return out, fmt.Errorf("%s %s: %w", r.Method, r.Path, r.statusError(out))
+}
+
+func (r Request) accepts(status int) bool {
+	if status == fasthttp.StatusOK {
+		return true
+	}
+	for _, s := range r.Accept {
+		if s == status {
+			return true
+		}
+	}
+	return false
+}
+
+// silence returns the sentinel error of a call that was sent and not answered.
+func (r Request) silence() error {
+	if r.Harmless {
+		return store.ErrUnavailable
+	}
+	return store.ErrUnknown
+}
+
+// classify tells whether a failed call may have been carried out.
+func (r Request) classify(err error) error {
+	var d *dialError
+	if errors.As(err, &d) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return store.ErrUnavailable
+	}
+	return r.silence()
+}
+
+func (r Request) statusError(res Response) error {
+	text := bytes.TrimSpace(res.Body)
+	switch {
+	case res.Status == fasthttp.StatusTooManyRequests,
+		res.Status == fasthttp.StatusServiceUnavailable && r.RefusesUnrun:
+		return fmt.Errorf("status %d: %q: %w", res.Status, text, store.ErrUnavailable)
+	case res.Status >= fasthttp.StatusInternalServerError:
+		return fmt.Errorf("status %d: %q: %w", res.Status, text, r.silence())
+	default:
+		return fmt.Errorf("status %d: %q", res.Status, text)
+	}
+}
+
+// idLength is the length of a change id with its newline.
+const idLength = 37
+
+// Envelope puts a new change id (a UUID) and a newline before value. The change
+// id tells after a lost answer whether the write took effect.
+func Envelope(key string, value []byte) (id string, enveloped []byte, err error) {
+	if len(value)+idLength > store.MaxValue {
+		return "", nil, fmt.Errorf("put %q: %d bytes exceed the limit of %d", key, len(value), store.MaxValue-idLength)
+	}
+	id = uuid.NewString()
+	return id, append([]byte(id+"\n"), value...), nil
+}
+
+// Open splits a stored value into its change id and content. It reports false
+// if there is no change id.
+func Open(value []byte) (id string, content []byte, ok bool) {
+	if len(value) < idLength || value[idLength-1] != '\n' {
+		return "", nil, false
+	}
+	id = string(value[:idLength-1])
+	if uuid.Validate(id) != nil {
+		return "", nil, false
+	}
+	return id, value[idLength:], true
+}
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -5,15 +5,18 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 )
 
 // Sentinel errors, tested with errors.Is.
@@ -71,6 +74,15 @@
 	// BeforeSend runs immediately before the first byte is written. An error
 	// stops the exchange with nothing sent.
 	BeforeSend func() error
+	// MaxIdle reuses only a connection that has been idle for less; 0 means
+	// any that is kept.
+	MaxIdle time.Duration
+	// Match tells whether a response belongs to the request. Others, which a
+	// target sent late on a reused connection, are dropped. nil accepts all.
+	Match func(*fasthttp.Response) bool
+	// Unframed accepts a response without length, which ends with its
+	// connection.
+	Unframed bool
 }
 
 const defaultIdle = 20 * time.Second
@@ -82,7 +94,7 @@
 	if o.Idle == 0 {
 		o.Idle = defaultIdle
 	}
-	cn, err := c.connect(ctx, address, o.Fresh)
+	cn, err := c.connect(ctx, address, o)
 	if err != nil {
 		return nil, fmt.Errorf("%w: connect to %s: %w", ErrNotSent, address, err)
 	}
@@ -93,7 +105,7 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
-	resp, err := cn.exchange(req, o.Idle)
+	resp, err := cn.exchange(req, o)
 	if err != nil {
 		stop()
 		_ = cn.Close()
@@ -129,9 +141,9 @@
 	}
 }
 
-func (c *Client) connect(ctx context.Context, address string, fresh bool) (*conn, error) {
-	if !fresh {
-		if cn := c.takeIdle(address); cn != nil {
+func (c *Client) connect(ctx context.Context, address string, o CallOptions) (*conn, error) {
+	if !o.Fresh {
+		if cn := c.takeIdle(address, cmp.Or(o.MaxIdle, maxIdleTime)); cn != nil {
 			return cn, nil
 		}
 	}
@@ -145,7 +157,9 @@
 	return cn, nil
 }
 
-func (c *Client) takeIdle(address string) *conn {
+// takeIdle returns a kept connection that has been idle for less than maxIdle
+// and on which nothing arrived meanwhile, or nil.
+func (c *Client) takeIdle(address string, maxIdle time.Duration) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cns := c.idle[address]
@@ -153,9 +167,14 @@
 		cn := cns[len(cns)-1]
 		cns = cns[:len(cns)-1]
 		c.idle[address] = cns
-		if time.Since(cn.idleSince) < maxIdleTime {
+		age := time.Since(cn.idleSince)
+		if age < maxIdle && cn.quiet() {
 			return cn
 		}
+		if age < maxIdleTime && age >= maxIdle { // others may still use it
+			c.idle[address] = append(c.idle[address], cn)
+			return nil
+		}
 		_ = cn.Close()
 	}
 	return nil
@@ -211,8 +230,29 @@
 	cn.timedOut = cn.timedOut || errors.As(err, &ne) && ne.Timeout()
 }
 
-func (cn *conn) exchange(req *fasthttp.Request, idle time.Duration) (*Response, error) {
-	cn.idle = idle
+// quiet says that the target has neither closed the connection nor sent
+// anything on it since the last exchange.
+func (cn *conn) quiet() bool {
+	raw, err := cn.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// maxStray bounds the responses of earlier requests that are dropped in one
+// exchange.
+const maxStray = 2
+
+func (cn *conn) exchange(req *fasthttp.Request, o CallOptions) (*Response, error) {
+	cn.idle = o.Idle
 	cn.written = 0
 	if err := req.Write(cn.writer); err != nil {
 		return nil, err
@@ -220,7 +260,27 @@
 	if err := cn.writer.Flush(); err != nil {
 		return nil, err
 	}
+	for stray := 0; ; stray++ {
+		resp, err := cn.receive(req.Header.IsHead())
+		if err != nil {
+			return nil, err
+		}
+		resp.unframed = o.Unframed
+		if o.Match == nil || o.Match(resp.message) {
+			return resp, nil
+		}
+		if err := resp.drop(); err != nil || stray == maxStray {
+			return nil, errors.Join(errStray, err)
+		}
+	}
+}
+
+// errStray reports responses that belong to other requests.
+var errStray = errors.New("response belongs to another request")
+
+func (cn *conn) receive(head bool) (*Response, error) {
 	resp := &Response{conn: cn, message: fasthttp.AcquireResponse()}
+	resp.message.SkipBody = head
 	resp.message.StreamBody = true
 	if err := resp.message.ReadLimitBody(cn.reader, 0); err != nil {
 		fasthttp.ReleaseResponse(resp.message)
--- a/io/target/response.go
+++ b/io/target/response.go
@@ -26,8 +26,27 @@
 	stop    func() bool
 	whole   bool
 	closed  bool
+	// unframed accepts a body that ends with its connection.
+	unframed bool
 }
 
+// Message is the response header. It is valid until Close.
+func (r *Response) Message() *fasthttp.Response { return r.message }
+
+// drop reads the rest of a response that nobody wants.
+func (r *Response) drop() error {
+	if r.body == nil {
+		return nil
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(r.body, maxDropped)); err != nil && !AtEnd(err) {
+		return err
+	}
+	return r.message.CloseBodyStream()
+}
+
+// maxDropped bounds the body of a response that is dropped, in bytes.
+const maxDropped = 1 << 20
+
 // Status is the HTTP status code.
 func (r *Response) Status() int { return r.message.StatusCode() }
 
@@ -57,7 +76,7 @@
 		return n, nil
 	}
 	if AtEnd(err) {
-		if !r.Verifiable() {
+		if !r.Verifiable() && !r.unframed {
 			return n, fmt.Errorf("%w: %w", ErrBroken, ErrUnbounded)
 		}
 		r.whole = true
@@ -93,7 +112,7 @@
 	}
 	r.closed = true
 	stopped := r.stop()
-	reusable := r.whole && stopped && !r.message.ConnectionClose() && r.conn.reader.Buffered() == 0
+	reusable := r.whole && stopped && r.Verifiable() && !r.message.ConnectionClose() && r.conn.reader.Buffered() == 0
 	if r.body != nil && r.whole {
 		_ = r.message.CloseBodyStream()
 	}
