--- a/app/entry/adapters.go
+++ b/app/entry/adapters.go
@@ -134,4 +134,14 @@
 	return p.host.suspects.HandleMarkSuspect(ctx, r)
 }
 
+// ReserveTurn implements peerpb.DRPCPeerServer.
+func (p peerHandler) ReserveTurn(ctx context.Context, r *peerpb.ReserveTurnRequest) (*peerpb.ReserveTurnResponse, error) {
+	return p.host.turnOwner.HandleReserveTurn(ctx, r)
+}
+
+// EndTurn implements peerpb.DRPCPeerServer.
+func (p peerHandler) EndTurn(ctx context.Context, r *peerpb.EndTurnRequest) (*peerpb.EndTurnResponse, error) {
+	return p.host.turnOwner.HandleEndTurn(ctx, r)
+}
+
 var _ relay.LoadReports = (*placement.Service)(nil)
--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -22,6 +22,7 @@
 	"mimosarelay/app/placement"
 	"mimosarelay/app/relay"
 	"mimosarelay/app/suspects"
+	"mimosarelay/app/turns"
 	coreingress "mimosarelay/core/ingress"
 	"mimosarelay/core/member"
 	"mimosarelay/core/model"
@@ -47,6 +48,8 @@
 	ReadyAddress     string
 	DirectoryAddress string
 	PeerAddress      string
+	// Keeper hosts count the turns of programs for all others.
+	Keeper bool
 
 	// Keyspace returns the keys of the store under a prefix.
 	Keyspace func(prefix string) store.Store
@@ -56,8 +59,10 @@
 	// deployment's checks.
 	Directory func(addresses func(zone string) []string, ttl time.Duration) fasthttp.RequestHandler
 	Readiness func(ready func() (bool, string)) fasthttp.RequestHandler
-	// Quotas says whether the rates of workspaces are limited.
-	Quotas bool
+	// Quotas says whether the rates of workspaces are limited, and Budgets
+	// whether programs have budgets of their own.
+	Quotas  bool
+	Budgets bool
 	// Lifetime is how long a configuration may be used after the store was
 	// asked for it.
 	Lifetime time.Duration
@@ -92,6 +97,10 @@
 // controlPrefix precedes the keys of the membership and the shares.
 const controlPrefix = "mimosarelay/control/"
 
+// budgetPrefix precedes the keys of the budgets of programs, which nobody
+// watches.
+const budgetPrefix = "mimosarelay/budget/"
+
 // suspectPrefix precedes the keys of requests that crash targets.
 const suspectPrefix = "Suspect/"
 
@@ -105,6 +114,7 @@
 	limits    *limits.Service
 	placement *placement.Service
 	suspects  *suspects.Service
+	turnOwner *turns.Owner
 	relay     *relay.Service
 	peers     *peer.Client
 	targets   *target.Client
@@ -133,7 +143,7 @@
 		Store: control, Clock: o.Clock, Peers: h.peers,
 		Self: member.Member{
 			Host: o.Host, Incarnation: model.Incarnation(uuid.NewString()), Zone: o.Zone,
-			CallerAddress: o.CallerAddress, PeerAddress: o.PeerAddress,
+			CallerAddress: o.CallerAddress, PeerAddress: o.PeerAddress, Keeper: o.Keeper,
 		},
 		Holdings:       func(e model.Epoch) map[model.WorkspaceID]int64 { return h.limits.Holdings(e) },
 		ConfigRevision: h.revision,
@@ -142,6 +152,9 @@
 	h.limits = limits.New(limits.Options{
 		Host: o.Host, Clock: o.Clock, Store: control, Peers: h.peers, MayAct: h.fleet.MayAct, LimitWait: limitWait,
 	})
+	h.turnOwner = turns.NewOwner(turns.OwnerOptions{
+		Host: o.Host, Tenure: h.fleet, Store: o.Keyspace(budgetPrefix), Clock: o.Clock, Log: o.Log,
+	})
 	h.suspects = suspects.New(suspects.Options{
 		Host: o.Host, Self: o.PeerAddress, Peers: suspectPeers{h.peers, h}, Store: control, KeyPrefix: suspectPrefix,
 		Incarnation: func() model.Incarnation { return h.fleet.Self().Incarnation },
@@ -166,7 +179,12 @@
 		},
 		QueueWait: queueWait, Clock: o.Clock, Log: o.Log,
 	})
+	var turnClient relay.Turns
+	if o.Budgets {
+		turnClient = &turns.Client{Owner: h.turnOwner, Owners: right{h}, Peers: h.peers, Clock: o.Clock, Log: o.Log}
+	}
 	h.relay = relay.New(relay.Options{
+		Turns:   turnClient,
 		Limiter: limiter{h}, Owners: right{h}, Placer: placer{h}, Suspects: h.suspects, Targets: h.targets,
 		Dialect: o.Dialect, Loads: h.placement, Clock: o.Clock, Log: o.Log,
 	})
@@ -184,7 +202,13 @@
 	h.catalog.OnChange(func(v *coreingress.View) { h.limits.ContractsChanged(v.Document()) })
 }
 
-func (h *Host) epochChanged(_, current member.Record) {
+func (h *Host) epochChanged(old, current member.Record) {
+	was, _ := old.Member(h.options.Host)
+	is, _ := current.Member(h.options.Host)
+	h.turnOwner.TenureChanged(func(s model.Shard) bool {
+		owner, ok := current.Owner(s)
+		return ok && owner.Host == h.options.Host
+	}, was.Incarnation == is.Incarnation && is.Incarnation != "")
 	m := limits.Membership{Epoch: current.Epoch, Incarnation: h.fleet.Self().Incarnation}
 	var live []model.Incarnation
 	for _, one := range current.Members {
@@ -252,6 +276,7 @@
 	}
 	run("catalog", func() error { return h.catalog.Run(ctx) })
 	run("placement", func() error { return h.placement.Run(ctx) })
+	run("budgets", func() error { return h.turnOwner.Run(ctx) })
 	run("fleet", func() error { return h.fleet.Run(ctx) })
 	return nil
 }
--- a/app/host/host.go
+++ b/app/host/host.go
@@ -166,7 +166,7 @@
 			}
 		})
 	}
-	run("peer server", func() error { return peer.Serve(ctx, h.listeners.peer, peerHandler{h}) })
+	run("peer server", func() error { return peer.Serve(ctx, h.listeners.peer, peerHandler{host: h}) })
 	run("operator server", func() error { return h.operatorServer.Serve(h.listeners.operator) })
 	run("programs", func() error { return h.programs.Run(ctx) })
 	run("placement", func() error { return h.placement.Run(ctx) })
--- a/app/host/peers.go
+++ b/app/host/peers.go
@@ -9,7 +9,10 @@
 )
 
 // peerHandler hands the requests of other hosts to the services.
-type peerHandler struct{ host *Host }
+type peerHandler struct {
+	*peerpb.DRPCPeerUnimplementedServer
+	host *Host
+}
 
 var _ peerpb.DRPCPeerServer = peerHandler{}
 
--- /dev/null
+++ b/app/turns/client.go
@@ -0,0 +1,136 @@
+package turns
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"mimosarelay/app/relay"
+	"mimosarelay/core/model"
+	"mimosarelay/core/program"
+	"mimosarelay/core/turn"
+	"mimosarelay/io/peer/peerpb"
+)
+
+// Owners finds the owner of a shard.
+type Owners interface {
+	Owner(shard model.Shard) (address string, self bool, err error)
+}
+
+// Peers reaches the owners.
+type Peers interface {
+	ReserveTurn(ctx context.Context, address string, r *peerpb.ReserveTurnRequest) (*peerpb.ReserveTurnResponse, error)
+	EndTurn(ctx context.Context, address string, r *peerpb.EndTurnRequest) (*peerpb.EndTurnResponse, error)
+}
+
+// Client reserves the turns of requests that this host serves.
+type Client struct {
+	Owner  *Owner // of this host
+	Owners Owners
+	Peers  Peers
+	Clock  clockwork.Clock
+	Log    *slog.Logger
+}
+
+var _ relay.Turns = (*Client)(nil)
+
+const (
+	// reserveWait bounds the search for an owner that decides. It is shorter
+	// than the time in which callers give up on a host.
+	reserveWait = time.Second
+	// reservePause is the time between two questions.
+	reservePause = 50 * time.Millisecond
+	// askTimeout bounds one question. An owner waits for its record that long.
+	askTimeout = 900 * time.Millisecond
+	// reserveRetry is the advice to callers whose program has no owner.
+	reserveRetry = 300 * time.Millisecond
+	// endTries bounds the reports of an ended turn. A turn whose end is not
+	// reported counts in full.
+	endTries = 3
+	endPause = 200 * time.Millisecond
+)
+
+// Begin implements relay.Turns.
+func (c *Client) Begin(ctx context.Context, key model.ProgramKey, t relay.Turn) (relay.TurnLease, error) {
+	r := turn.Reservation{Program: key, Turn: t.Request, Budget: t.Budget, Max: t.MaxTokens, Deadline: t.Deadline}
+	start := c.Clock.Now()
+	for {
+		address, err := c.reserve(ctx, r)
+		if err == nil {
+			return &lease{client: c, key: key, id: t.Request, address: address}, nil
+		}
+		if errors.Is(err, model.ErrBudget) {
+			return nil, model.NewRefusal(model.ErrBudget, model.RanNo, "the budget of %d tokens does not hold a turn of %d", t.Budget, t.MaxTokens)
+		}
+		if ctx.Err() != nil || c.Clock.Since(start) > reserveWait {
+			return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "the program's budget cannot be checked: %v", err).Retry(reserveRetry)
+		}
+		select {
+		case <-ctx.Done():
+		case <-c.Clock.After(reservePause):
+		}
+	}
+}
+
+// reserve asks the owner and returns its address, empty for this host.
+func (c *Client) reserve(ctx context.Context, r turn.Reservation) (address string, err error) {
+	address, self, err := c.Owners.Owner(program.ShardOf(r.Program))
+	if err != nil {
+		return "", err
+	}
+	if self {
+		return "", c.Owner.Reserve(ctx, r)
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	res, err := c.Peers.ReserveTurn(ctx, address, &peerpb.ReserveTurnRequest{
+		Workspace: string(r.Program.Workspace), Program: string(r.Program.Program), Request: string(r.Turn),
+		Budget: int64(r.Budget), MaxTokens: int64(r.Max), LeftMs: r.Deadline.Sub(c.Clock.Now()).Milliseconds(),
+	})
+	switch {
+	case err != nil:
+		return "", err
+	case res.GetOutcome() == peerpb.ReserveTurnResponse_GRANTED:
+		return address, nil
+	case res.GetOutcome() == peerpb.ReserveTurnResponse_EXHAUSTED:
+		return "", model.ErrBudget
+	}
+	return "", ErrNotOwner
+}
+
+// lease implements relay.TurnLease.
+type lease struct {
+	client  *Client
+	key     model.ProgramKey
+	id      model.RequestID
+	address string // of the owner; empty for this host
+}
+
+// End implements relay.TurnLease. It does not wait for the owner.
+func (l *lease) End(used model.Tokens) {
+	if l.address == "" {
+		l.client.Owner.End(l.key, l.id, used)
+		return
+	}
+	go l.report(used)
+}
+
+func (l *lease) report(used model.Tokens) {
+	m := &peerpb.EndTurnRequest{
+		Workspace: string(l.key.Workspace), Program: string(l.key.Program), Request: string(l.id), Used: int64(used),
+	}
+	var err error
+	for range endTries {
+		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+		_, err = l.client.Peers.EndTurn(ctx, l.address, m)
+		cancel()
+		if err == nil {
+			return
+		}
+		l.client.Clock.Sleep(endPause)
+	}
+	l.client.Log.Warn("end of a turn not reported", "request", l.id, "program", l.key.Program, "used", used, "error", err)
+}
--- a/cmd/managed.go
+++ b/cmd/managed.go
@@ -47,6 +47,8 @@
 		},
 		Readiness: func(ready func() (bool, string)) fasthttp.RequestHandler { return platform.Readiness(ready).Handle },
 		Quotas:    boot.Quotas,
+		Budgets:   boot.Programs,
+		Keeper:    boot.CallerAddress == "",
 		Lifetime:  boot.Bounds.Revoke - revokeMargin,
 		Grace:     boot.Bounds.Grace,
 		Clock:     boottime.New(), Log: log,
--- a/core/member/owner.go
+++ b/core/member/owner.go
@@ -17,8 +17,9 @@
 	var best Member
 	var bestScore uint64
 	found := false
+	keepers := r.hasKeeper()
 	for _, m := range r.Members {
-		if m.Leaving {
+		if m.Leaving || keepers && !m.Keeper {
 			continue
 		}
 		score := score(s, m.Host)
@@ -29,6 +30,15 @@
 	return best, found
 }
 
+func (r Record) hasKeeper() bool {
+	for _, m := range r.Members {
+		if m.Keeper && !m.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // ReplicaPeers returns up to n members that keep copies of the records of a
 // shard for owner. Members in zones of their own come first, then other members
 // outside the owner's zone, then the rest; rendezvous order breaks ties.
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -21,6 +21,9 @@
 	PeerAddress   string
 	HasDisk       bool
 	Leaving       bool
+	// Keeper members own all shards while there is one that is not leaving.
+	// Few owners write larger groups of records to the store.
+	Keeper bool `json:",omitempty"`
 }
 
 // Past is an earlier epoch in which a host that has not heard of its removal
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -280,3 +280,13 @@
 func (c *Client) LivePrograms(ctx context.Context, address string, request *peerpb.LiveProgramsRequest) (*peerpb.LiveProgramsResponse, error) {
 	return unary(ctx, c, poolKey{address, general}, request, peerpb.DRPCPeerClient.LivePrograms)
 }
+
+// ReserveTurn reserves the tokens of a turn.
+func (c *Client) ReserveTurn(ctx context.Context, address string, request *peerpb.ReserveTurnRequest) (*peerpb.ReserveTurnResponse, error) {
+	return unary(ctx, c, poolKey{address, general}, request, peerpb.DRPCPeerClient.ReserveTurn)
+}
+
+// EndTurn settles a reserved turn.
+func (c *Client) EndTurn(ctx context.Context, address string, request *peerpb.EndTurnRequest) (*peerpb.EndTurnResponse, error) {
+	return unary(ctx, c, poolKey{address, general}, request, peerpb.DRPCPeerClient.EndTurn)
+}
