core/member: let restarted hosts join while earlier epochs are open

Cause: a join was refused while 8 earlier epochs were open. Joins that replace a dead process no longer wait, and epochs in which no quorum can be left are dropped. TestAllHostsRestart fails without the change.

--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -122,3 +122,30 @@
 	w.Answer(at(5000))
 	assert.Equal(t, w.EntryAt(), at(7000))
 }
+
+// Guards against a fleet that never forms again after all its processes were
+// killed at once: the last ones to restart must not wait for the dead to enter
+// newer epochs.
+func TestAllHostsRestart(t *testing.T) {
+	var r member.Record
+	var err error
+	const hosts = 4 * member.MaxPast
+	join := func(n int, process string) {
+		name := fmt.Sprintf("h%02d", n)
+		r, err = r.Join(member.Member{Host: model.HostID(name), Incarnation: model.Incarnation(name + process), PeerAddress: name})
+		assert.NilError(t, err)
+	}
+	for n := range hosts {
+		join(n, "-old")
+		r = r.Closed(r.Epoch)
+	}
+	for n := range hosts {
+		join(n, "-new")
+	}
+	assert.Equal(t, len(r.Members), hosts)
+	for _, p := range r.Past {
+		assert.Assert(t, len(p.Alive) > p.Size/2, "epoch %d can have no quorum any more", p.Epoch)
+	}
+	r = r.Closed(r.Epoch)
+	assert.Equal(t, len(r.Past), 0)
+}
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -43,9 +43,9 @@
 	Past    []Past   `json:",omitempty"`
 }
 
-// MaxPast bounds the earlier epochs in the record. A join waits until members
-// have entered newer epochs, which keeps the record far below the value limit
-// of the store at 340 hosts.
+// MaxPast bounds the earlier epochs in the record. The join of a further host
+// waits until members have entered newer epochs, which keeps the record far
+// below the value limit of the store at 340 hosts.
 const MaxPast = 8
 
 // Errors of changes to the record.
@@ -108,7 +108,9 @@
 		}
 		return r, fmt.Errorf("join %q: member at %s: %w", m.Host, o.PeerAddress, ErrOccupied)
 	}
-	if len(r.Past) >= MaxPast {
+	// A join that replaces a process that is gone must not wait: that process
+	// never enters a newer epoch, and no other may do so for it.
+	if len(r.Past) >= MaxPast && len(replaced) == 0 {
 		return r, fmt.Errorf("join %q: epoch %d: %w", m.Host, r.Past[0].Epoch, ErrUnsettled)
 	}
 	next := r.next(replaced, replaced)
@@ -208,6 +210,10 @@
 			return slices.ContainsFunc(gone, func(m Member) bool { return m.Incarnation == in })
 		})
 	}
-	out.Past = past
+	out.Past = slices.DeleteFunc(past, Past.powerless)
 	return out
 }
+
+// powerless says that too few members of an earlier epoch can be left to
+// confirm each other's right to act in it.
+func (p Past) powerless() bool { return len(p.Alive) <= p.Size/2 }
