--- a/app/catalog/catalog.go
+++ b/app/catalog/catalog.go
@@ -21,9 +21,13 @@
 
 // Source reads what operators and targets write.
 type Source interface {
-	// ReadConfiguration returns nil if the store's revision of the
-	// configuration is still known.
-	ReadConfiguration(ctx context.Context, known uint64) (*ingress.Document, uint64, error)
+	// ReadConfiguration reads the configuration. Its document is nil if the
+	// store's revision of it is still known.
+	ReadConfiguration(ctx context.Context, known uint64) (ingress.Stored, error)
+	// WatchConfiguration waits until the configuration may have changed after
+	// a revision of the store, or wait has passed. It returns the revision up
+	// to which the store has looked, and whether it saw a change.
+	WatchConfiguration(ctx context.Context, after uint64, wait time.Duration) (seen uint64, changed bool, err error)
 	// ReadTargets lists the targets. faults describe entries that name none.
 	ReadTargets(ctx context.Context) (targets []ingress.Target, faults []error, err error)
 }
@@ -37,15 +41,21 @@
 	// asked for it. It is shorter than the time after which a withdrawn key
 	// must not work.
 	Lifetime time.Duration
-	// Interval is the time between two reads; 0 means 500 ms.
+	// Interval is the time between two reads of the targets; 0 means 800 ms.
 	Interval time.Duration
+	// Wait bounds one watch of the configuration; 0 means 1 s. An empty watch
+	// is the evidence that the configuration is still in force.
+	Wait time.Duration
 	// Timeout bounds one read; 0 means 1 s.
 	Timeout time.Duration
 }
 
 const (
-	defaultInterval = 500 * time.Millisecond
-	defaultTimeout  = time.Second
+	defaultInterval = 800 * time.Millisecond
+	defaultWait     = time.Second
+	// retryPause is the time between two reads after a failure.
+	retryPause     = 100 * time.Millisecond
+	defaultTimeout = time.Second
 )
 
 // defaultLimits bound callers before a configuration is known.
@@ -59,6 +69,7 @@
 	view     *ingress.View
 	document *ingress.Document
 	known    uint64    // revision of document in the store
+	seen     uint64    // revision up to which the store has looked
 	asked    time.Time // when the store was asked for what it confirmed
 	targets  discovery.Targets
 	listed   bool
@@ -71,6 +82,9 @@
 	if o.Interval == 0 {
 		o.Interval = defaultInterval
 	}
+	if o.Wait == 0 {
+		o.Wait = defaultWait
+	}
 	if o.Timeout == 0 {
 		o.Timeout = defaultTimeout
 	}
@@ -83,53 +97,83 @@
 // Run reads the store until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
-	for _, read := range []func(context.Context){s.readConfiguration, s.readTargets} {
-		wg.Go(func() { s.every(ctx, read) })
-	}
+	wg.Go(func() { s.loop(ctx, 0, s.followConfiguration) })
+	wg.Go(func() { s.loop(ctx, s.options.Interval, s.readTargets) })
 	wg.Wait()
 	return ctx.Err()
 }
 
-func (s *Service) every(ctx context.Context, read func(context.Context)) {
-	tick := s.options.Clock.NewTicker(s.options.Interval)
-	defer tick.Stop()
-	for {
-		call, cancel := clockwork.WithTimeout(ctx, s.options.Clock, s.options.Timeout)
-		read(call)
-		cancel()
+// loop repeats a step, with a pause after success and a short one after a
+// failure.
+func (s *Service) loop(ctx context.Context, pause time.Duration, step func(context.Context) bool) {
+	for ctx.Err() == nil {
+		p := retryPause
+		if step(ctx) {
+			p = pause
+		}
 		select {
 		case <-ctx.Done():
-			return
-		case <-tick.Chan():
+		case <-s.options.Clock.After(p):
 		}
 	}
 }
 
-func (s *Service) readConfiguration(ctx context.Context) {
+// followConfiguration reads the configuration and watches it until a watch
+// fails.
+func (s *Service) followConfiguration(ctx context.Context) bool {
+	if !s.readConfiguration(ctx) {
+		return false
+	}
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		seen := s.seen
+		s.mu.Unlock()
+		asked := s.options.Clock.Now()
+		now, changed, err := s.options.Source.WatchConfiguration(ctx, seen, s.options.Wait)
+		switch {
+		case err != nil:
+			s.failed(ctx, "configuration not watched", err)
+			return false
+		case changed:
+			return true
+		}
+		s.mu.Lock()
+		s.seen = max(s.seen, now)
+		s.asked = asked
+		s.mu.Unlock()
+	}
+	return true
+}
+
+func (s *Service) readConfiguration(ctx context.Context) bool {
+	ctx, cancel := clockwork.WithTimeout(ctx, s.options.Clock, s.options.Timeout)
+	defer cancel()
 	s.mu.Lock()
 	known := s.known
 	s.mu.Unlock()
 	asked := s.options.Clock.Now()
-	d, revision, err := s.options.Source.ReadConfiguration(ctx, known)
+	c, err := s.options.Source.ReadConfiguration(ctx, known)
 	if err != nil {
 		s.failed(ctx, "configuration not read", err)
-		return
+		return false
 	}
 	s.mu.Lock()
-	s.asked = asked
+	d := c.Document
+	s.asked, s.seen = asked, c.Seen
 	older := d != nil && s.document != nil && d.Revision < s.document.Revision
 	if d == nil || older {
 		s.mu.Unlock()
 		if older {
 			s.options.Log.Error("older configuration ignored", "revision", d.Revision)
 		}
-		return
+		return true
 	}
-	s.document, s.known = d, revision
+	s.document, s.known = d, c.Revision
 	view := s.rebuild()
 	s.mu.Unlock()
 	s.options.Log.Info("configuration changed", "revision", d.Revision, "routes", len(d.Routes), "workspaces", len(d.Workspaces))
 	s.tell(view)
+	return true
 }
 
 func (s *Service) failed(ctx context.Context, event string, err error) {
@@ -139,14 +183,16 @@
 	s.options.Log.Warn(event, "age", s.Age(), "error", err)
 }
 
-func (s *Service) readTargets(ctx context.Context) {
+func (s *Service) readTargets(ctx context.Context) bool {
+	ctx, cancel := clockwork.WithTimeout(ctx, s.options.Clock, s.options.Timeout)
+	defer cancel()
 	list, faults, err := s.options.Source.ReadTargets(ctx)
 	if err != nil {
 		s.mu.Lock()
 		s.targets.Away()
 		s.mu.Unlock()
 		s.failed(ctx, "targets not read", err)
-		return
+		return false
 	}
 	s.logFaults(faults)
 	s.mu.Lock()
@@ -162,6 +208,7 @@
 		s.options.Log.Info("targets changed", "targets", len(list))
 		s.tell(view)
 	}
+	return true
 }
 
 // logFaults logs entries that were not faulty before.
--- a/app/entry/adapters.go
+++ b/app/entry/adapters.go
@@ -24,11 +24,12 @@
 	return emptySnapshot
 }
 
-// entryHosts lists the members that serve callers and are not leaving.
+// entryHosts lists the members that serve callers and are not leaving, and this
+// host in any case: while it leaves, callers that have its address still come.
 func (h *Host) entryHosts() []model.HostID {
-	var list []model.HostID
+	list := []model.HostID{h.options.Host}
 	for _, m := range h.fleet.View().Members {
-		if !m.Leaving && m.CallerAddress != "" {
+		if !m.Leaving && m.CallerAddress != "" && m.Host != h.options.Host {
 			list = append(list, m.Host)
 		}
 	}
--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -83,6 +83,21 @@
 	exitReserve = 1500 * time.Millisecond
 	// limitWait is how long a request waits for a token of its workspace.
 	limitWait = 250 * time.Millisecond
+	// The times of the membership let a host that was killed be removed within
+	// 2.5 s. A host notices an outage and hears the others' confirmation within
+	// renewEvery + renewTimeout + one heartbeat (500 ms) = 1.5 s, before its
+	// right to act ends at leaseTTL - leaseMargin.
+	leaseTTL     = 2 * time.Second
+	leaseMargin  = 400 * time.Millisecond
+	renewEvery   = 500 * time.Millisecond
+	renewTimeout = 500 * time.Millisecond
+	goneSteady   = 300 * time.Millisecond
+	// changeDelay is how long a larger part of the places waits for a change of
+	// the membership. Targets refuse what exceeds their queue as not run, so
+	// that parts need not add up at every moment.
+	changeDelay = 10 * time.Millisecond
+	// peerDialTimeout bounds a connection attempt to another host.
+	peerDialTimeout = 250 * time.Millisecond
 	// queueWait is how long a request waits for a place.
 	queueWait = 2 * time.Second
 	// dialTimeout bounds a connection attempt to a target.
@@ -127,7 +142,7 @@
 // New wires a host. Nothing runs before Run.
 func New(o Options) *Host {
 	h := &Host{options: o, log: o.Log}
-	h.peers = peer.NewClient(peer.Options{})
+	h.peers = peer.NewClient(peer.Options{DialTimeout: peerDialTimeout})
 	h.targets = target.NewClient(target.Options{DialTimeout: dialTimeout})
 	h.catalog = catalog.New(catalog.Options{Source: o.Source, Clock: o.Clock, Log: o.Log, Lifetime: o.Lifetime})
 	h.wireFleet()
@@ -148,6 +163,7 @@
 		Holdings:       func(e model.Epoch) map[model.WorkspaceID]int64 { return h.limits.Holdings(e) },
 		ConfigRevision: h.revision,
 		Logger:         o.Log,
+		LeaseTTL:       leaseTTL, Margin: leaseMargin, RenewEvery: renewEvery, RenewTimeout: renewTimeout, GoneSteady: goneSteady,
 	})
 	h.limits = limits.New(limits.Options{
 		Host: o.Host, Clock: o.Clock, Store: control, Peers: h.peers, MayAct: h.fleet.MayAct, LimitWait: limitWait,
@@ -177,7 +193,7 @@
 			Choice:    coreplacement.CacheAware{CallCost: callCost, Slack: callCost},
 			Retention: coreplacement.HoldThroughPause{TokenTime: tokenTime},
 		},
-		QueueWait: queueWait, Clock: o.Clock, Log: o.Log,
+		QueueWait: queueWait, ChangeDelay: changeDelay, Clock: o.Clock, Log: o.Log,
 	})
 	var turnClient relay.Turns
 	if o.Budgets {
@@ -214,7 +230,9 @@
 	for _, one := range current.Members {
 		live = append(live, one.Incarnation)
 		m.Members = append(m.Members, limits.Member{
-			Host: one.Host, Incarnation: one.Incarnation, PeerAddress: one.PeerAddress, Leaving: one.Leaving,
+			Host: one.Host, Incarnation: one.Incarnation, PeerAddress: one.PeerAddress,
+			// Keepers spend no tokens, so they get no shares.
+			Leaving: one.Leaving || one.Keeper,
 		})
 	}
 	h.limits.EpochChanged(m)
@@ -274,7 +292,9 @@
 		}
 		run(l.name, func() error { return l.serve(listener) })
 	}
-	run("catalog", func() error { return h.catalog.Run(ctx) })
+	if h.options.CallerAddress != "" {
+		run("catalog", func() error { return h.catalog.Run(ctx) })
+	}
 	run("placement", func() error { return h.placement.Run(ctx) })
 	run("budgets", func() error { return h.turnOwner.Run(ctx) })
 	run("fleet", func() error { return h.fleet.Run(ctx) })
--- a/app/fleet/control.go
+++ b/app/fleet/control.go
@@ -205,7 +205,11 @@
 			s.missing[m.Incarnation] = now
 		}
 	}
-	wait := s.options.GoneAfter + time.Duration(min(rank, maxTurns))*turn
+	wait := s.options.GoneAfter
+	if now.Sub(s.awayAt) > s.options.LeaseTTL+s.options.GoneAfter {
+		wait = s.options.GoneSteady
+	}
+	wait += time.Duration(min(rank, maxTurns)) * turn
 	for _, m := range s.record.Members {
 		if first, ok := s.missing[m.Incarnation]; ok && now.Sub(first) >= wait {
 			out = append(out, m)
--- a/app/fleet/lease.go
+++ b/app/fleet/lease.go
@@ -155,6 +155,9 @@
 	away := errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrUnknown)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if away {
+		s.awayAt = s.options.Clock.Now()
+	}
 	if away != s.right.Away() {
 		s.options.Logger.Info("store reachability changed", "host", s.self.Host, "away", away)
 		s.right.SetAway(away)
--- a/app/fleet/service.go
+++ b/app/fleet/service.go
@@ -64,6 +64,10 @@
 	// (2 s): after an outage of the store every lease has lapsed, and hosts
 	// need up to RenewEvery + CallTimeout to acquire theirs again.
 	GoneAfter time.Duration
+	// GoneSteady replaces GoneAfter while this host has reached the store for
+	// longer than LeaseTTL + GoneAfter (GoneAfter): a lease that is missing
+	// then has lapsed for no other host's sake.
+	GoneSteady time.Duration
 	// WatchWait bounds one blocking query (2 s), so that a connection that
 	// went silent delays a change by about 3 s at most.
 	WatchWait time.Duration
@@ -91,6 +95,9 @@
 			*d.value = d.standard
 		}
 	}
+	if o.GoneSteady == 0 {
+		o.GoneSteady = o.GoneAfter
+	}
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
@@ -143,6 +150,7 @@
 	tenure   *member.Tenure
 	lease    store.LeaseID
 	renewed  time.Time // when the last successful renewal was sent
+	awayAt   time.Time // when the store last did not answer
 	attached bool      // the lease counts: self was a member after acquiring it
 	// joinEpoch is the epoch in which this incarnation joined; 0 before.
 	joinEpoch model.Epoch
@@ -171,7 +179,7 @@
 	now := o.Clock.Now()
 	times := member.Times{LeaseTTL: o.LeaseTTL, WordTTL: o.WordTTL, Margin: o.Margin}
 	return &Service{
-		options: o, started: now, self: o.Self,
+		options: o, started: now, self: o.Self, awayAt: now,
 		right:     member.NewRight(times, o.Self, now),
 		tenure:    member.NewTenure(o.Self.Host),
 		leases:    map[model.HostID]bool{},
--- a/app/relay/forward.go
+++ b/app/relay/forward.go
@@ -231,7 +231,7 @@
 	t := w.place.Target()
 	left := w.Deadline.Sub(s.Clock.Now())
 	if left <= 0 {
-		return nil, fmt.Errorf("%w: deadline has passed", target.ErrNotSent)
+		return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "the deadline passed before the request was sent")
 	}
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
--- a/app/turns/owner.go
+++ b/app/turns/owner.go
@@ -34,7 +34,7 @@
 	Store store.Store
 	Clock clockwork.Clock
 	Log   *slog.Logger
-	// FlushEvery is the time between two writes of records; 0 means 150 ms,
+	// FlushEvery is the time between two writes of records; 0 means 250 ms,
 	// less than a turn takes.
 	FlushEvery time.Duration
 	// RecordWait is how long a turn waits for its record; 0 means 800 ms.
@@ -42,7 +42,7 @@
 }
 
 const (
-	defaultFlushEvery = 150 * time.Millisecond
+	defaultFlushEvery = 250 * time.Millisecond
 	defaultRecordWait = 800 * time.Millisecond
 	// storeTimeout bounds one call of the store.
 	storeTimeout = time.Second
--- a/core/ingress/ingress.go
+++ b/core/ingress/ingress.go
@@ -119,6 +119,14 @@
 	Limits     Limits
 }
 
+// Stored is a configuration as the store returned it.
+type Stored struct {
+	Document *Document
+	// Revision is the store's revision of the configuration, and Seen the one
+	// up to which it has looked.
+	Revision, Seen uint64
+}
+
 // Target is one back end of a service.
 type Target struct {
 	ID      model.TargetID
@@ -140,9 +148,10 @@
 }
 
 // overcommit is the number of requests that all hosts may send to a target for
-// each of its slots: targets queue a few more than they serve, and a part of a
-// slot for each host would leave slots idle.
-const overcommit = 2
+// each of its slots. Targets queue a few more than they serve, and callers are
+// not spread evenly over the hosts, so that equal parts of the slots would leave
+// some idle while requests wait at another host.
+const overcommit = 3
 
 // NewView indexes a document and the targets. Both must not be modified
 // afterwards.
--- a/io/ingress/server.go
+++ b/io/ingress/server.go
@@ -130,18 +130,18 @@
 	}
 	received := s.options.Clock.Now()
 	if err := checkFraming(&ctx.Request); err != nil {
-		s.refuse(ctx, "", err)
+		s.refuse(ctx, "", nil, err)
 		ctx.SetConnectionClose()
 		return
 	}
 	fields, err := s.options.Dialect.Fields(&ctx.Request)
 	if err != nil {
-		s.refuse(ctx, fields.ID, err)
+		s.refuse(ctx, fields.ID, nil, err)
 		return
 	}
 	f, err := s.forward(ctx, fields, received)
 	if err != nil {
-		s.refuse(ctx, fields.ID, err)
+		s.refuse(ctx, fields.ID, nil, err)
 		return
 	}
 	s.run(ctx, f)
@@ -191,7 +191,7 @@
 	answer, err := s.options.Relay.Forward(call, f)
 	if err != nil {
 		done()
-		s.refuse(ctx, f.ID, err)
+		s.refuse(ctx, f.ID, f, err)
 		return
 	}
 	ctx.SetStatusCode(answer.Status)
@@ -230,7 +230,13 @@
 	return err
 }
 
-func (s *Server) refuse(ctx *fasthttp.RequestCtx, id model.RequestID, err error) {
+// refuse answers a request with a refusal. f is nil if its route is not known.
+func (s *Server) refuse(ctx *fasthttp.RequestCtx, id model.RequestID, f *relay.Forward, err error) {
+	var route string
+	var workspace model.WorkspaceID
+	if f != nil {
+		route, workspace = f.Route.Name, f.Workspace
+	}
 	if c, ok := ctx.Conn().(*conn); ok {
 		c.phase = phaseIdle
 	}
@@ -239,7 +245,7 @@
 		refusal = model.NewRefusal(model.ErrUnavailable, model.RanUnknown, "%v", err)
 	}
 	s.options.Dialect.Refuse(&ctx.Response, id, refusal)
-	s.options.Log.Info("request refused", "request", id, "status", ctx.Response.StatusCode(), "ran", refusal.Ran,
+	s.options.Log.Info("request refused", "request", id, "route", route, "workspace", workspace, "status", ctx.Response.StatusCode(), "ran", refusal.Ran,
 		"retry_after", refusal.RetryAfter, "error", refusal)
 }
 
@@ -256,7 +262,7 @@
 	case errors.As(err, &timeout) && timeout.Timeout():
 		kind = ErrSlow
 	}
-	s.refuse(ctx, "", model.NewRefusal(kind, model.RanNo, "the request cannot be read: %v", err))
+	s.refuse(ctx, "", nil, model.NewRefusal(kind, model.RanNo, "the request cannot be read: %v", err))
 	ctx.SetConnectionClose()
 	linger(ctx.Conn())
 }
