--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -29,6 +29,7 @@
 	coreplacement "mimosarelay/core/placement"
 	"mimosarelay/core/store"
 	"mimosarelay/io/ingress"
+	"mimosarelay/io/metrics"
 	"mimosarelay/io/peer"
 	"mimosarelay/io/target"
 )
@@ -48,6 +49,7 @@
 	ReadyAddress     string
 	DirectoryAddress string
 	PeerAddress      string
+	MetricsAddress   string
 	// Keeper hosts count the turns of programs for all others.
 	Keeper bool
 
@@ -59,6 +61,8 @@
 	// deployment's checks.
 	Directory func(addresses func(zone string) []string, ttl time.Duration) fasthttp.RequestHandler
 	Readiness func(ready func() (bool, string)) fasthttp.RequestHandler
+	// Evacuations is asked by keepers, whose machines have a disk.
+	Evacuations Evacuations
 	// Quotas says whether the rates of workspaces are limited, and Budgets
 	// whether programs have budgets of their own.
 	Quotas  bool
@@ -134,6 +138,7 @@
 	peers     *peer.Client
 	targets   *target.Client
 	callers   *ingress.Server
+	metrics   *metrics.Root
 
 	draining atomic.Bool
 	work     sync.WaitGroup
@@ -141,7 +146,7 @@
 
 // New wires a host. Nothing runs before Run.
 func New(o Options) *Host {
-	h := &Host{options: o, log: o.Log}
+	h := &Host{options: o, log: o.Log, metrics: metrics.New()}
 	h.peers = peer.NewClient(peer.Options{DialTimeout: peerDialTimeout})
 	h.targets = target.NewClient(target.Options{DialTimeout: dialTimeout})
 	h.catalog = catalog.New(catalog.Options{Source: o.Source, Clock: o.Clock, Log: o.Log, Lifetime: o.Lifetime})
@@ -162,8 +167,8 @@
 		},
 		Holdings:       func(e model.Epoch) map[model.WorkspaceID]int64 { return h.limits.Holdings(e) },
 		ConfigRevision: h.revision,
-		Logger:         o.Log,
-		LeaseTTL:       leaseTTL, Margin: leaseMargin, RenewEvery: renewEvery, RenewTimeout: renewTimeout, GoneSteady: goneSteady,
+		Logger:         o.Log, Scope: h.metrics.Scope,
+		LeaseTTL: leaseTTL, Margin: leaseMargin, RenewEvery: renewEvery, RenewTimeout: renewTimeout, GoneSteady: goneSteady,
 	})
 	h.limits = limits.New(limits.Options{
 		Host: o.Host, Clock: o.Clock, Store: control, Peers: h.peers, MayAct: h.fleet.MayAct, LimitWait: limitWait,
@@ -202,11 +207,11 @@
 	h.relay = relay.New(relay.Options{
 		Turns:   turnClient,
 		Limiter: limiter{h}, Owners: right{h}, Placer: placer{h}, Suspects: h.suspects, Targets: h.targets,
-		Dialect: o.Dialect, Loads: h.placement, Clock: o.Clock, Log: o.Log,
+		Dialect: o.Dialect, Loads: h.placement, Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
 	})
 	h.callers = ingress.New(ingress.Options{
 		Relay: h.relay, Dialect: o.Dialect, View: h.catalog.View, Limits: h.catalog.Limits,
-		Draining: h.draining.Load, Clock: o.Clock, Log: o.Log,
+		Draining: h.draining.Load, Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
 	})
 }
 
@@ -247,7 +252,7 @@
 	if err := h.start(work, failed); err != nil {
 		return err
 	}
-	h.log.Info("host started", "host", h.options.Host, "zone", h.options.Zone, "caller", h.options.CallerAddress, "incarnation", h.fleet.Self().Incarnation)
+	h.log.Info("host started", "zone", h.options.Zone, "caller", h.options.CallerAddress, "incarnation", h.fleet.Self().Incarnation)
 	var err error
 	select {
 	case <-ctx.Done():
@@ -258,7 +263,8 @@
 	stop()
 	h.limits.Close()
 	h.suspects.Close()
-	h.log.Info("host stopped", "host", h.options.Host)
+	h.metrics.Close()
+	h.log.Info("host stopped")
 	return err
 }
 
@@ -281,6 +287,7 @@
 	}{
 		{"readiness", h.options.ReadyAddress, serveSmall(h.options.Readiness(h.Ready))},
 		{"directory", h.options.DirectoryAddress, serveSmall(h.options.Directory(h.addresses, directoryTTL))},
+		{"metrics", h.options.MetricsAddress, serveSmall(h.diagnose)},
 		{"callers", h.options.CallerAddress, h.callers.Serve},
 	} {
 		if l.address == "" {
@@ -295,6 +302,9 @@
 	if h.options.CallerAddress != "" {
 		run("catalog", func() error { return h.catalog.Run(ctx) })
 	}
+	if h.options.Keeper && h.options.Evacuations != nil {
+		run("evacuation", func() error { return h.evacuate(ctx) })
+	}
 	run("placement", func() error { return h.placement.Run(ctx) })
 	run("budgets", func() error { return h.turnOwner.Run(ctx) })
 	run("fleet", func() error { return h.fleet.Run(ctx) })
@@ -330,13 +340,16 @@
 	ctx, cancel := context.WithTimeout(context.Background(), h.options.Grace-exitReserve)
 	defer cancel()
 	h.log.Info("drain started", "requests", h.callers.Running())
+	if h.options.CallerAddress == "" {
+		h.leave()
+		h.log.Info("drain ended")
+		return
+	}
 	mark, done := context.WithTimeout(ctx, time.Second)
 	err := h.fleet.MarkLeaving(mark)
 	done()
-	if h.options.CallerAddress != "" {
-		h.sleep(ctx, lingerTime-h.options.Clock.Since(start))
-		err = errors.Join(err, h.callers.Shutdown(ctx))
-	}
+	h.sleep(ctx, lingerTime-h.options.Clock.Since(start))
+	err = errors.Join(err, h.callers.Shutdown(ctx))
 	leave, done := context.WithTimeout(context.Background(), exitReserve/2)
 	defer done()
 	err = errors.Join(err, h.fleet.Leave(leave))
--- /dev/null
+++ b/app/entry/evacuate.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"mimosarelay/core/model"
+)
+
+// Evacuations is how operators ask for a host with a disk to be emptied.
+type Evacuations interface {
+	// EvacuationAsked says whether the host is to be emptied.
+	EvacuationAsked(ctx context.Context, host model.HostID) (bool, error)
+	// ReportEvacuation tells that it is being emptied, or that it is empty and
+	// may be removed.
+	ReportEvacuation(ctx context.Context, host model.HostID, done bool) error
+}
+
+const (
+	// evacuationEvery is the time between two questions. An evacuation has
+	// several seconds, and each question is a call of the store.
+	evacuationEvery = 2 * time.Second
+	evacuationCall  = time.Second
+)
+
+// evacuate waits until an operator asks for this host to be emptied. A host
+// keeps nothing on its disk: it is empty when it has left the fleet, so that
+// others count its programs.
+func (h *Host) evacuate(ctx context.Context) error {
+	for {
+		h.sleep(ctx, evacuationEvery)
+		if ctx.Err() != nil {
+			return nil
+		}
+		call, cancel := context.WithTimeout(ctx, evacuationCall)
+		asked, err := h.options.Evacuations.EvacuationAsked(call, h.options.Host)
+		cancel()
+		if err != nil {
+			h.log.Warn("evacuation not asked for", "error", err)
+			continue
+		}
+		if asked {
+			break
+		}
+	}
+	h.log.Info("evacuation started")
+	h.report(ctx, false)
+	h.draining.Store(true)
+	h.leave()
+	h.report(ctx, true)
+	h.log.Info("evacuation ended")
+	<-ctx.Done() // a process that ends would be started again
+	return nil
+}
+
+// report repeats a report until the store takes it.
+func (h *Host) report(ctx context.Context, done bool) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, evacuationCall)
+		err := h.options.Evacuations.ReportEvacuation(call, h.options.Host, done)
+		cancel()
+		if err == nil {
+			return
+		}
+		h.log.Warn("evacuation not reported", "done", done, "error", err)
+		h.sleep(ctx, evacuationCall)
+	}
+}
+
+// leave takes this host out of the fleet.
+func (h *Host) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), exitReserve)
+	defer cancel()
+	if err := h.fleet.MarkLeaving(ctx); err != nil {
+		h.log.Warn("leaving is not recorded", "error", err)
+	}
+	if err := h.fleet.Leave(ctx); err != nil {
+		h.log.Warn("not left in order, the lease lapses", "error", err)
+	}
+}
--- a/app/host/host.go
+++ b/app/host/host.go
@@ -28,6 +28,7 @@
 	"mimosarelay/io/caller"
 	"mimosarelay/io/consul"
 	"mimosarelay/io/disk"
+	"mimosarelay/io/metrics"
 	"mimosarelay/io/operator"
 	"mimosarelay/io/peer"
 	"mimosarelay/io/target"
@@ -47,7 +48,7 @@
 	plainLog    *slog.Logger // for services that name the host themselves
 	clock       clockwork.Clock
 	incarnation model.Incarnation
-	metrics     *metrics
+	metrics     *metrics.Root
 
 	control   *consul.Client // watched keys
 	data      *consul.Client // records of programs
@@ -101,7 +102,7 @@
 		clock:       o.Clock,
 		incarnation: model.Incarnation(uuid.NewString()),
 		drainAsk:    make(chan struct{}),
-		metrics:     newMetrics(),
+		metrics:     metrics.New(),
 	}
 	if err := h.listen(); err != nil {
 		h.listeners.close()
@@ -238,5 +239,5 @@
 			h.log.Error("data folder not closed", "error", err)
 		}
 	}
-	h.metrics.close()
+	h.metrics.Close()
 }
--- a/app/host/state.go
+++ b/app/host/state.go
@@ -3,13 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
-
-	prom "github.com/prometheus/client_golang/prometheus"
-	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
-	"github.com/valyala/fasthttp"
-	"github.com/valyala/fasthttp/fasthttpadaptor"
 
 	"mimosarelay/app/contracts"
 	"mimosarelay/core/member"
@@ -108,24 +101,3 @@
 	}
 	return nil
 }
-
-// reportInterval is how often counters reach the scrape endpoint.
-const reportInterval = time.Second
-
-// metrics is the root of the process's metrics.
-type metrics struct {
-	scope   tally.Scope
-	handler fasthttp.RequestHandler
-	close   func()
-}
-
-func newMetrics() *metrics {
-	// A registry of its own, because a process may run several hosts.
-	registry := prom.NewRegistry()
-	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "mimosarelay", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
-	}, reportInterval)
-	return &metrics{scope: scope, handler: fasthttpadaptor.NewFastHTTPHandler(reporter.HTTPHandler()), close: func() { _ = closer.Close() }}
-}
--- a/app/host/wire.go
+++ b/app/host/wire.go
@@ -134,7 +134,7 @@
 		Holdings:       func(e model.Epoch) map[model.WorkspaceID]int64 { return h.limits.Holdings(e) },
 		ConfigRevision: func() model.Revision { return h.contracts.Revision() },
 		PeerRevision:   h.peerRevision,
-		Logger:         h.plainLog, Scope: h.metrics.scope,
+		Logger:         h.plainLog, Scope: h.metrics.Scope,
 		LeaseTTL: h.settings.Limits.LeaseTTL,
 	})
 	h.contracts = contracts.New(contracts.Options{
@@ -207,7 +207,7 @@
 	h.relay = relay.New(relay.Options{
 		Contracts: h.contracts, Limiter: h.limits, Programs: h.programs, Owners: h.owners, Peers: h.peers,
 		Placer: placer{h}, Suspects: h.suspects, Targets: h.targets, Clock: h.clock, Log: h.log,
-		Scope: h.metrics.scope, StreamIdle: h.settings.Limits.StreamIdle,
+		Scope: h.metrics.Scope, StreamIdle: h.settings.Limits.StreamIdle,
 	})
 	config, err := h.serverTLS("Caller.TLS", h.settings.Caller.TLS)
 	if err != nil {
@@ -238,7 +238,7 @@
 	}
 	h.operatorServer, err = operator.New(operator.Options{
 		Backend: backend{h.contracts, h}, CredentialFile: h.settings.Operator.CredentialFile, TLS: config,
-		Metrics: h.metrics.handler, Log: h.log,
+		Metrics: h.metrics.Handler, Log: h.log,
 	})
 	return err
 }
--- a/app/turns/owner.go
+++ b/app/turns/owner.go
@@ -335,3 +335,23 @@
 		model.RequestID(m.GetRequest()), model.Tokens(m.GetUsed()))
 	return &peerpb.EndTurnResponse{}, nil
 }
+
+// Dump is the state of an Owner for operators.
+type Dump struct {
+	Programs int
+	Shards   int  // whose records are loaded
+	Unsaved  bool // some record is not written yet
+}
+
+// Dump returns a Dump.
+func (o *Owner) Dump() any {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	d := Dump{Programs: len(o.ledger.Programs()), Unsaved: o.ledger.Unsaved()}
+	for _, loaded := range o.loaded {
+		if loaded {
+			d.Shards++
+		}
+	}
+	return d
+}
--- a/cmd/managed.go
+++ b/cmd/managed.go
@@ -2,15 +2,20 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
+	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"mimosarelay/app/entry"
 	"mimosarelay/io/boottime"
+	"mimosarelay/io/logsink"
 	"mimosarelay/platform"
 )
 
@@ -32,26 +37,58 @@
 		return err
 	}
 	debug.SetMemoryLimit(int64(float64(boot.Memory) * memoryShare))
-	log := slog.New(slog.NewTextHandler(logs, nil))
+	sink := logsink.New(logs, logsink.Options{})
+	defer sink.Close()
+	log := slog.New(slog.NewTextHandler(sink, nil)).With("host", boot.Host)
+	defer watchSettings(boot, log)()
 	client, err := platform.NewStoreClient(boot.StoreAddress, storeTimeout)
 	if err != nil {
 		return err
 	}
 	defer client.Close()
 	h := entry.New(entry.Options{
-		Host: boot.Host, Zone: boot.Zone, PeerAddress: boot.PeerAddress,
+		Host: boot.Host, Zone: boot.Zone, PeerAddress: boot.PeerAddress, MetricsAddress: boot.MetricsAddress,
 		CallerAddress: boot.CallerAddress, ReadyAddress: boot.ReadyAddress, DirectoryAddress: boot.DirectoryAddress,
 		Keyspace: client.Keyspace, Source: client, Dialect: platform.Dialect{},
 		Directory: func(addresses func(string) []string, ttl time.Duration) fasthttp.RequestHandler {
 			return platform.Directory{Addresses: addresses, TTL: min(ttl, boot.Bounds.DirectoryTTL)}.Handle
 		},
-		Readiness: func(ready func() (bool, string)) fasthttp.RequestHandler { return platform.Readiness(ready).Handle },
-		Quotas:    boot.Quotas,
-		Budgets:   boot.Programs,
-		Keeper:    boot.CallerAddress == "",
-		Lifetime:  boot.Bounds.Revoke - revokeMargin,
-		Grace:     boot.Bounds.Grace,
-		Clock:     boottime.New(), Log: log,
+		Readiness:   func(ready func() (bool, string)) fasthttp.RequestHandler { return platform.Readiness(ready).Handle },
+		Evacuations: client,
+		Quotas:      boot.Quotas,
+		Budgets:     boot.Programs,
+		Keeper:      boot.CallerAddress == "",
+		Lifetime:    boot.Bounds.Revoke - revokeMargin,
+		Grace:       boot.Bounds.Grace,
+		Clock:       boottime.New(), Log: log,
 	})
 	return h.Run(ctx)
 }
+
+// watchSettings reads the settings again on SIGHUP and logs what has changed.
+// Addresses and bounds of a running host stay as they are: callers have its
+// addresses, and a changed bound holds for the next start.
+func watchSettings(boot platform.Boot, log *slog.Logger) (stop func()) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-hangups:
+			}
+			next, err := platform.LoadBoot()
+			if err != nil {
+				log.Error("settings not read again, the present ones stay", "error", err)
+				continue
+			}
+			log.Info("settings read again", "changed", next != boot, "settings", fmt.Sprintf("%+v", next))
+		}
+	}()
+	return func() {
+		signal.Stop(hangups)
+		close(done)
+	}
+}
--- a/io/ingress/server.go
+++ b/io/ingress/server.go
@@ -11,10 +11,12 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
 	"github.com/valyala/fasthttp"
 
 	"mimosarelay/app/relay"
@@ -64,6 +66,7 @@
 	Draining func() bool
 	Clock    clockwork.Clock
 	Log      *slog.Logger
+	Scope    tally.Scope
 }
 
 const (
@@ -81,11 +84,17 @@
 	options Options
 	http    *fasthttp.Server
 	running atomic.Int64
+	// total is the time from reading a request to the end of its answer.
+	total tally.Histogram
 }
 
 // New returns a Server.
 func New(o Options) *Server {
-	s := &Server{options: o}
+	scope := o.Scope.SubScope("requests")
+	s := &Server{
+		options: o,
+		total:   scope.Histogram("seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)),
+	}
 	s.http = &fasthttp.Server{
 		Handler:                      s.handle,
 		ErrorHandler:                 s.malformed,
@@ -183,7 +192,9 @@
 	c := ctx.Conn().(*conn)
 	stop := c.onClose(cancel)
 	s.running.Add(1)
+	start := s.options.Clock.Now()
 	done := func() {
+		s.total.RecordDuration(s.options.Clock.Since(start))
 		stop()
 		cancel()
 		s.running.Add(-1)
@@ -245,6 +256,7 @@
 		refusal = model.NewRefusal(model.ErrUnavailable, model.RanUnknown, "%v", err)
 	}
 	s.options.Dialect.Refuse(&ctx.Response, id, refusal)
+	s.options.Scope.Tagged(map[string]string{"status": strconv.Itoa(ctx.Response.StatusCode())}).Counter("requests_refused").Inc(1)
 	s.options.Log.Info("request refused", "request", id, "route", route, "workspace", workspace, "status", ctx.Response.StatusCode(), "ran", refusal.Ran,
 		"retry_after", refusal.RetryAfter, "error", refusal)
 }
--- /dev/null
+++ b/io/logsink/logsink.go
@@ -0,0 +1,122 @@
+// Package logsink writes log lines without ever blocking the process: lines
+// that the output does not take in time are dropped and counted.
+package logsink
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Options configures a Sink. Zero values mean the defaults.
+type Options struct {
+	// Lines is the number of lines that wait for the output; 0 means 4096.
+	Lines int
+	// PerSecond bounds the lines of one second; 0 means 2000.
+	PerSecond int
+	// Now returns the time; nil means time.Now.
+	Now func() time.Time
+}
+
+const (
+	defaultLines = 4096
+	// defaultPerSecond is several times what a host writes at its peak, one
+	// line for each request.
+	defaultPerSecond = 2000
+	// maxBatch bounds the bytes that are written at once.
+	maxBatch = 64 << 10
+)
+
+// Sink is an io.Writer for log lines. It is safe for concurrent use.
+type Sink struct {
+	options Options
+	out     io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+
+	mu     sync.Mutex // guards the fields below
+	closed bool
+	second int64
+	count  int
+}
+
+// New returns a Sink that writes to out.
+func New(out io.Writer, o Options) *Sink {
+	if o.Lines == 0 {
+		o.Lines = defaultLines
+	}
+	if o.PerSecond == 0 {
+		o.PerSecond = defaultPerSecond
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	s := &Sink{options: o, out: out, lines: make(chan []byte, o.Lines), done: make(chan struct{})}
+	go s.run()
+	return s
+}
+
+// Write implements io.Writer. It never blocks and never fails.
+func (s *Sink) Write(line []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if second := s.options.Now().Unix(); second != s.second {
+		s.second, s.count = second, 0
+	}
+	s.count++
+	if s.closed || s.count > s.options.PerSecond {
+		s.dropped.Add(1)
+		return len(line), nil
+	}
+	select {
+	case s.lines <- append([]byte(nil), line...):
+	default:
+		s.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped is the number of lines that were dropped so far.
+func (s *Sink) Dropped() int64 { return s.dropped.Load() }
+
+// Close writes what waits, for at most a second.
+func (s *Sink) Close() {
+	s.mu.Lock()
+	if !s.closed {
+		s.closed = true
+		close(s.lines)
+	}
+	s.mu.Unlock()
+	select {
+	case <-s.done:
+	case <-time.After(time.Second):
+	}
+}
+
+func (s *Sink) run() {
+	defer close(s.done)
+	var reported int64
+	var batch []byte
+	for line := range s.lines {
+		batch = append(batch[:0], line...)
+		for more := true; more && len(batch) < maxBatch; {
+			select {
+			case next, ok := <-s.lines:
+				batch = append(batch, next...)
+				more = ok
+			default:
+				more = false
+			}
+		}
+		if n := s.dropped.Load(); n > reported {
+			batch = fmt.Appendf(batch, "level=WARN msg=\"log lines dropped\" lines=%d\n", n-reported)
+			reported = n
+		}
+		if _, err := s.out.Write(batch); err != nil {
+			s.dropped.Add(1) // nowhere to report it
+		}
+	}
+}
