Settle sooner after a restart of all hosts, and let requests wait for it

Heartbeats every 300 ms let confirmations count for 0.7 s instead of 1.5 s; requests wait up to 1.2 s while a host has no share yet.

--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -89,13 +89,19 @@
 	limitWait = 250 * time.Millisecond
 	// The times of the membership let a host that was killed be removed within
 	// 2.5 s. A host notices an outage and hears the others' confirmation within
-	// renewEvery + renewTimeout + one heartbeat (500 ms) = 1.5 s, before its
+	// renewEvery + renewTimeout + heartbeatEvery = 1.3 s, before its
 	// right to act ends at leaseTTL - leaseMargin.
 	leaseTTL     = 2 * time.Second
-	leaseMargin  = 400 * time.Millisecond
+	leaseMargin  = 200 * time.Millisecond
 	renewEvery   = 500 * time.Millisecond
 	renewTimeout = 500 * time.Millisecond
 	goneSteady   = 300 * time.Millisecond
+	// A process enters its first epoch wordTTL + leaseMargin after its start,
+	// when every confirmation of its predecessor has expired.
+	heartbeatEvery = 300 * time.Millisecond
+	wordTTL        = 700 * time.Millisecond
+	// settleWait is how long a request waits while the fleet forms again.
+	settleWait = 1200 * time.Millisecond
 	// changeDelay is how long a larger part of the places waits for a change of
 	// the membership. Targets refuse what exceeds their queue as not run, so
 	// that parts need not add up at every moment.
@@ -169,9 +175,11 @@
 		ConfigRevision: h.revision,
 		Logger:         o.Log, Scope: h.metrics.Scope,
 		LeaseTTL: leaseTTL, Margin: leaseMargin, RenewEvery: renewEvery, RenewTimeout: renewTimeout, GoneSteady: goneSteady,
+		HeartbeatEvery: heartbeatEvery, WordTTL: wordTTL,
 	})
 	h.limits = limits.New(limits.Options{
 		Host: o.Host, Clock: o.Clock, Store: control, Peers: h.peers, MayAct: h.fleet.MayAct, LimitWait: limitWait,
+		SettleWait: settleWait,
 	})
 	h.turnOwner = turns.NewOwner(turns.OwnerOptions{
 		Host: o.Host, Tenure: h.fleet, Store: o.Keyspace(budgetPrefix), Clock: o.Clock, Log: o.Log,
--- a/app/limits/limits.go
+++ b/app/limits/limits.go
@@ -88,6 +88,11 @@
 	Silent func(model.HostID) bool
 	// LimitWait is how long a request waits for tokens; 0 means 1 s.
 	LimitWait time.Duration
+	// SettleWait is how long a request waits while this host may not act or
+	// holds no share of the limit yet, for example after a restart of all
+	// hosts. A refusal would use up the caller's attempts within the time that
+	// settling takes. 0 means LimitWait, and no wait for the right to act.
+	SettleWait time.Duration
 	// AskTimeout bounds a request to a peer; 0 means 150 ms.
 	AskTimeout time.Duration
 }
@@ -167,15 +172,15 @@
 // and transfers. It fails with a *model.Refusal of kind ErrRateLimited,
 // ErrNoRight or ErrForbidden, or with the error of ctx.
 func (s *Service) Admit(ctx context.Context, id model.WorkspaceID) error {
-	if !s.options.MayAct() {
-		return noRight()
+	if err := s.awaitRight(ctx); err != nil {
+		return err
 	}
 	w := &waiter{since: s.options.Clock.Now(), wake: make(chan struct{}, 1)}
 	if err := s.enqueue(id, w); err != nil {
 		return err
 	}
 	defer s.dequeue(id, w)
-	deadline := s.options.Clock.NewTimer(s.longestWait())
+	deadline := s.options.Clock.NewTimer(s.longestWait(id))
 	defer deadline.Stop()
 	expired := false
 	for {
@@ -195,10 +200,32 @@
 	}
 }
 
+// rightPause is the time between two looks at the right to act.
+const rightPause = 25 * time.Millisecond
+
+// awaitRight waits up to SettleWait until this host may act.
+func (s *Service) awaitRight(ctx context.Context) error {
+	start := s.options.Clock.Now()
+	for !s.options.MayAct() {
+		if s.options.Clock.Since(start) >= s.options.SettleWait {
+			return noRight()
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.options.Clock.After(rightPause):
+		}
+	}
+	return nil
+}
+
 // longestWait returns how long a request that arrives now waits for tokens.
-func (s *Service) longestWait() time.Duration {
+func (s *Service) longestWait(id model.WorkspaceID) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.options.SettleWait > 0 && s.ledger.Held(id) == 0 && s.ledger.Held(escrow.BurstAccount(id)) == 0 {
+		return s.options.SettleWait
+	}
 	if s.options.Clock.Now().Before(s.drainEnd) {
 		return s.options.LimitWait / drainPart
 	}
--- a/app/turns/client.go
+++ b/app/turns/client.go
@@ -40,7 +40,7 @@
 const (
 	// reserveWait bounds the search for an owner that decides. It is shorter
 	// than the time in which callers give up on a host.
-	reserveWait = time.Second
+	reserveWait = 1500 * time.Millisecond
 	// reservePause is the time between two questions.
 	reservePause = 50 * time.Millisecond
 	// askTimeout bounds one question. An owner waits for its record that long.
