Copy budget records to other keepers while the store is away; keep them near what is spent

Records now cover the turns that run and two more, and go to another keeper after 60 ms without an answer. A test found that an owner took its own records over again after a lost answer, so that live programs were charged with what the record allowed.

--- a/app/entry/adapters.go
+++ b/app/entry/adapters.go
@@ -49,6 +49,17 @@
 	return list
 }
 
+// otherKeepers lists the peer addresses of the other keepers.
+func (h *Host) otherKeepers() []string {
+	var list []string
+	for _, m := range h.fleet.View().Members {
+		if m.Keeper && m.Host != h.options.Host {
+			list = append(list, m.PeerAddress)
+		}
+	}
+	return list
+}
+
 // limiter admits requests where quotas are in force.
 type limiter struct{ host *Host }
 
@@ -145,4 +156,14 @@
 	return p.host.turnOwner.HandleEndTurn(ctx, r)
 }
 
+// KeepBudgets implements peerpb.DRPCPeerServer.
+func (p peerHandler) KeepBudgets(ctx context.Context, m *peerpb.BudgetPage) (*peerpb.KeepBudgetsResponse, error) {
+	return p.host.turnOwner.HandleKeepBudgets(ctx, m)
+}
+
+// FetchBudgets implements peerpb.DRPCPeerServer.
+func (p peerHandler) FetchBudgets(ctx context.Context, r *peerpb.FetchBudgetsRequest) (*peerpb.FetchBudgetsResponse, error) {
+	return p.host.turnOwner.HandleFetchBudgets(ctx, r)
+}
+
 var _ relay.LoadReports = (*placement.Service)(nil)
--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -183,6 +183,7 @@
 	})
 	h.turnOwner = turns.NewOwner(turns.OwnerOptions{
 		Host: o.Host, Tenure: h.fleet, Store: o.Keyspace(budgetPrefix), Clock: o.Clock, Log: o.Log,
+		Keepers: h.otherKeepers, Copies: h.peers,
 	})
 	h.suspects = suspects.New(suspects.Options{
 		Host: o.Host, Self: o.PeerAddress, Peers: suspectPeers{h.peers, h}, Store: control, KeyPrefix: suspectPrefix,
--- a/app/turns/owner.go
+++ b/app/turns/owner.go
@@ -8,6 +8,8 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,14 +28,24 @@
 	ActsFor(shard model.Shard) bool
 }
 
+// Copies keeps pages at other hosts while the store does not answer.
+type Copies interface {
+	KeepBudgets(ctx context.Context, address string, page *peerpb.BudgetPage) (*peerpb.KeepBudgetsResponse, error)
+	FetchBudgets(ctx context.Context, address string, r *peerpb.FetchBudgetsRequest) (*peerpb.FetchBudgetsResponse, error)
+}
+
 // OwnerOptions configures an Owner. All fields but the times are required.
 type OwnerOptions struct {
 	Host   model.HostID
 	Tenure Tenure
 	// Store holds one page of records for each host.
 	Store store.Store
-	Clock clockwork.Clock
-	Log   *slog.Logger
+	// Keepers lists the peer addresses of the other hosts that may own
+	// programs, and Copies reaches them.
+	Keepers func() []string
+	Copies  Copies
+	Clock   clockwork.Clock
+	Log     *slog.Logger
 	// FlushEvery is the time between two writes of records; 0 means 250 ms,
 	// less than a turn takes.
 	FlushEvery time.Duration
@@ -61,9 +73,15 @@
 	ledger *turn.Ledger
 	loaded [model.ShardCount]bool
 	saved  chan struct{} // closed when records were written or loaded
-	// version is that of this host's page; read says whether it is known.
-	version store.Version
-	read    bool
+	// version is that of this host's page, if versionKnown. read says that this
+	// process has taken over what its predecessor recorded.
+	version      store.Version
+	versionKnown bool
+	read         bool
+	// copies are the newest pages of other hosts that were sent here, and own
+	// is this host's.
+	copies map[model.HostID]*peerpb.BudgetPage
+	own    *peerpb.BudgetPage
 }
 
 // NewOwner returns an Owner. Run writes its records.
@@ -74,7 +92,7 @@
 	if o.RecordWait == 0 {
 		o.RecordWait = defaultRecordWait
 	}
-	return &Owner{options: o, ledger: turn.NewLedger(), kick: make(chan struct{}, 1), saved: make(chan struct{})}
+	return &Owner{options: o, ledger: turn.NewLedger(), kick: make(chan struct{}, 1), saved: make(chan struct{}), copies: map[model.HostID]*peerpb.BudgetPage{}}
 }
 
 // pageEntry is the record of one program in a page.
@@ -86,7 +104,11 @@
 }
 
 // page is the JSON value of one host's key.
-type page struct{ Programs []pageEntry }
+type page struct {
+	// Sequence grows with each page of the host, also over restarts.
+	Sequence int64
+	Programs []pageEntry
+}
 
 // Run loads and writes records until ctx ends.
 func (o *Owner) Run(ctx context.Context) error {
@@ -150,43 +172,116 @@
 		gained[s] = !o.loaded[s] && o.options.Tenure.ActsFor(model.Shard(s))
 	}
 	o.mu.Unlock()
-	entries, _, err := o.options.Store.List(ctx, "")
+	pages, err := o.pages(ctx)
 	if err != nil {
-		return fmt.Errorf("read records: %w", err)
+		return err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	n := 0
-	for _, e := range entries {
-		var p page
-		if err := json.Unmarshal(e.Value, &p); err != nil {
-			return fmt.Errorf("records of host %q: %w", e.Key, err)
-		}
-		own := e.Key == string(o.options.Host)
-		if own && !o.read {
-			o.version = e.Version
-		}
+	for host, p := range pages {
+		own := host == o.options.Host && !o.read
 		for _, x := range p.Programs {
 			r := turn.Record{
 				Program: model.ProgramKey{Workspace: x.Workspace, Program: x.Program}, Allowed: x.Allowed, Used: time.Unix(x.UsedUnix, 0),
 			}
 			// The first write of this process replaces what an earlier one
 			// recorded, so all of that is taken over.
-			if gained[program.ShardOf(r.Program)] || own && !o.read {
+			if gained[program.ShardOf(r.Program)] || own {
 				o.ledger.Load(r)
 				n++
 			}
 		}
 	}
-	o.read = true
+	if !o.read {
+		// A host without a page has version 0.
+		o.read, o.versionKnown = true, true
+	}
 	for s := range gained {
 		o.loaded[s] = o.loaded[s] || gained[s] && o.options.Tenure.ActsFor(model.Shard(s))
 	}
 	o.signal()
-	o.options.Log.Info("records of program budgets loaded", "programs", n, "pages", len(entries))
+	o.options.Log.Info("records of program budgets loaded", "programs", n, "pages", len(pages))
 	return nil
 }
 
+// pages returns the newest page of each host, from the store and from the copies
+// that keepers hold. All keepers must answer: the newest record may be the copy
+// of any of them.
+func (o *Owner) pages(ctx context.Context) (map[model.HostID]page, error) {
+	entries, _, err := o.options.Store.List(ctx, "")
+	if err != nil {
+		return nil, fmt.Errorf("read records: %w", err)
+	}
+	newest := map[model.HostID]page{}
+	take := func(host model.HostID, value []byte) error {
+		var p page
+		if err := json.Unmarshal(value, &p); err != nil {
+			return fmt.Errorf("records of host %q: %w", host, err)
+		}
+		if known, ok := newest[host]; !ok || p.Sequence > known.Sequence {
+			newest[host] = p
+		}
+		return nil
+	}
+	for _, e := range entries {
+		if err := take(model.HostID(e.Key), e.Value); err != nil {
+			return nil, err
+		}
+		if e.Key == string(o.options.Host) {
+			o.noteVersion(e.Version)
+		}
+	}
+	held, err := o.heldCopies(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, c := range held {
+		if err := take(model.HostID(c.GetHost()), c.GetValue()); err != nil {
+			return nil, err
+		}
+	}
+	return newest, nil
+}
+
+func (o *Owner) noteVersion(v store.Version) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.version, o.versionKnown = v, true
+}
+
+// readVersion asks for the version of this host's page after a write that may
+// have taken effect.
+func (o *Owner) readVersion(ctx context.Context) error {
+	o.mu.Lock()
+	known := o.versionKnown
+	o.mu.Unlock()
+	if known {
+		return nil
+	}
+	e, err := o.options.Store.Get(ctx, string(o.options.Host))
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return fmt.Errorf("read the version of the records: %w", err)
+	}
+	o.noteVersion(e.Version)
+	return nil
+}
+
+// heldCopies returns the copies that this host and the other keepers hold.
+func (o *Owner) heldCopies(ctx context.Context) ([]*peerpb.BudgetPage, error) {
+	o.mu.Lock()
+	list := slices.Collect(maps.Values(o.copies))
+	o.mu.Unlock()
+	for _, address := range o.options.Keepers() {
+		res, err := o.options.Copies.FetchBudgets(ctx, address, &peerpb.FetchBudgetsRequest{})
+		if err != nil {
+			return nil, fmt.Errorf("copies of records at %s: %w", address, err)
+		}
+		list = append(list, res.GetPages()...)
+	}
+	return list, nil
+}
+
 // signal wakes the turns that wait. mu is held.
 func (o *Owner) signal() {
 	close(o.saved)
@@ -200,9 +295,8 @@
 		return nil
 	}
 	records := o.ledger.Records(o.options.Clock.Now())
-	version := o.version
 	o.mu.Unlock()
-	p := page{Programs: make([]pageEntry, 0, len(records))}
+	p := page{Sequence: o.options.Clock.Now().UnixNano(), Programs: make([]pageEntry, 0, len(records))}
 	for _, r := range records {
 		p.Programs = append(p.Programs, pageEntry{r.Program.Workspace, r.Program.Program, r.Allowed, r.Used.Unix()})
 	}
@@ -210,12 +304,28 @@
 	if err != nil {
 		return err
 	}
-	version, err = o.options.Store.Put(ctx, string(o.options.Host), value, version)
+	var version store.Version
+	copied := make(chan struct{})
+	put, stop := context.WithCancel(ctx)
+	go func() {
+		defer close(copied)
+		o.copyLater(put, p.Sequence, value, records)
+	}()
+	// The version is read while the records are already on their way to other
+	// keepers.
+	if err = o.readVersion(ctx); err == nil {
+		version, err = o.options.Store.Put(ctx, string(o.options.Host), value, o.pageVersion())
+	}
+	if err == nil {
+		stop()
+	}
+	<-copied
+	stop()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if err != nil {
 		o.ledger.NotSaved()
-		o.reread(err)
+		o.versionKnown = o.versionKnown && !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrUnknown)
 		return fmt.Errorf("write %d records: %w", len(records), err)
 	}
 	o.version = version
@@ -224,13 +334,60 @@
 	return nil
 }
 
-// reread reads the page again after a write that may have taken effect. mu is
-// held.
-func (o *Owner) reread(err error) {
-	if errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrUnknown) {
-		o.read = false
-		o.loaded = [model.ShardCount]bool{}
+func (o *Owner) pageVersion() store.Version {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.version
+}
+
+// copyAfter is how long a write to the store may take before the records are
+// also copied to other keepers. The store answers in milliseconds.
+const copyAfter = 60 * time.Millisecond
+
+// copyLater keeps the records at other keepers if the store does not answer
+// soon, so that programs go on during an outage. The records are safe then as
+// long as this host and that keeper are not both lost before the store is back.
+func (o *Owner) copyLater(ctx context.Context, sequence int64, value []byte, records []turn.Record) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-o.options.Clock.After(copyAfter):
+	}
+	m := &peerpb.BudgetPage{Host: string(o.options.Host), Sequence: sequence, Value: value}
+	for _, address := range o.options.Keepers() {
+		if _, err := o.options.Copies.KeepBudgets(ctx, address, m); err != nil {
+			o.options.Log.Warn("records of program budgets not copied", "peer", address, "error", err)
+			continue
+		}
+		o.mu.Lock()
+		o.own = m
+		o.ledger.Saved(records)
+		o.signal()
+		o.mu.Unlock()
+		return
+	}
+}
+
+// HandleKeepBudgets serves the RPC KeepBudgets.
+func (o *Owner) HandleKeepBudgets(_ context.Context, m *peerpb.BudgetPage) (*peerpb.KeepBudgetsResponse, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	host := model.HostID(m.GetHost())
+	if known := o.copies[host]; known.GetSequence() < m.GetSequence() {
+		o.copies[host] = m
+	}
+	return &peerpb.KeepBudgetsResponse{}, nil
+}
+
+// HandleFetchBudgets serves the RPC FetchBudgets.
+func (o *Owner) HandleFetchBudgets(context.Context, *peerpb.FetchBudgetsRequest) (*peerpb.FetchBudgetsResponse, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	res := &peerpb.FetchBudgetsResponse{Pages: slices.Collect(maps.Values(o.copies))}
+	if o.own != nil {
+		res.Pages = append(res.Pages, o.own)
 	}
+	return res, nil
 }
 
 // TenureChanged gives up the programs of shards that moved away. owns says
--- /dev/null
+++ b/app/turns/owner_test.go
@@ -0,0 +1,149 @@
+package turns_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"mimosarelay/app/turns"
+	"mimosarelay/core/model"
+	"mimosarelay/core/store"
+	"mimosarelay/core/store/memstore"
+	"mimosarelay/core/turn"
+	"mimosarelay/io/peer/peerpb"
+)
+
+// keepers is a pair of owners of which one at a time acts for all shards.
+type keepers struct {
+	t       *testing.T
+	store   *memstore.Store
+	acting  atomic.Value // model.HostID
+	owners  map[model.HostID]*turns.Owner
+	down    atomic.Bool // the store does not answer
+	unheard atomic.Bool // the owners do not reach each other
+}
+
+type tenure struct {
+	k    *keepers
+	host model.HostID
+}
+
+func (t tenure) ActsFor(model.Shard) bool { return t.k.acting.Load() == t.host }
+
+// away is a store that can be switched off.
+type away struct {
+	store.Store
+	k *keepers
+}
+
+func (a away) Put(ctx context.Context, key string, value []byte, prev store.Version) (store.Version, error) {
+	if a.k.down.Load() {
+		<-ctx.Done()
+		return 0, store.ErrUnknown
+	}
+	return a.Store.Put(ctx, key, value, prev)
+}
+
+var errCut = errors.New("cut off")
+
+// KeepBudgets and FetchBudgets implement turns.Copies; the address is the host.
+func (k *keepers) KeepBudgets(ctx context.Context, address string, m *peerpb.BudgetPage) (*peerpb.KeepBudgetsResponse, error) {
+	if k.unheard.Load() {
+		return nil, errCut
+	}
+	return k.owners[model.HostID(address)].HandleKeepBudgets(ctx, m)
+}
+
+func (k *keepers) FetchBudgets(ctx context.Context, address string, r *peerpb.FetchBudgetsRequest) (*peerpb.FetchBudgetsResponse, error) {
+	if k.unheard.Load() {
+		return nil, errCut
+	}
+	return k.owners[model.HostID(address)].HandleFetchBudgets(ctx, r)
+}
+
+func newKeepers(t *testing.T) *keepers {
+	t.Helper()
+	clock := clockwork.NewRealClock()
+	k := &keepers{t: t, store: memstore.New(clock), owners: map[model.HostID]*turns.Owner{}}
+	other := map[model.HostID]string{"a": "b", "b": "a"}
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	for host, peer := range other {
+		o := turns.NewOwner(turns.OwnerOptions{
+			Host: host, Tenure: tenure{k, host}, Store: away{k.store.NewClient(string(host)), k}, Clock: clock, Log: slog.New(slog.DiscardHandler),
+			Keepers: func() []string { return []string{peer} }, Copies: k, FlushEvery: 10 * time.Millisecond,
+		})
+		k.owners[host] = o
+		go func() { _ = o.Run(ctx) }()
+	}
+	k.move("a")
+	return k
+}
+
+// move gives all shards to a host.
+func (k *keepers) move(host model.HostID) {
+	k.acting.Store(host)
+	for h, o := range k.owners {
+		o.TenureChanged(func(model.Shard) bool { return h == host }, true)
+	}
+}
+
+var program = model.ProgramKey{Workspace: "office", Program: "loop"}
+
+// turn runs a turn of 10 tokens that reserves 100 of 300.
+func (k *keepers) turn(host model.HostID, id string) error {
+	ctx, cancel := context.WithTimeout(k.t.Context(), 700*time.Millisecond)
+	defer cancel()
+	err := k.owners[host].Reserve(ctx, turn.Reservation{
+		Program: program, Turn: model.RequestID(id), Budget: 300, Max: 100, Deadline: time.Now().Add(time.Minute),
+	})
+	return err
+}
+
+// Guards against a program that begins anew at the next owner, and against an
+// owner that decides before it has read what the one before recorded.
+func TestNextOwnerGoesOnFromRecords(t *testing.T) {
+	k := newKeepers(t)
+	assert.NilError(t, k.turn("a", "1"))
+	assert.NilError(t, k.turn("a", "2"))
+	k.owners["a"].End(program, "1", 100)
+	k.owners["a"].End(program, "2", 100)
+	assert.ErrorIs(t, k.turn("b", "3"), turns.ErrNotOwner)
+	k.move("b")
+	assert.ErrorIs(t, k.turn("b", "3"), model.ErrBudget)
+	assert.ErrorIs(t, k.turn("a", "3"), turns.ErrNotOwner)
+}
+
+// Guards against programs that stop when the store is away, and against turns
+// without any record then.
+func TestOutageOfTheStore(t *testing.T) {
+	k := newKeepers(t)
+	assert.NilError(t, k.turn("a", "0")) // loads
+	k.owners["a"].End(program, "0", 0)
+	k.down.Store(true)
+	k.unheard.Store(true)
+	fresh := model.ProgramKey{Workspace: "office", Program: "fresh"}
+	reserve := func(id string) error {
+		ctx, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
+		defer cancel()
+		return k.owners["a"].Reserve(ctx, turn.Reservation{Program: fresh, Turn: model.RequestID(id), Budget: 300, Max: 100, Deadline: time.Now().Add(time.Minute)})
+	}
+	assert.NilError(t, reserve("1"), "the bound holds one turn without a record")
+	assert.ErrorIs(t, reserve("2"), turns.ErrNotOwner)
+	k.unheard.Store(false)
+	time.Sleep(1500 * time.Millisecond) // until the next write begins
+	assert.NilError(t, reserve("2"))
+	k.down.Store(false)
+	k.move("b")
+	time.Sleep(100 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	err := k.owners["b"].Reserve(ctx, turn.Reservation{Program: fresh, Turn: "3", Budget: 300, Max: 100, Deadline: time.Now().Add(time.Minute)})
+	assert.ErrorIs(t, err, model.ErrBudget)
+}
--- a/core/turn/ledger.go
+++ b/core/turn/ledger.go
@@ -35,8 +35,9 @@
 	// Keep is how long an idle program is remembered. A program that was
 	// stopped may come back a minute later; its record must outlast that.
 	Keep = 3 * time.Minute
-	// firstSteps is the number of turns that the first record covers at least.
-	firstSteps = 3
+	// ahead is the number of turns that a record covers beyond those that have
+	// begun: sub-agents begin several at a time.
+	ahead = 2
 	// settleGrace is what an unfinished turn may take beyond its deadline
 	// before it counts as ended with all that it reserved.
 	settleGrace = time.Second
@@ -58,10 +59,14 @@
 }
 
 type account struct {
-	budget   model.Tokens
-	spent    model.Tokens
-	open     map[model.RequestID]open
-	wanted   model.Tokens // to be recorded
+	budget model.Tokens
+	spent  model.Tokens
+	open   map[model.RequestID]open
+	step   model.Tokens // largest turn seen
+	wanted model.Tokens // to be recorded
+	// recorded is the smallest of the last record that is kept and of those
+	// whose writing has begun since: any of them may be what is found after a
+	// loss.
 	recorded model.Tokens
 	used     time.Time
 }
@@ -111,20 +116,15 @@
 	return Granted{}
 }
 
-// want asks for a record that covers need and some turns to come: half of the
-// budget at first, then all of it. It reports whether more is wanted than
-// before.
+// want asks for a record that covers need and some turns to come. It reports
+// whether more is wanted than before.
 func (a *account) want(need, step model.Tokens) bool {
-	if need+step <= a.wanted {
+	a.step = max(a.step, step)
+	if need+step <= a.wanted || a.wanted >= a.budget {
 		return false
 	}
-	next := a.budget
-	if a.wanted == 0 {
-		next = min(a.budget, max(a.budget/2, firstSteps*step, need))
-	}
-	more := next > a.wanted
-	a.wanted = max(a.wanted, next)
-	return more
+	a.wanted = min(a.budget, need+ahead*a.step)
+	return true
 }
 
 func (a *account) committed() model.Tokens {
@@ -164,7 +164,9 @@
 func (l *Ledger) Unsaved() bool { return l.unsaved }
 
 // Records returns the records of all programs that need one, and forgets
-// programs that were idle for Keep.
+// programs that were idle for Keep. A record may allow less than the one before,
+// because turns seldom generate all that they reserved. The caller writes the
+// records, and reports the end of the write with Saved or NotSaved.
 func (l *Ledger) Records(now time.Time) []Record {
 	list := make([]Record, 0, len(l.accounts))
 	l.unsaved = false
@@ -174,18 +176,21 @@
 			delete(l.accounts, key)
 			continue
 		}
-		if a.wanted > 0 {
-			list = append(list, Record{Program: key, Allowed: a.wanted, Used: a.used})
+		if a.wanted == 0 {
+			continue
 		}
+		a.wanted = max(a.committed(), min(a.budget, a.committed()+ahead*a.step))
+		a.recorded = min(a.recorded, a.wanted)
+		list = append(list, Record{Program: key, Allowed: a.wanted, Used: a.used})
 	}
 	return list
 }
 
-// Saved notes that records are kept outside the process.
+// Saved notes that the latest records are kept outside the process.
 func (l *Ledger) Saved(list []Record) {
 	for _, r := range list {
 		if a := l.accounts[r.Program]; a != nil {
-			a.recorded = max(a.recorded, r.Allowed)
+			a.recorded = r.Allowed
 		}
 	}
 }
@@ -204,6 +209,7 @@
 	a.spent = max(a.spent, r.Allowed)
 	a.wanted = max(a.wanted, r.Allowed)
 	a.recorded = max(a.recorded, r.Allowed)
+	a.budget = max(a.budget, r.Allowed)
 }
 
 // Release gives up a program that another process counts from now on. Its
--- a/core/turn/ledger_test.go
+++ b/core/turn/ledger_test.go
@@ -119,8 +119,16 @@
 					running = append(running, id)
 				}
 			case 2:
-				for _, r := range save(l, start) {
-					stored[r.Program] = r
+				// The write may take effect or not, and its answer may be lost.
+				list := l.Records(start)
+				landed := random.IntN(4) > 0
+				if landed {
+					for _, r := range list {
+						stored[r.Program] = r
+					}
+				}
+				if landed && random.IntN(3) > 0 {
+					l.Saved(list)
 				}
 			case 3:
 				if len(running) > 0 {
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -290,3 +290,13 @@
 func (c *Client) EndTurn(ctx context.Context, address string, request *peerpb.EndTurnRequest) (*peerpb.EndTurnResponse, error) {
 	return unary(ctx, c, poolKey{address, general}, request, peerpb.DRPCPeerClient.EndTurn)
 }
+
+// KeepBudgets sends a copy of budget records.
+func (c *Client) KeepBudgets(ctx context.Context, address string, page *peerpb.BudgetPage) (*peerpb.KeepBudgetsResponse, error) {
+	return unary(ctx, c, poolKey{address, general}, page, peerpb.DRPCPeerClient.KeepBudgets)
+}
+
+// FetchBudgets asks for copies of budget records.
+func (c *Client) FetchBudgets(ctx context.Context, address string, request *peerpb.FetchBudgetsRequest) (*peerpb.FetchBudgetsResponse, error) {
+	return unary(ctx, c, poolKey{address, general}, request, peerpb.DRPCPeerClient.FetchBudgets)
+}
