--- a/app/catalog/catalog.go
+++ b/app/catalog/catalog.go
@@ -259,8 +259,13 @@
 	return s.options.Clock.Since(s.asked)
 }
 
-// staleRetry is the advice to callers while there is no fresh evidence.
-const staleRetry = 300 * time.Millisecond
+// Advice to callers. A host that just started knows the configuration within a
+// moment. An outage of the store lasts for seconds: callers that come back
+// sooner use up their attempts before it is over.
+const (
+	unknownRetry = 300 * time.Millisecond
+	staleRetry   = 1200 * time.Millisecond
+)
 
 // View returns the configuration in force. It fails with a *model.Refusal if
 // there is no evidence of it that is young enough.
@@ -268,7 +273,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.view == nil {
-		return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "the configuration is not known yet").Retry(staleRetry)
+		return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "the configuration is not known yet").Retry(unknownRetry)
 	}
 	if age := s.age(); age > s.options.Lifetime {
 		return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "the store last confirmed configuration %d %v ago", s.view.Revision(), age).Retry(staleRetry)
--- a/app/limits/limits.go
+++ b/app/limits/limits.go
@@ -200,6 +200,10 @@
 	}
 }
 
+// rightRetry is the advice to callers of a host that still may not act after
+// SettleWait: it joins again within about a second.
+const rightRetry = 800 * time.Millisecond
+
 // rightPause is the time between two looks at the right to act.
 const rightPause = 25 * time.Millisecond
 
@@ -207,8 +211,11 @@
 func (s *Service) awaitRight(ctx context.Context) error {
 	start := s.options.Clock.Now()
 	for !s.options.MayAct() {
-		if s.options.Clock.Since(start) >= s.options.SettleWait {
+		switch waited := s.options.Clock.Since(start); {
+		case s.options.SettleWait == 0:
 			return noRight()
+		case waited >= s.options.SettleWait:
+			return noRight().Retry(rightRetry)
 		}
 		select {
 		case <-ctx.Done():
@@ -232,7 +239,7 @@
 	return s.options.LimitWait
 }
 
-func noRight() error {
+func noRight() *model.Refusal {
 	return model.NewRefusal(model.ErrNoRight, model.RanNo, "host has neither a lease nor a quorum")
 }
 
--- a/app/turns/client.go
+++ b/app/turns/client.go
@@ -46,7 +46,7 @@
 	// askTimeout bounds one question. An owner waits for its record that long.
 	askTimeout = 900 * time.Millisecond
 	// reserveRetry is the advice to callers whose program has no owner.
-	reserveRetry = 300 * time.Millisecond
+	reserveRetry = 800 * time.Millisecond
 	// endTries bounds the reports of an ended turn. A turn whose end is not
 	// reported counts in full.
 	endTries = 3
