--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -96,6 +96,8 @@
 	renewEvery   = 500 * time.Millisecond
 	renewTimeout = 500 * time.Millisecond
 	goneSteady   = 300 * time.Millisecond
+	// watchPause lets one watch return the entry reports of several hosts.
+	watchPause = 40 * time.Millisecond
 	// A process enters its first epoch wordTTL + leaseMargin after its start,
 	// when every confirmation of its predecessor has expired.
 	heartbeatEvery = 300 * time.Millisecond
@@ -175,7 +177,7 @@
 		ConfigRevision: h.revision,
 		Logger:         o.Log, Scope: h.metrics.Scope,
 		LeaseTTL: leaseTTL, Margin: leaseMargin, RenewEvery: renewEvery, RenewTimeout: renewTimeout, GoneSteady: goneSteady,
-		HeartbeatEvery: heartbeatEvery, WordTTL: wordTTL,
+		HeartbeatEvery: heartbeatEvery, WordTTL: wordTTL, WatchPause: watchPause,
 	})
 	h.limits = limits.New(limits.Options{
 		Host: o.Host, Clock: o.Clock, Store: control, Peers: h.peers, MayAct: h.fleet.MayAct, LimitWait: limitWait,
@@ -261,7 +263,7 @@
 	if err := h.start(work, failed); err != nil {
 		return err
 	}
-	h.log.Info("host started", "zone", h.options.Zone, "caller", h.options.CallerAddress, "incarnation", h.fleet.Self().Incarnation)
+	h.log.Info("host started", "host", h.options.Host, "zone", h.options.Zone, "caller", h.options.CallerAddress, "incarnation", h.fleet.Self().Incarnation)
 	var err error
 	select {
 	case <-ctx.Done():
--- a/app/fleet/control.go
+++ b/app/fleet/control.go
@@ -37,6 +37,9 @@
 		}
 		since = version
 		s.observe(entries)
+		if s.options.WatchPause > 0 {
+			s.sleep(ctx, s.options.WatchPause)
+		}
 	}
 }
 
--- a/app/fleet/service.go
+++ b/app/fleet/service.go
@@ -71,6 +71,9 @@
 	// WatchWait bounds one blocking query (2 s), so that a connection that
 	// went silent delays a change by about 3 s at most.
 	WatchWait time.Duration
+	// WatchPause is the time between two blocking queries (0). Changes come in
+	// groups, one of each host, and a query that waits returns for each.
+	WatchPause time.Duration
 	// Tick is the period of the control loop (250 ms).
 	Tick time.Duration
 }
--- a/cmd/managed.go
+++ b/cmd/managed.go
@@ -39,7 +39,7 @@
 	debug.SetMemoryLimit(int64(float64(boot.Memory) * memoryShare))
 	sink := logsink.New(logs, logsink.Options{})
 	defer sink.Close()
-	log := slog.New(slog.NewTextHandler(sink, nil)).With("host", boot.Host)
+	log := slog.New(slog.NewTextHandler(sink, nil))
 	defer watchSettings(boot, log)()
 	client, err := platform.NewStoreClient(boot.StoreAddress, storeTimeout)
 	if err != nil {
