--- a/app/turns/owner.go
+++ b/app/turns/owner.go
@@ -46,15 +46,19 @@
 	Copies  Copies
 	Clock   clockwork.Clock
 	Log     *slog.Logger
-	// FlushEvery is the time between two writes of records; 0 means 250 ms,
-	// less than a turn takes.
+	// FlushEvery is the time between two writes of records that no turn waits
+	// for; 0 means 500 ms, in which few programs use up what is recorded.
 	FlushEvery time.Duration
+	// FlushPause is the time between two writes that turns wait for; 0 means
+	// 50 ms.
+	FlushPause time.Duration
 	// RecordWait is how long a turn waits for its record; 0 means 800 ms.
 	RecordWait time.Duration
 }
 
 const (
-	defaultFlushEvery = 250 * time.Millisecond
+	defaultFlushEvery = 500 * time.Millisecond
+	defaultFlushPause = 50 * time.Millisecond
 	defaultRecordWait = 800 * time.Millisecond
 	// storeTimeout bounds one call of the store.
 	storeTimeout = time.Second
@@ -68,6 +72,7 @@
 type Owner struct {
 	options OwnerOptions
 	kick    chan struct{} // a record is wanted
+	urge    chan struct{} // a turn waits for a record
 
 	mu     sync.Mutex
 	ledger *turn.Ledger
@@ -89,10 +94,13 @@
 	if o.FlushEvery == 0 {
 		o.FlushEvery = defaultFlushEvery
 	}
+	if o.FlushPause == 0 {
+		o.FlushPause = defaultFlushPause
+	}
 	if o.RecordWait == 0 {
 		o.RecordWait = defaultRecordWait
 	}
-	return &Owner{options: o, ledger: turn.NewLedger(), kick: make(chan struct{}, 1), saved: make(chan struct{}), copies: map[model.HostID]*peerpb.BudgetPage{}}
+	return &Owner{options: o, ledger: turn.NewLedger(), kick: make(chan struct{}, 1), urge: make(chan struct{}, 1), saved: make(chan struct{}), copies: map[model.HostID]*peerpb.BudgetPage{}}
 }
 
 // pageEntry is the record of one program in a page.
@@ -112,29 +120,41 @@
 
 // Run loads and writes records until ctx ends.
 func (o *Owner) Run(ctx context.Context) error {
-	tick := o.options.Clock.NewTicker(o.options.FlushEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-o.kick:
-		}
+	for o.await(ctx) {
 		if err := o.work(ctx); err != nil && ctx.Err() == nil {
 			o.options.Log.Warn("records of program budgets not written", "error", err)
-			o.wakeUp()
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.Chan():
+			wake(o.kick)
 		}
 	}
+	return nil
+}
+
+// await returns when records are to be written, and reports false if ctx ended.
+func (o *Owner) await(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-o.options.Clock.After(o.options.FlushPause):
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-o.urge:
+		return true
+	case <-o.kick:
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-o.urge:
+	case <-o.options.Clock.After(o.options.FlushEvery - o.options.FlushPause):
+	}
+	return true
 }
 
-func (o *Owner) wakeUp() {
+func wake(c chan struct{}) {
 	select {
-	case o.kick <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -407,7 +427,7 @@
 	if !same {
 		o.read = false
 	}
-	o.wakeUp()
+	wake(o.urge) // to read the records of shards that were gained
 }
 
 // ErrNotOwner reports a program that this host does not own now.
@@ -430,7 +450,7 @@
 		if saved == nil {
 			return ErrNotOwner
 		}
-		o.wakeUp()
+		wake(o.urge)
 		select {
 		case <-ctx.Done():
 			return fmt.Errorf("%w: %w", ErrNotOwner, ctx.Err())
@@ -457,7 +477,7 @@
 		return nil, o.saved
 	}
 	if o.ledger.Unsaved() {
-		o.wakeUp()
+		wake(o.kick)
 	}
 	return d, nil
 }
