app/entry: a host that does not reach the store sends callers elsewhere

Such a host leaves itself out of its answer, and gives none once it cannot serve, so that callers ask the next one.

--- a/app/entry/adapters.go
+++ b/app/entry/adapters.go
@@ -36,11 +36,19 @@
 	return list
 }
 
-// addresses lists the hosts for callers of a zone, in random order.
+// addresses lists the hosts for callers of a zone, in random order. It is empty
+// on a host that is cut off: its list may be old and it cannot serve itself, so
+// that callers had better ask another host.
 func (h *Host) addresses(string) []string {
+	if _, err := h.catalog.View(); err != nil || !h.fleet.MayAct() {
+		return nil
+	}
+	// A host that does not reach the store leaves itself out at once, before it
+	// is removed. During an outage for all, the others still list it.
+	self := !h.draining.Load() && !h.fleet.StoreAway()
 	var list []string
 	for _, m := range h.fleet.View().Members {
-		if m.Leaving || m.CallerAddress == "" || m.Host == h.options.Host && h.draining.Load() {
+		if m.Leaving || m.CallerAddress == "" || m.Host == h.options.Host && !self {
 			continue
 		}
 		list = append(list, m.CallerAddress)
--- a/core/turn/ledger_test.go
+++ b/core/turn/ledger_test.go
@@ -26,10 +26,8 @@
 	return turn.Reservation{Program: key, Turn: model.RequestID(id), Budget: budget, Max: most, Deadline: start.Add(4 * time.Second)}
 }
 
-func save(l *turn.Ledger, now time.Time) []turn.Record {
-	list := l.Records(now)
-	l.Saved(list)
-	return list
+func save(l *turn.Ledger) {
+	l.Saved(l.Records(start))
 }
 
 // Guards against a turn that runs beyond the budget, and against one that is
@@ -52,7 +50,7 @@
 			for i, used := range c.used {
 				id := fmt.Sprint("turn-", i)
 				assert.Equal(t, l.Reserve(start, reservation(id, c.budget)), turn.Granted{})
-				save(l, start)
+				save(l)
 				l.End(start, key, model.RequestID(id), used)
 			}
 			assert.Equal(t, l.Reserve(start, reservation("last", c.budget)), c.want)
@@ -68,7 +66,7 @@
 	assert.Equal(t, l.Reserve(start, reservation("a", 1000)), turn.Granted{})
 	assert.Equal(t, l.Reserve(start, reservation("b", 1000)), turn.Unrecorded{})
 	assert.Assert(t, l.Unsaved())
-	save(l, start)
+	save(l)
 	assert.Equal(t, l.Reserve(start, reservation("b", 1000)), turn.Granted{})
 }
 
@@ -76,7 +74,7 @@
 func TestUnreportedTurnCountsInFull(t *testing.T) {
 	l := turn.NewLedger()
 	assert.Equal(t, l.Reserve(start, reservation("a", 200)), turn.Granted{})
-	save(l, start)
+	save(l)
 	later := start.Add(6 * time.Second)
 	assert.Equal(t, l.Reserve(later, reservation("b", 200)), turn.Granted{})
 	assert.Equal(t, l.Reserve(later, reservation("c", 200)), turn.Exhausted{})
@@ -90,7 +88,7 @@
 func TestReleasedProgramKeepsItsRecord(t *testing.T) {
 	l := turn.NewLedger()
 	assert.Equal(t, l.Reserve(start, reservation("a", 300)), turn.Granted{})
-	save(l, start)
+	save(l)
 	l.Release(key)
 	next := turn.NewLedger()
 	for _, r := range l.Records(start) {
