app/entry: keepers start no placement; the directory takes no zone

Found on the last read: keepers ran the placement loop without placing anything, the zone of a directory request had no effect, and the bound of tasks that report a failure was below their number.

--- a/app/entry/adapters.go
+++ b/app/entry/adapters.go
@@ -4,14 +4,13 @@
 	"context"
 	"math/rand/v2"
 
+	"mimosarelay/app/placement"
 	"mimosarelay/app/relay"
 	"mimosarelay/core/config"
 	"mimosarelay/core/model"
 	coreplacement "mimosarelay/core/placement"
 	"mimosarelay/io/peer"
 	"mimosarelay/io/peer/peerpb"
-
-	"mimosarelay/app/placement"
 )
 
 // emptySnapshot stands for the configuration before it is known.
@@ -36,10 +35,10 @@
 	return list
 }
 
-// addresses lists the hosts for callers of a zone, in random order. It is empty
-// on a host that is cut off: its list may be old and it cannot serve itself, so
-// that callers had better ask another host.
-func (h *Host) addresses(string) []string {
+// addresses lists the hosts for callers, in random order. It is empty on a host
+// that is cut off: its list may be old and it cannot serve itself, so that
+// callers had better ask another host.
+func (h *Host) addresses() []string {
 	if _, err := h.catalog.View(); err != nil || !h.fleet.MayAct() {
 		return nil
 	}
--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -59,7 +59,7 @@
 	Dialect  Dialect
 	// Directory answers callers that ask where to connect, and Readiness the
 	// deployment's checks.
-	Directory func(addresses func(zone string) []string, ttl time.Duration) fasthttp.RequestHandler
+	Directory func(addresses func() []string, ttl time.Duration) fasthttp.RequestHandler
 	Readiness func(ready func() (bool, string)) fasthttp.RequestHandler
 	// Evacuations is asked by keepers, whose machines have a disk.
 	Evacuations Evacuations
@@ -259,7 +259,7 @@
 func (h *Host) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	failed := make(chan error, 8) // one for each task
+	failed := make(chan error, maxTasks)
 	if err := h.start(work, failed); err != nil {
 		return err
 	}
@@ -279,6 +279,9 @@
 	return err
 }
 
+// maxTasks bounds the background tasks that can report a failure.
+const maxTasks = 16
+
 func (h *Host) start(ctx context.Context, failed chan<- error) error {
 	run := func(name string, f func() error) {
 		h.work.Go(func() {
@@ -312,11 +315,11 @@
 	}
 	if h.options.CallerAddress != "" {
 		run("catalog", func() error { return h.catalog.Run(ctx) })
+		run("placement", func() error { return h.placement.Run(ctx) })
 	}
 	if h.options.Keeper && h.options.Evacuations != nil {
 		run("evacuation", func() error { return h.evacuate(ctx) })
 	}
-	run("placement", func() error { return h.placement.Run(ctx) })
 	run("budgets", func() error { return h.turnOwner.Run(ctx) })
 	run("fleet", func() error { return h.fleet.Run(ctx) })
 	return nil
--- a/cmd/managed.go
+++ b/cmd/managed.go
@@ -50,7 +50,7 @@
 		Host: boot.Host, Zone: boot.Zone, PeerAddress: boot.PeerAddress, MetricsAddress: boot.MetricsAddress,
 		CallerAddress: boot.CallerAddress, ReadyAddress: boot.ReadyAddress, DirectoryAddress: boot.DirectoryAddress,
 		Keyspace: client.Keyspace, Source: client, Dialect: platform.Dialect{},
-		Directory: func(addresses func(string) []string, ttl time.Duration) fasthttp.RequestHandler {
+		Directory: func(addresses func() []string, ttl time.Duration) fasthttp.RequestHandler {
 			return platform.Directory{Addresses: addresses, TTL: min(ttl, boot.Bounds.DirectoryTTL)}.Handle
 		},
 		Readiness:   func(ready func() (bool, string)) fasthttp.RequestHandler { return platform.Readiness(ready).Handle },
