core/member: a restarted host reports its entry as soon as nobody can hold its word

Ruled out: a shorter validity of confirmations (hosts would lose their right in outages with slow peers); skipping the wait in general (TestRestartOfConfirmingHost then finds two hosts that act for one shard).

Before: TestRestartOfAllHosts failed (not settled within 300 ms).

--- a/app/fleet/control.go
+++ b/app/fleet/control.go
@@ -161,7 +161,7 @@
 	s.mu.Lock()
 	epoch, self := s.record.Epoch, s.self
 	due := epoch > s.reported && !s.stopped && !s.right.Away() &&
-		s.record.Has(self.Host, self.Incarnation) && !now.Before(s.right.EntryAt())
+		s.record.Has(self.Host, self.Incarnation) && !now.Before(s.right.EntryAt(s.enteredLocked))
 	s.mu.Unlock()
 	if !due {
 		return nil
--- a/app/fleet/fleet_test.go
+++ b/app/fleet/fleet_test.go
@@ -609,6 +609,52 @@
 	})
 }
 
+// Guards against shards that are granted anew while their removed owner may still
+// act, on a confirmation that a process gave just before it was restarted.
+func TestRestartOfConfirmingHost(t *testing.T) {
+	run(t, 5, func(t *testing.T, c *cluster) {
+		// Three of five hosts confirm each other without the store; the others
+		// remove as many of them as leaves a majority.
+		owner, confirming := c.hosts[0], c.hosts[4]
+		for _, h := range []*host{owner, c.hosts[3], confirming} {
+			h.client.SetCut(true)
+		}
+		c.pass(bound)
+		assert.Assert(t, owner.MayAct() && !c.hosts[1].View().Has("h0", owner.Self().Incarnation))
+		c.stop(confirming)
+		synctest.Wait()
+		assert.Assert(t, owner.MayAct())
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		c.add(ctx, "h4", "z1")
+		c.passInSteps(4*time.Second, 10*time.Millisecond)
+		assert.Assert(t, !owner.MayAct())
+		for _, h := range []*host{owner, c.hosts[3]} {
+			h.client.SetCut(false)
+		}
+		c.pass(bound)
+		c.settled("h0", "h1", "h2", "h3", "h4")
+	})
+}
+
+// Guards against a fleet that waits for confirmations of processes that are all
+// gone: after a power failure nobody is served until the epoch is settled.
+func TestRestartOfAllHosts(t *testing.T) {
+	run(t, 5, func(t *testing.T, c *cluster) {
+		for _, h := range c.hosts {
+			c.stop(h)
+		}
+		c.pass(4 * time.Second) // the leases of the dead lapse
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		for i := range 5 {
+			c.add(ctx, fmt.Sprintf("h%d", i), fmt.Sprintf("z%d", i%3))
+		}
+		c.passInSteps(300*time.Millisecond, 10*time.Millisecond)
+		c.settled("h0", "h1", "h2", "h3", "h4")
+	})
+}
+
 // Guards against a restarted host that is kept out, or that leaves its old
 // incarnation behind.
 func TestRestart(t *testing.T) {
--- a/app/fleet/lease.go
+++ b/app/fleet/lease.go
@@ -95,6 +95,7 @@
 	}
 	self, again := s.self, s.joinEpoch > 0
 	s.mu.Unlock()
+	var before *member.Record // the record that this host joined
 	record, err := s.change(ctx, func(r member.Record) (member.Record, error) {
 		switch {
 		case r.Has(self.Host, self.Incarnation):
@@ -102,6 +103,7 @@
 		case again || s.mayHaveJoined():
 			return r, errRemoved
 		}
+		before = &r
 		return r.Join(self)
 	})
 	s.noteReached(err)
@@ -120,6 +122,9 @@
 	defer s.mu.Unlock()
 	if !again {
 		s.joinEpoch = record.Epoch
+		if before != nil {
+			s.right.Joined(*before, record.Epoch)
+		}
 	}
 	s.attached = true
 	s.right.Renewed(s.renewed)
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -120,7 +120,61 @@
 	assert.Assert(t, w.MayAct(at(3999)))
 	assert.Assert(t, !w.MayAct(at(4000)))
 	w.Answer(at(5000))
-	assert.Equal(t, w.EntryAt(), at(7000))
+	assert.Equal(t, w.EntryAt(func(member.Member) model.Epoch { return r.Epoch }), at(7000))
+}
+
+// Guards against a restarted host that reports its entry while a process may
+// still act on a confirmation of its previous process, and against one that
+// waits for such confirmations though nobody can hold them.
+func TestEntryAfterRestart(t *testing.T) {
+	start := time.Unix(100, 0)
+	wait := start.Add(times.WordTTL + times.Margin)
+	old := fleet(t, 3)
+	again := func(r member.Record, i int) (member.Record, member.Member) {
+		m := host(i)
+		m.Incarnation = model.Incarnation(fmt.Sprintf("h%d-2", i))
+		next, err := r.Join(m)
+		assert.NilError(t, err)
+		return next, m
+	}
+	joined, self := again(old, 0)
+	all, _ := again(joined, 1)
+	all, _ = again(all, 2)
+	without, err := joined.RemoveLapsed("h2")
+	assert.NilError(t, err)
+	lapsed, err := old.RemoveLapsed("h2")
+	assert.NilError(t, err)
+	afterLapse, _ := again(lapsed, 0)
+	for name, c := range map[string]struct {
+		before, now member.Record
+		joined      bool
+		entered     map[model.HostID]model.Epoch
+		waits       bool
+	}{
+		"join not known":            {before: old, now: joined, waits: true},
+		"others did not enter":      {before: old, now: joined, joined: true, waits: true},
+		"one did not enter":         {before: old, now: joined, joined: true, entered: map[model.HostID]model.Epoch{"h1": joined.Epoch}, waits: true},
+		"one entered before":        {before: old, now: joined, joined: true, entered: map[model.HostID]model.Epoch{"h1": joined.Epoch, "h2": old.Epoch}, waits: true},
+		"all entered":               {before: old, now: joined, joined: true, entered: map[model.HostID]model.Epoch{"h1": joined.Epoch, "h2": joined.Epoch}},
+		"all others restarted":      {before: old, now: all, joined: true},
+		"removed after the join":    {before: old, now: without, joined: true, entered: map[model.HostID]model.Epoch{"h1": without.Epoch}, waits: true},
+		"removed before the join":   {before: lapsed, now: afterLapse, joined: true, entered: map[model.HostID]model.Epoch{"h1": afterLapse.Epoch}, waits: true},
+		"first member of the fleet": {now: fleet(t, 1), joined: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := member.NewRight(times, self, start)
+			if c.joined {
+				w.Joined(c.before, c.before.Epoch+1)
+			}
+			w.Enter(c.now)
+			at := w.EntryAt(func(m member.Member) model.Epoch { return c.entered[m.Host] })
+			assert.Equal(t, at.Equal(wait), c.waits, "%v", at)
+			assert.Assert(t, c.waits || !at.After(start), "%v", at)
+			w.SetAway(true)
+			w.Answer(start.Add(time.Second))
+			assert.Equal(t, w.EntryAt(func(member.Member) model.Epoch { return c.now.Epoch }), wait.Add(time.Second))
+		})
+	}
 }
 
 // Guards against a fleet that never forms again after all its processes were
--- a/core/member/model_test.go
+++ b/core/member/model_test.go
@@ -63,7 +63,7 @@
 		n.right.Enter(n.seen)
 		n.tenure.Enter(n.seen)
 	}
-	if !w.now.Before(n.right.EntryAt()) {
+	if !w.now.Before(n.right.EntryAt(w.reported)) {
 		w.reports[n.self.Host] = report{n.self.Incarnation, n.seen.Epoch}
 	}
 	lowest, exact := n.seen.Entered(w.reported)
@@ -103,12 +103,23 @@
 		if err != nil {
 			return
 		}
+		n.right.Joined(w.record, next.Epoch)
 		w.record = next
 	}
 	n.attached = true
 	n.right.Renewed(w.now)
 }
 
+// restart replaces the process of a host by a new one.
+func (w *world) restart(n *node) {
+	n.right = member.NewRight(times, n.self, w.now)
+	n.tenure = member.NewTenure(n.self.Host)
+	n.seen, n.attached, n.paused = member.Record{}, false, false
+	n.starts++
+	n.self.Incarnation = model.Incarnation(fmt.Sprintf("%s-%d", n.self.Host, n.starts))
+	n.right.Rename(n.self)
+}
+
 // beat exchanges a heartbeat; its answer counts from when it was sent.
 func (w *world) beat(from, to *node, sent time.Time) {
 	if from.deaf || to.deaf || to.paused {
@@ -147,7 +158,7 @@
 }
 
 // Guards against two hosts that may act for one shard in different epochs,
-// under pauses, lost heartbeats, slow watches, cuts and store outages.
+// under pauses, restarts, lost heartbeats, slow watches, cuts and store outages.
 func TestNoTwoOwnersMayAct(t *testing.T) {
 	acted := 0
 	rapid.Check(t, func(t *rapid.T) {
@@ -170,6 +181,9 @@
 						*flag = !*flag
 					}
 				}
+				if chance(60) {
+					w.restart(n)
+				}
 				if !n.paused {
 					w.act(n, chance(2))
 				}
--- a/core/member/right.go
+++ b/core/member/right.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"time"
 
 	"mimosarelay/core/model"
@@ -29,15 +30,44 @@
 	// confirmed holds when the heartbeat was sent that a member answered with
 	// this epoch and StoreAway.
 	confirmed map[model.Incarnation]time.Time
-	// lastAway is when this host last answered StoreAway.
+	// lastAway is when this process last answered StoreAway.
 	lastAway time.Time
+	// started is when this process started. The previous process of this host
+	// may have answered StoreAway just before.
+	started time.Time
+	// joined is the epoch in which this process joined first; 0 before.
+	joined model.Epoch
+	// holders may act on an answer of the previous process.
+	holders []Member
+	// lost says that such a process may exist that is no member any more.
+	lost bool
 }
 
-// NewRight returns the state of a process that started at start. The start
-// counts as an answer of StoreAway, because the previous process of this host
-// may have given one just before.
+// NewRight returns the state of a process that started at start.
 func NewRight(t Times, self Member, start time.Time) *Right {
-	return &Right{times: t, self: self, lastAway: start, confirmed: map[model.Incarnation]time.Time{}}
+	return &Right{times: t, self: self, started: start, confirmed: map[model.Incarnation]time.Time{}}
+}
+
+// Joined notes that this process joined the record before in the given epoch.
+// Only the first call counts.
+func (r *Right) Joined(before Record, e model.Epoch) {
+	if r.joined > 0 {
+		return
+	}
+	r.joined = e
+	replaced := before.Replaces(r.self)
+	known := map[model.Incarnation]bool{}
+	for _, m := range before.Members {
+		known[m.Incarnation] = true
+		if !slices.Contains(replaced, m) {
+			r.holders = append(r.holders, m)
+		}
+	}
+	for _, p := range before.Past {
+		for _, in := range p.Alive {
+			r.lost = r.lost || !known[in]
+		}
+	}
 }
 
 // Enter moves to a record. Confirmations of other epochs end.
@@ -93,8 +123,35 @@
 }
 
 // EntryAt returns the earliest time at which an entry report may be written:
-// every confirmation that this host gave in an earlier epoch has expired.
-func (r *Right) EntryAt() time.Time { return r.lastAway.Add(r.times.WordTTL + r.times.Margin) }
+// every confirmation that this host gave in an earlier epoch has expired. Those
+// of its previous process end sooner if all processes that may act on them have
+// entered the epoch in which this one joined, as entered tells, or were replaced.
+func (r *Right) EntryAt(entered func(Member) model.Epoch) time.Time {
+	last := r.lastAway
+	if r.started.After(last) && r.mayBeHeld(entered) {
+		last = r.started
+	}
+	if last.IsZero() {
+		return last
+	}
+	return last.Add(r.times.WordTTL + r.times.Margin)
+}
+
+// mayBeHeld tells whether a process may act on a confirmation that the previous
+// process of this host gave.
+func (r *Right) mayBeHeld(entered func(Member) model.Epoch) bool {
+	if r.joined == 0 || r.lost || r.record.Epoch < r.joined {
+		return true
+	}
+	return slices.ContainsFunc(r.holders, func(h Member) bool {
+		i := slices.IndexFunc(r.record.Members, func(m Member) bool { return m.PeerAddress == h.PeerAddress })
+		if i < 0 {
+			return true // removed without a proof that its process is gone
+		}
+		m := r.record.Members[i]
+		return m.Incarnation == h.Incarnation && entered(m) < r.joined
+	})
+}
 
 // MayAct tells whether the host may act at now.
 func (r *Right) MayAct(now time.Time) bool {
