app/fleet: a lapsed host is removed sooner after an outage of the store

The store gave its lease the full 2 s again when it came back, and hosts then waited 2 s more, because the store had been away lately. For 3.6 s after the outage a third of the programs had no owner (1,477 times "host does not own the program"). The reason for the wait is that live hosts must acquire their leases again, so it now begins with the end of the outage, not with the end of the lease; and it is 1.2 s where renewals come every 0.5 s with a bound of 0.5 s, instead of 2 s.

Ruled out: removing silent peers at once (TestOutageWhileCutFromPeers: a host cut off from its peers may be about to renew).

--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -96,6 +96,9 @@
 	renewEvery   = 500 * time.Millisecond
 	renewTimeout = 500 * time.Millisecond
 	goneSteady   = 300 * time.Millisecond
+	// goneAfter covers a renewal that just failed, renewEvery until the next one
+	// and the calls that acquire a lease.
+	goneAfter = renewEvery + renewTimeout + 200*time.Millisecond
 	// watchPause lets one watch return the entry reports of several hosts.
 	watchPause = 40 * time.Millisecond
 	// A process enters its first epoch wordTTL + leaseMargin after its start,
@@ -176,7 +179,8 @@
 		Holdings:       func(e model.Epoch) map[model.WorkspaceID]int64 { return h.limits.Holdings(e) },
 		ConfigRevision: h.revision,
 		Logger:         o.Log, Scope: h.metrics.Scope,
-		LeaseTTL: leaseTTL, Margin: leaseMargin, RenewEvery: renewEvery, RenewTimeout: renewTimeout, GoneSteady: goneSteady,
+		LeaseTTL: leaseTTL, Margin: leaseMargin, RenewEvery: renewEvery, RenewTimeout: renewTimeout,
+		GoneAfter: goneAfter, GoneSteady: goneSteady,
 		HeartbeatEvery: heartbeatEvery, WordTTL: wordTTL, WatchPause: watchPause,
 	})
 	h.limits = limits.New(limits.Options{
--- a/app/fleet/control.go
+++ b/app/fleet/control.go
@@ -213,13 +213,9 @@
 			s.missing[m.Incarnation] = now
 		}
 	}
-	wait := s.options.GoneAfter
-	if now.Sub(s.awayAt) > s.options.LeaseTTL+s.options.GoneAfter {
-		wait = s.options.GoneSteady
-	}
-	wait += time.Duration(min(rank, maxTurns)) * turn
+	turns := time.Duration(min(rank, maxTurns)) * turn
 	for _, m := range s.record.Members {
-		if first, ok := s.missing[m.Incarnation]; ok && now.Sub(first) >= wait {
+		if first, ok := s.missing[m.Incarnation]; ok && now.Sub(first) >= s.options.GoneSteady+turns && now.Sub(s.awayAt) >= s.options.GoneAfter+turns {
 			out = append(out, m)
 		}
 	}
--- a/app/fleet/fleet_test.go
+++ b/app/fleet/fleet_test.go
@@ -106,6 +106,8 @@
 	wg     sync.WaitGroup
 	mu     sync.Mutex
 	cut    map[[2]string]bool // from, to
+	// goneSteady is an option of all hosts; 0 means the default.
+	goneSteady time.Duration
 }
 
 type port struct {
@@ -144,6 +146,7 @@
 		Self:           member.Member{Host: h.name, Zone: model.Zone(zone), PeerAddress: name, CallerAddress: name},
 		Holdings:       func(model.Epoch) map[model.WorkspaceID]int64 { return map[model.WorkspaceID]int64{"w": 1} },
 		ConfigRevision: func() model.Revision { return 7 },
+		GoneSteady:     c.goneSteady,
 	})
 	ctx, h.kill = context.WithCancel(ctx)
 	c.mu.Lock()
@@ -220,11 +223,16 @@
 // run starts n hosts in three zones inside a bubble of fake time and waits until
 // they are settled.
 func run(t *testing.T, n int, f func(t *testing.T, c *cluster)) {
+	t.Helper()
+	runWith(t, n, 0, f)
+}
+
+func runWith(t *testing.T, n int, goneSteady time.Duration, f func(t *testing.T, c *cluster)) {
 	t.Helper()
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		c := &cluster{t: t, shards: 16, store: memstore.New(clockwork.NewRealClock()), cut: map[[2]string]bool{}}
+		c := &cluster{t: t, shards: 16, store: memstore.New(clockwork.NewRealClock()), cut: map[[2]string]bool{}, goneSteady: goneSteady}
 		defer c.wg.Wait()
 		defer cancel()
 		var names []model.HostID
@@ -253,6 +261,21 @@
 	})
 }
 
+// Guards against a host killed in an outage whose shards stay without an owner
+// for longer after the outage than the others need to acquire their leases.
+func TestKilledInShortOutage(t *testing.T) {
+	runWith(t, 5, 300*time.Millisecond, func(_ *testing.T, c *cluster) {
+		c.store.SetDown(true)
+		c.pass(500 * time.Millisecond)
+		c.stop(c.hosts[1])
+		c.pass(time.Second)
+		c.store.SetDown(false)
+		// GoneAfter, and the time in which a second host would write the change.
+		c.pass(2*time.Second + 500*time.Millisecond)
+		c.settled("h0", "h2", "h3", "h4")
+	})
+}
+
 // Guards against two faults at once that stop the rest of the fleet, and
 // against a removal without a majority.
 func TestTwoAndThreeOfFiveKilled(t *testing.T) {
--- a/app/fleet/service.go
+++ b/app/fleet/service.go
@@ -60,13 +60,12 @@
 	RenewTimeout time.Duration
 	// CallTimeout bounds any other call of the store (1 s).
 	CallTimeout time.Duration
-	// GoneAfter is how long a lease must be missing before its host is removed
-	// (2 s): after an outage of the store every lease has lapsed, and hosts
-	// need up to RenewEvery + CallTimeout to acquire theirs again.
+	// GoneAfter is how long the store must have answered this host before a host
+	// whose lease is missing is removed (2 s): after an outage every lease has
+	// lapsed, and hosts need up to RenewEvery + CallTimeout to acquire theirs
+	// again.
 	GoneAfter time.Duration
-	// GoneSteady replaces GoneAfter while this host has reached the store for
-	// longer than LeaseTTL + GoneAfter (GoneAfter): a lease that is missing
-	// then has lapsed for no other host's sake.
+	// GoneSteady is how long the lease must be missing (GoneAfter).
 	GoneSteady time.Duration
 	// WatchWait bounds one blocking query (2 s), so that a connection that
 	// went silent delays a change by about 3 s at most.
