app/fleet: a host that is cut off knows it, and sends its callers elsewhere

A host whose heartbeats most members have not answered for 700 ms now counts as isolated: it asks an owner once, for 100 ms, and refuses with a Retry-After of 20 ms.

Ruled out: telling it from the store's silence (in an outage for all, hosts serve on each other's word); dropping the turn without a question (the owner may be reachable).

--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -185,7 +185,7 @@
 	})
 	h.limits = limits.New(limits.Options{
 		Host: o.Host, Clock: o.Clock, Store: control, Peers: h.peers, MayAct: h.fleet.MayAct, LimitWait: limitWait,
-		SettleWait: settleWait,
+		SettleWait: settleWait, Isolated: h.fleet.Isolated,
 	})
 	h.turnOwner = turns.NewOwner(turns.OwnerOptions{
 		Host: o.Host, Tenure: h.fleet, Store: o.Keyspace(budgetPrefix), Clock: o.Clock, Log: o.Log,
@@ -217,7 +217,7 @@
 	})
 	var turnClient relay.Turns
 	if o.Budgets {
-		turnClient = &turns.Client{Owner: h.turnOwner, Owners: right{h}, Peers: h.peers, Clock: o.Clock, Log: o.Log}
+		turnClient = &turns.Client{Owner: h.turnOwner, Owners: right{h}, Peers: h.peers, Isolated: h.fleet.Isolated, Clock: o.Clock, Log: o.Log}
 	}
 	h.relay = relay.New(relay.Options{
 		Turns:   turnClient,
--- a/app/fleet/beat.go
+++ b/app/fleet/beat.go
@@ -43,6 +43,7 @@
 	}
 	s.mu.Lock()
 	s.right.Confirm(model.Incarnation(res.Sender.Incarnation), model.Epoch(res.Sender.Epoch), res.StoreAway, now)
+	s.answered[model.Incarnation(res.Sender.Incarnation)] = s.options.Clock.Now()
 	s.mu.Unlock()
 	s.notePeer(res.Sender, res.StoreAway, model.Revision(res.ConfigRevision))
 }
--- a/app/fleet/control.go
+++ b/app/fleet/control.go
@@ -112,7 +112,7 @@
 		s.mu.Unlock()
 		return
 	}
-	s.record, s.settled = next, false
+	s.record, s.settled, s.enteredAt = next, false, s.options.Clock.Now()
 	s.right.Enter(next)
 	s.tenure.Enter(next)
 	s.forgetPeers()
@@ -137,6 +137,7 @@
 	for _, m := range s.record.Members {
 		present[m.Incarnation] = true
 	}
+	maps.DeleteFunc(s.answered, func(in model.Incarnation, _ time.Time) bool { return !present[in] })
 	maps.DeleteFunc(s.peerEpoch, func(in model.Incarnation, _ model.Epoch) bool { return !present[in] })
 	maps.DeleteFunc(s.revision, func(in model.Incarnation, _ model.Revision) bool { return !present[in] })
 }
--- a/app/fleet/fleet_test.go
+++ b/app/fleet/fleet_test.go
@@ -319,6 +319,39 @@
 	})
 }
 
+// Guards against a host that is cut off and does not notice, so that its callers
+// wait instead of going elsewhere, and against hosts that count as cut off in an
+// outage of the store or after the loss of others.
+func TestIsolated(t *testing.T) {
+	run(t, 5, func(t *testing.T, c *cluster) {
+		isolated := func() (list []model.HostID) {
+			for _, h := range c.hosts {
+				if !h.dead && h.Isolated() {
+					list = append(list, h.name)
+				}
+			}
+			return list
+		}
+		assert.Equal(t, len(isolated()), 0)
+		c.store.SetDown(true)
+		c.pass(bound)
+		assert.Equal(t, len(isolated()), 0)
+		c.store.SetDown(false)
+		c.pass(bound)
+		c.stop(c.hosts[4])
+		c.pass(bound)
+		assert.Equal(t, len(isolated()), 0)
+		c.cutPeers(c.hosts[1], true)
+		c.hosts[1].client.SetCut(true)
+		c.pass(2 * time.Second)
+		assert.DeepEqual(t, isolated(), []model.HostID{"h1"})
+		c.cutPeers(c.hosts[1], false)
+		c.hosts[1].client.SetCut(false)
+		c.pass(time.Second)
+		assert.Equal(t, len(isolated()), 0)
+	})
+}
+
 // Guards against a host that acts without the store while others reach it.
 func TestCutFromStoreOnly(t *testing.T) {
 	for name, silent := range map[string]bool{"silent": true, "refused": false} {
--- a/app/fleet/service.go
+++ b/app/fleet/service.go
@@ -167,6 +167,8 @@
 	missing     map[model.Incarnation]time.Time // first seen without a lease
 	peerAway    map[model.HostID]bool
 	peerEpoch   map[model.Incarnation]model.Epoch // heard in heartbeats
+	answered    map[model.Incarnation]time.Time   // last answer to a heartbeat
+	enteredAt   time.Time                         // when this host entered the record
 	revision    map[model.Incarnation]model.Revision
 	onEpoch     []func(old, current member.Record)
 	watchers    []*subscriber
@@ -190,6 +192,7 @@
 		missing:   map[model.Incarnation]time.Time{},
 		peerAway:  map[model.HostID]bool{},
 		peerEpoch: map[model.Incarnation]model.Epoch{},
+		answered:  map[model.Incarnation]time.Time{},
 		revision:  map[model.Incarnation]model.Revision{},
 		wakeLease: make(chan struct{}, 1), wakeBeat: make(chan struct{}, 1),
 		wakeControl: make(chan struct{}, 1), wakeDispatch: make(chan struct{}, 1),
@@ -254,6 +257,27 @@
 	return s.right.Away()
 }
 
+// Isolated tells whether most members have not answered the heartbeats of this
+// host for WordTTL. Such a host is probably cut off, and a caller is better
+// served by another one. It is false for two hosts, and while the members of a
+// new epoch had no time to answer.
+func (s *Service) Isolated() bool {
+	now := s.options.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	const fewest = 3
+	if len(s.record.Members) < fewest || now.Sub(s.enteredAt) < s.options.WordTTL+s.options.HeartbeatEvery {
+		return false
+	}
+	heard := 1 // this host
+	for _, m := range s.record.Members {
+		if at, ok := s.answered[m.Incarnation]; ok && now.Sub(at) < s.options.WordTTL {
+			heard++
+		}
+	}
+	return heard <= len(s.record.Members)/2
+}
+
 // Ready tells whether this host can serve callers, and why not.
 func (s *Service) Ready() (bool, string) {
 	now := s.options.Clock.Now()
--- a/app/limits/limits.go
+++ b/app/limits/limits.go
@@ -86,6 +86,9 @@
 	// Silent reports whether a host does not answer heartbeats; nil means
 	// never. It is called without locks of this package.
 	Silent func(model.HostID) bool
+	// Isolated reports whether this host is cut off from most others; nil means
+	// never. It is called without locks of this package.
+	Isolated func() bool
 	// LimitWait is how long a request waits for tokens; 0 means 1 s.
 	LimitWait time.Duration
 	// SettleWait is how long a request waits while this host may not act or
@@ -100,7 +103,7 @@
 // Service admits requests on one host. It is safe for concurrent use.
 //
 // Lock order: mu is the only lock, and it is not held while Options.MayAct,
-// Options.Silent, Options.Store or Options.Peers are called, so hooks may be
+// Options.Silent, Options.Isolated, Options.Store or Options.Peers are called, so hooks may be
 // called with locks of the membership held.
 type Service struct {
 	options Options
@@ -147,6 +150,9 @@
 	if options.Silent == nil {
 		options.Silent = func(model.HostID) bool { return false }
 	}
+	if options.Isolated == nil {
+		options.Isolated = func() bool { return false }
+	}
 	s := &Service{
 		options:    options,
 		kick:       make(chan struct{}, 1),
@@ -204,6 +210,10 @@
 // SettleWait: it joins again within about a second.
 const rightRetry = 800 * time.Millisecond
 
+// isolatedRetry is the advice to callers of a host that is cut off: another host
+// can serve them at once.
+const isolatedRetry = 20 * time.Millisecond
+
 // rightPause is the time between two looks at the right to act.
 const rightPause = 25 * time.Millisecond
 
@@ -214,6 +224,8 @@
 		switch waited := s.options.Clock.Since(start); {
 		case s.options.SettleWait == 0:
 			return noRight()
+		case s.options.Isolated():
+			return noRight().Retry(isolatedRetry)
 		case waited >= s.options.SettleWait:
 			return noRight().Retry(rightRetry)
 		}
--- a/app/limits/limits_test.go
+++ b/app/limits/limits_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
@@ -399,3 +400,23 @@
 		})
 	}
 }
+
+// Guards against callers that wait for the right of a host that is cut off,
+// though another host would serve them.
+func TestIsolatedHostRefusesAtOnce(t *testing.T) {
+	for name, isolated := range map[string]bool{"isolated": true, "not isolated": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := New(Options{
+					Host: "h", Clock: clockwork.NewRealClock(), Store: &memoryStore{}, MayAct: func() bool { return false },
+					Isolated: func() bool { return isolated }, SettleWait: time.Second,
+				})
+				defer s.Close()
+				start := time.Now()
+				err := s.Admit(t.Context(), "w")
+				assert.ErrorIs(t, err, model.ErrNoRight)
+				assert.Equal(t, time.Since(start) < 100*time.Millisecond, isolated)
+			})
+		})
+	}
+}
--- a/app/turns/client.go
+++ b/app/turns/client.go
@@ -31,8 +31,11 @@
 	Owner  *Owner // of this host
 	Owners Owners
 	Peers  Peers
-	Clock  clockwork.Clock
-	Log    *slog.Logger
+	// Isolated reports whether this host is cut off from most others; nil means
+	// never.
+	Isolated func() bool
+	Clock    clockwork.Clock
+	Log      *slog.Logger
 }
 
 var _ relay.Turns = (*Client)(nil)
@@ -47,6 +50,10 @@
 	askTimeout = 900 * time.Millisecond
 	// reserveRetry is the advice to callers whose program has no owner.
 	reserveRetry = 800 * time.Millisecond
+	// isolatedTimeout bounds one question of a host that is cut off, whose
+	// callers another host can serve at once, after isolatedRetry.
+	isolatedTimeout = 100 * time.Millisecond
+	isolatedRetry   = 20 * time.Millisecond
 	// endTries bounds the reports of an ended turn. A turn whose end is not
 	// reported counts in full.
 	endTries = 3
@@ -65,6 +72,9 @@
 		if errors.Is(err, model.ErrBudget) {
 			return nil, model.NewRefusal(model.ErrBudget, model.RanNo, "the budget of %d tokens does not hold a turn of %d", t.Budget, t.MaxTokens)
 		}
+		if c.isolated() && !errors.Is(err, ErrNotOwner) {
+			return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "this host is cut off from the owner of the program: %v", err).Retry(isolatedRetry)
+		}
 		if ctx.Err() != nil || c.Clock.Since(start) > reserveWait {
 			return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "the program's budget cannot be checked: %v", err).Retry(reserveRetry)
 		}
@@ -75,6 +85,8 @@
 	}
 }
 
+func (c *Client) isolated() bool { return c.Isolated != nil && c.Isolated() }
+
 // reserve asks the owner and returns its address, empty for this host.
 func (c *Client) reserve(ctx context.Context, r turn.Reservation) (address string, err error) {
 	address, self, err := c.Owners.Owner(program.ShardOf(r.Program))
@@ -84,7 +96,11 @@
 	if self {
 		return "", c.Owner.Reserve(ctx, r)
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	timeout := askTimeout
+	if c.isolated() {
+		timeout = isolatedTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	res, err := c.Peers.ReserveTurn(ctx, address, &peerpb.ReserveTurnRequest{
 		Workspace: string(r.Program.Workspace), Program: string(r.Program.Program), Request: string(r.Turn),
--- /dev/null
+++ b/app/turns/client_test.go
@@ -0,0 +1,69 @@
+package turns
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"mimosarelay/app/relay"
+	"mimosarelay/core/model"
+	"mimosarelay/io/peer/peerpb"
+)
+
+// farOwner owns all shards at another host.
+type farOwner struct{}
+
+func (farOwner) Owner(model.Shard) (string, bool, error) { return "10.0.0.9:1", false, nil }
+
+// silentOwner never answers.
+type silentOwner struct{ asked int }
+
+func (s *silentOwner) ReserveTurn(ctx context.Context, _ string, _ *peerpb.ReserveTurnRequest) (*peerpb.ReserveTurnResponse, error) {
+	s.asked++
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (s *silentOwner) EndTurn(ctx context.Context, _ string, _ *peerpb.EndTurnRequest) (*peerpb.EndTurnResponse, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Guards against callers that wait at a host that is cut off, though another
+// host would serve them, and against a refusal before the owner was asked.
+func TestIsolatedHostRefusesTurnsAtOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		isolated      bool
+		least, most   time.Duration // of the answer
+		shortestRetry bool
+	}{
+		"isolated":     {isolated: true, most: 150 * time.Millisecond, shortestRetry: true},
+		"not isolated": {least: time.Second, most: 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				peers := &silentOwner{}
+				client := Client{
+					Owners: farOwner{}, Peers: peers, Isolated: func() bool { return c.isolated },
+					Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler),
+				}
+				start := time.Now()
+				_, err := client.Begin(t.Context(), model.ProgramKey{Workspace: "w", Program: "p"}, relay.Turn{Request: "r", Budget: 100, MaxTokens: 10})
+				took := time.Since(start)
+				var refusal *model.Refusal
+				assert.Assert(t, errors.As(err, &refusal), "%v", err)
+				assert.ErrorIs(t, err, model.ErrUnavailable)
+				assert.Equal(t, refusal.Ran, model.RanNo)
+				assert.Assert(t, peers.asked > 0)
+				assert.Assert(t, took >= c.least && took <= c.most, "%v", took)
+				assert.Equal(t, refusal.RetryAfter <= isolatedRetry, c.shortestRetry)
+			})
+		})
+	}
+}
