--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/tls"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"sync/atomic"
@@ -17,6 +16,7 @@
 	"mimosarelay/app/relay"
 	"mimosarelay/core/config"
 	"mimosarelay/core/model"
+	"mimosarelay/io/tcpclose"
 )
 
 // Relay carries out calls.
@@ -147,19 +147,10 @@
 	linger  atomic.Bool
 }
 
-const (
-	// lingerTime and lingerBytes bound what is read from a caller after its
-	// request was refused unread. Closing at once would reset the connection,
-	// and the caller would not see the refusal.
-	lingerTime  = time.Second
-	lingerBytes = 8 << 20
-)
-
 // Close implements net.Conn.
 func (c *deadlineConn) Close() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && c.linger.Swap(false) && half.CloseWrite() == nil {
-		_ = c.SetReadDeadline(time.Now().Add(lingerTime))
-		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	if c.linger.Swap(false) {
+		return tcpclose.Linger(c.Conn)
 	}
 	return c.Conn.Close()
 }
--- a/io/ingress/conn.go
+++ b/io/ingress/conn.go
@@ -1,12 +1,12 @@
 package ingress
 
 import (
-	"io"
 	"net"
 	"sync"
 	"time"
 
 	coreingress "mimosarelay/core/ingress"
+	"mimosarelay/io/tcpclose"
 )
 
 // phase is what a connection waits for.
@@ -50,14 +50,6 @@
 	lingers bool // read on for a moment before closing
 }
 
-// lingerTime and lingerBytes bound what is read from a caller after its
-// request was refused unread. Closing at once would reset the connection, and
-// the caller would not see the refusal.
-const (
-	lingerTime  = time.Second
-	lingerBytes = 8 << 20
-)
-
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	if len(c.stash) > 0 {
@@ -106,9 +98,8 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	if half, ok := c.Conn.(*net.TCPConn); ok && c.lingers && half.CloseWrite() == nil {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
-		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	if c.lingers {
+		return tcpclose.Linger(c.Conn)
 	}
 	return c.Conn.Close()
 }
