app/limits: bursts of one or two requests get buckets that can hold travelling tokens

Cause: tokens that travel between hosts are lost to a bucket that can't hold them, so that a workspace with a burst of one or two is refused within its rate when its callers change host. Where a limit may never be exceeded that can't be mended by moving tokens: a token in flight takes the only place, and what the rate earns meanwhile is lost. The platform allows 20 requests beyond rate and burst in a window, so that its hosts now raise a burst below limit.SmallestBurst, by at most 10 requests.

--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -87,6 +87,9 @@
 	exitReserve = 1500 * time.Millisecond
 	// limitWait is how long a request waits for a token of its workspace.
 	limitWait = 250 * time.Millisecond
+	// burstSlack is half of the 20 requests by which the platform's quotas may be
+	// exceeded in a window.
+	burstSlack = 10
 	// The times of the membership let a host that was killed be removed within
 	// 2.5 s. A host notices an outage and hears the others' confirmation within
 	// renewEvery + renewTimeout + heartbeatEvery = 1.3 s, before its
@@ -185,7 +188,7 @@
 	})
 	h.limits = limits.New(limits.Options{
 		Host: o.Host, Clock: o.Clock, Store: control, Peers: h.peers, MayAct: h.fleet.MayAct, LimitWait: limitWait,
-		SettleWait: settleWait, Isolated: h.fleet.Isolated,
+		SettleWait: settleWait, BurstSlack: burstSlack, Isolated: h.fleet.Isolated,
 	})
 	h.turnOwner = turns.NewOwner(turns.OwnerOptions{
 		Host: o.Host, Tenure: h.fleet, Store: o.Keyspace(budgetPrefix), Clock: o.Clock, Log: o.Log,
--- a/app/limits/fleet_test.go
+++ b/app/limits/fleet_test.go
@@ -94,7 +94,8 @@
 	reports     map[model.HostID]EntryReport
 	store       *memoryStore
 	document    *config.Document
-	faulty      bool // messages are lost, doubled and late
+	slack       float64 // Options.BurstSlack
+	faulty      bool    // messages are lost, doubled and late
 	loseAnswers bool
 	creditTwice bool // the wrong variant
 	started     int
@@ -105,8 +106,13 @@
 }
 
 func newTestFleet(t *testing.T, seed uint64, document *config.Document) *testFleet {
+	return newSlackFleet(t, seed, document, 0)
+}
+
+func newSlackFleet(t *testing.T, seed uint64, document *config.Document, slack float64) *testFleet {
 	f := &testFleet{
-		t: t, random: rand.New(rand.NewPCG(seed, 1)), nodes: map[model.HostID]*node{},
+		slack: slack,
+		t:     t, random: rand.New(rand.NewPCG(seed, 1)), nodes: map[model.HostID]*node{},
 		reports: map[model.HostID]EntryReport{}, store: &memoryStore{}, document: document, done: make(chan struct{}),
 		began: time.Now(), messages: map[string]int{},
 	}
@@ -132,7 +138,7 @@
 	f.started++
 	n := &node{fleet: f, host: h, process: model.Incarnation(fmt.Sprint("p", f.started))}
 	n.service = New(Options{
-		Host: h, Clock: clockwork.NewRealClock(), Store: f.store, Peers: n, MayAct: n.mayAct,
+		Host: h, Clock: clockwork.NewRealClock(), Store: f.store, Peers: n, MayAct: n.mayAct, BurstSlack: f.slack,
 		Silent: func(h model.HostID) bool {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/app/limits/limits.go
+++ b/app/limits/limits.go
@@ -96,6 +96,10 @@
 	// hosts. A refusal would use up the caller's attempts within the time that
 	// settling takes. 0 means LimitWait, and no wait for the right to act.
 	SettleWait time.Duration
+	// BurstSlack is the number of requests by which the fleet may exceed a burst.
+	// It is used up to SmallestBurst only: with less, tokens on their way between
+	// hosts are lost to buckets that can't hold them.
+	BurstSlack float64
 	// AskTimeout bounds a request to a peer; 0 means 150 ms.
 	AskTimeout time.Duration
 }
@@ -379,7 +383,8 @@
 	present := map[model.WorkspaceID]bool{}
 	for _, c := range document.Workspaces {
 		present[c.Name] = true
-		contract := limit.NewContract(c.Rate, c.Burst)
+		burst := max(c.Burst, min(c.Burst+s.options.BurstSlack, limit.SmallestBurst(c.Rate)))
+		contract := limit.NewContract(c.Rate, burst)
 		if ws, ok := s.workspaces[c.Name]; ok {
 			ws.bucket.SetContract(now, contract)
 			ws.wakeFirst()
--- a/app/limits/smallburst_test.go
+++ b/app/limits/smallburst_test.go
@@ -32,3 +32,33 @@
 		assert.NilError(t, c.check(small))
 	})
 }
+
+// Guards against the same refusals where the fleet may exceed a burst by a few
+// requests, and against more than these. The bound is none refused.
+func TestSmallBurstWithSlackIsNeverRefused(t *testing.T) {
+	const slack = 10
+	small, most := &config.Document{}, &config.Document{}
+	for _, w := range []config.Workspace{
+		{Name: "one", Rate: 1, Burst: 1},
+		{Name: "five", Rate: 5, Burst: 1},
+		{Name: "ten", Rate: 10, Burst: 2},
+		{Name: "fifty", Rate: 50, Burst: 1},
+	} {
+		small.Workspaces = append(small.Workspaces, w)
+		w.Burst += slack
+		most.Workspaces = append(most.Workspaces, w)
+	}
+	for seed := range uint64(3) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newSlackFleet(t, seed, small, slack)
+			defer f.close()
+			time.Sleep(10 * time.Second) // buckets fill
+			c := newChecker()
+			load(f, c, 1, 2*time.Minute, host)
+			for id, times := range c.refused {
+				t.Errorf("seed %d, workspace %q: %d refused, %d admitted", seed, id, len(times), len(c.admitted[id]))
+			}
+			assert.NilError(t, c.check(most))
+		})
+	}
+}
--- a/core/limit/give.go
+++ b/core/limit/give.go
@@ -91,6 +91,15 @@
 	return hold
 }
 
+// SmallestBurst returns the burst, in requests, with which a workspace that uses
+// exactly its rate is not refused, whatever hosts its callers choose: one token
+// for each of a few hosts that ask at once, and what the rate earns in two rounds
+// of questions.
+func SmallestBurst(rate float64) float64 {
+	const hosts = 4
+	return hosts + 2*rate*shortHold.Seconds()
+}
+
 // period returns the time for which the entire rate earns micro tokens, up to
 // maxRefill.
 func (c Contract) period(microTokens int64) time.Duration {
