--- a/app/fleet/fleet_test.go
+++ b/app/fleet/fleet_test.go
@@ -707,7 +707,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			run(t, 5, func(t *testing.T, c *cluster) {
+			run(t, 5, func(_ *testing.T, c *cluster) {
 				before(c)
 				for _, h := range c.hosts {
 					c.stop(h)
--- a/io/tcpclose/tcpclose_test.go
+++ b/io/tcpclose/tcpclose_test.go
@@ -16,7 +16,7 @@
 func TestLinger(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	defer listener.Close()
+	defer func() { _ = listener.Close() }()
 	closed := make(chan time.Duration, 1)
 	go func() {
 		conn, err := listener.Accept()
