standin/fault: a request that arrived before a crash does not run after it

A crash closes the connections one after the other under the lock of the server. A client whose connection was closed first could send on another one that was still open; that request waited for the lock and ran after the crash, although its connection had been closed meanwhile. Now a request whose connection was closed is dropped like one that arrives during the crash.

Ruled out: the time of the crash running out during the test (the third request would have been answered, and its check comes first).

--- a/standin/fault/conn.go
+++ b/standin/fault/conn.go
@@ -18,6 +18,7 @@
 	client  netip.Addr
 	control bool // accepted on the control address
 	silent  atomic.Bool
+	aborted atomic.Bool
 
 	mu      sync.Mutex
 	cutting bool
@@ -93,4 +94,7 @@
 
 // abort closes the socket. The goroutine that serves the connection then
 // fails its next read or write.
-func (c *conn) abort() { _ = c.Close() }
+func (c *conn) abort() {
+	c.aborted.Store(true)
+	_ = c.Close()
+}
--- a/standin/fault/fault_test.go
+++ b/standin/fault/fault_test.go
@@ -216,6 +216,39 @@
 	assertAnswers(t, dial(t, x.Address(), "127.0.0.1"))
 }
 
+// Guards against a request that arrived before a crash and runs after it, though
+// its connection was closed.
+func TestCrashRunsNothingThatArrivedBefore(t *testing.T) {
+	var effects atomic.Int64
+	crashed := make(chan struct{})
+	arrived := make(chan struct{}, 1)
+	x, err := Start(Options{
+		Listen: "127.0.0.1:0", Control: "127.0.0.1:0",
+		Handler: func(*fasthttp.RequestCtx) { effects.Add(1) },
+		Arrived: func(ctx *fasthttp.RequestCtx) {
+			if string(ctx.Path()) == "/early" {
+				arrived <- struct{}{}
+				<-crashed
+			}
+		},
+	})
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, x.Close()) })
+	assert.NilError(t, x.SetFault(Fault{CrashMarker: "poison", CrashTime: Duration(quiet)}))
+	early := dial(t, x.Address(), "127.0.0.1")
+	cut := make(chan error, 1)
+	go func() {
+		_, _, err := early.do("GET", "/early", "", patience)
+		cut <- err
+	}()
+	<-arrived
+	assertCut(t, dial(t, x.Address(), "127.0.0.1"), "PUT", "/x", "poison")
+	assert.Assert(t, <-cut != nil)
+	close(crashed)
+	time.Sleep(quiet)
+	assert.Equal(t, effects.Load(), int64(0))
+}
+
 // Guards against a partition that cuts off other clients, or that leaves the
 // open connections of the listed ones.
 func TestRefuseClientsByAddress(t *testing.T) {
--- a/standin/fault/server.go
+++ b/standin/fault/server.go
@@ -304,12 +304,14 @@
 	s.spoilAnswer(ctx)
 }
 
-// crash closes everything if the body contains the marker. The state is
-// dropped before any connection closes, so that a client that notices the
-// crash cannot find the old state.
+// crash closes everything if the body contains the marker, and tells whether the
+// request must not run. The state is dropped before any connection closes, so
+// that a client that notices the crash cannot find the old state. A request whose
+// connection a crash closed does not run either.
 func (s *Server) crash(ctx *fasthttp.RequestCtx) bool {
+	c, ok := ctx.Conn().(*conn)
 	s.mu.Lock()
-	if s.crashing {
+	if s.crashing || ok && c.aborted.Load() {
 		s.mu.Unlock()
 		return true
 	}
