app: one pause for all loops, one reader of arrived events, a smaller port for Forward

- relay.Forward decoded the head of each response twice, to match and to use it.
- The streams of both interfaces handed on arrived events by the same loop: pendingEvents.
The forwarded one kept two fields that its end tells.
- relay.Owners had to be implemented by app/entry with a channel that never closes and a method that nobody called.
Forward needs Rights only.
- app/host added its own revision to fleet.Confirmed, which has it.
- app/entry listed peer addresses by the same loop twice.
- A comment on the first entry of a process described the rule before.

A type of the tests of app/limits is renamed, because it had the package's name.

--- a/app/catalog/catalog.go
+++ b/app/catalog/catalog.go
@@ -13,6 +13,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"mimosarelay/app/wait"
 	"mimosarelay/core/discovery"
 	"mimosarelay/core/ingress"
 	"mimosarelay/core/model"
@@ -111,10 +112,7 @@
 		if step(ctx) {
 			p = pause
 		}
-		select {
-		case <-ctx.Done():
-		case <-s.options.Clock.After(p):
-		}
+		wait.For(ctx, s.options.Clock, p)
 	}
 }
 
--- a/app/entry/adapters.go
+++ b/app/entry/adapters.go
@@ -7,6 +7,7 @@
 	"mimosarelay/app/placement"
 	"mimosarelay/app/relay"
 	"mimosarelay/core/config"
+	"mimosarelay/core/member"
 	"mimosarelay/core/model"
 	coreplacement "mimosarelay/core/placement"
 	"mimosarelay/io/peer"
@@ -56,17 +57,21 @@
 	return list
 }
 
-// otherKeepers lists the peer addresses of the other keepers.
-func (h *Host) otherKeepers() []string {
+// peerAddresses lists the peer addresses of the other members of a kind.
+func (h *Host) peerAddresses(kind func(member.Member) bool) []string {
 	var list []string
 	for _, m := range h.fleet.View().Members {
-		if m.Keeper && m.Host != h.options.Host {
+		if m.Host != h.options.Host && kind(m) {
 			list = append(list, m.PeerAddress)
 		}
 	}
 	return list
 }
 
+func (h *Host) otherKeepers() []string {
+	return h.peerAddresses(func(m member.Member) bool { return m.Keeper })
+}
+
 // limiter admits requests where quotas are in force.
 type limiter struct{ host *Host }
 
@@ -78,27 +83,16 @@
 	return l.host.limits.Admit(ctx, id)
 }
 
-// right answers the relay's questions about the membership.
-type right struct{ host *Host }
-
-var _ relay.Owners = right{}
-
-// MayAct implements relay.Owners.
-func (r right) MayAct() bool { return r.host.fleet.MayAct() }
-
-// ActsFor implements relay.Owners.
-func (r right) ActsFor(s model.Shard) bool { return r.host.fleet.ActsFor(s) }
+// owners finds the owners of programs.
+type owners struct{ host *Host }
 
-// Changed implements relay.Owners.
-func (r right) Changed() <-chan struct{} { return nil }
-
-// Owner implements relay.Owners.
-func (r right) Owner(s model.Shard) (address string, self bool, err error) {
-	owner, ok := r.host.fleet.View().Owner(s)
+// Owner implements turns.Owners.
+func (o owners) Owner(s model.Shard) (address string, self bool, err error) {
+	owner, ok := o.host.fleet.View().Owner(s)
 	if !ok {
 		return "", false, model.NewRefusal(model.ErrUnavailable, model.RanNo, "no host owns shard %d", s)
 	}
-	return owner.PeerAddress, owner.Host == r.host.options.Host, nil
+	return owner.PeerAddress, owner.Host == o.host.options.Host, nil
 }
 
 // placer adapts placement to the relay.
@@ -121,13 +115,7 @@
 
 // Peers implements suspects.Peers.
 func (p suspectPeers) Peers() []string {
-	var list []string
-	for _, m := range p.host.fleet.View().Members {
-		if m.Host != p.host.options.Host && m.CallerAddress != "" {
-			list = append(list, m.PeerAddress)
-		}
-	}
-	return list
+	return p.host.peerAddresses(func(m member.Member) bool { return m.CallerAddress != "" })
 }
 
 // peerHandler hands the requests of other hosts to the services.
--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -23,6 +23,7 @@
 	"mimosarelay/app/relay"
 	"mimosarelay/app/suspects"
 	"mimosarelay/app/turns"
+	"mimosarelay/app/wait"
 	coreingress "mimosarelay/core/ingress"
 	"mimosarelay/core/member"
 	"mimosarelay/core/model"
@@ -104,8 +105,9 @@
 	goneAfter = renewEvery + renewTimeout + 200*time.Millisecond
 	// watchPause lets one watch return the entry reports of several hosts.
 	watchPause = 40 * time.Millisecond
-	// A process enters its first epoch wordTTL + leaseMargin after its start,
-	// when every confirmation of its predecessor has expired.
+	// A process that follows another one reports its first entry at most wordTTL
+	// + leaseMargin after its start, when every confirmation of its predecessor
+	// has expired.
 	heartbeatEvery = 300 * time.Millisecond
 	wordTTL        = 700 * time.Millisecond
 	// settleWait is how long a request waits while the fleet forms again.
@@ -220,11 +222,11 @@
 	})
 	var turnClient relay.Turns
 	if o.Budgets {
-		turnClient = &turns.Client{Owner: h.turnOwner, Owners: right{h}, Peers: h.peers, Isolated: h.fleet.Isolated, Clock: o.Clock, Log: o.Log}
+		turnClient = &turns.Client{Owner: h.turnOwner, Owners: owners{h}, Peers: h.peers, Isolated: h.fleet.Isolated, Clock: o.Clock, Log: o.Log}
 	}
 	h.relay = relay.New(relay.Options{
 		Turns:   turnClient,
-		Limiter: limiter{h}, Owners: right{h}, Placer: placer{h}, Suspects: h.suspects, Targets: h.targets,
+		Limiter: limiter{h}, Rights: h.fleet, Placer: placer{h}, Suspects: h.suspects, Targets: h.targets,
 		Dialect: o.Dialect, Loads: h.placement, Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
 	})
 	h.callers = ingress.New(ingress.Options{
@@ -369,17 +371,10 @@
 	mark, done := context.WithTimeout(ctx, time.Second)
 	err := h.fleet.MarkLeaving(mark)
 	done()
-	h.sleep(ctx, lingerTime-h.options.Clock.Since(start))
+	wait.For(ctx, h.options.Clock, lingerTime-h.options.Clock.Since(start))
 	err = errors.Join(err, h.callers.Shutdown(ctx))
 	leave, done := context.WithTimeout(context.Background(), exitReserve/2)
 	defer done()
 	err = errors.Join(err, h.fleet.Leave(leave))
 	h.log.Info("drain ended", "requests", h.callers.Running(), "error", err)
 }
-
-func (h *Host) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-h.options.Clock.After(d):
-	}
-}
--- a/app/entry/evacuate.go
+++ b/app/entry/evacuate.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"mimosarelay/app/wait"
 	"mimosarelay/core/model"
 )
 
@@ -28,8 +29,7 @@
 // others count its programs.
 func (h *Host) evacuate(ctx context.Context) error {
 	for {
-		h.sleep(ctx, evacuationEvery)
-		if ctx.Err() != nil {
+		if !wait.For(ctx, h.options.Clock, evacuationEvery) {
 			return nil
 		}
 		call, cancel := context.WithTimeout(ctx, evacuationCall)
@@ -63,7 +63,7 @@
 			return
 		}
 		h.log.Warn("evacuation not reported", "done", done, "error", err)
-		h.sleep(ctx, evacuationCall)
+		wait.For(ctx, h.options.Clock, evacuationCall)
 	}
 }
 
--- a/app/fleet/control.go
+++ b/app/fleet/control.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"mimosarelay/app/wait"
 	"mimosarelay/core/member"
 	"mimosarelay/core/model"
 	"mimosarelay/core/store"
@@ -32,13 +33,13 @@
 		entries, version, err := s.options.Store.Watch(ctx, s.options.KeyPrefix, since, s.options.WatchWait)
 		if err != nil {
 			s.options.Scope.Counter("watch_failures").Inc(1)
-			s.sleep(ctx, retry)
+			wait.For(ctx, s.options.Clock, retry)
 			continue
 		}
 		since = version
 		s.observe(entries)
 		if s.options.WatchPause > 0 {
-			s.sleep(ctx, s.options.WatchPause)
+			wait.For(ctx, s.options.Clock, s.options.WatchPause)
 		}
 	}
 }
--- a/app/fleet/lease.go
+++ b/app/fleet/lease.go
@@ -8,6 +8,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"mimosarelay/app/wait"
 	"mimosarelay/core/member"
 	"mimosarelay/core/store"
 )
@@ -26,7 +27,7 @@
 		s.options.Scope.Counter("lease_failures").Inc(1)
 		s.options.Logger.Warn("lease not kept", "host", s.options.Self.Host, "error", err)
 		if errors.Is(err, store.ErrConflict) {
-			s.sleep(ctx, conflictPause)
+			wait.For(ctx, s.options.Clock, conflictPause)
 			wake(s.wakeLease)
 		}
 	})
--- a/app/fleet/leave.go
+++ b/app/fleet/leave.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 
+	"mimosarelay/app/wait"
 	"mimosarelay/core/member"
 	"mimosarelay/core/model"
 )
@@ -31,7 +32,7 @@
 	self, lease, entry := s.self, s.lease, s.right.EntryAt(s.heardLocked)
 	s.mu.Unlock()
 	// Confirmations that this host gave must expire before it counts as gone.
-	if wait := entry.Sub(s.options.Clock.Now()); wait > 0 && !s.sleep(ctx, wait) {
+	if left := entry.Sub(s.options.Clock.Now()); left > 0 && !wait.For(ctx, s.options.Clock, left) {
 		return fmt.Errorf("leave: %w", ctx.Err())
 	}
 	_, err := s.change(ctx, func(r member.Record) (member.Record, error) {
@@ -61,7 +62,7 @@
 	if !ok {
 		return fmt.Errorf("declare %q gone: %w", host, member.ErrNotMember)
 	}
-	if !s.sleep(ctx, s.options.WordTTL+s.options.Margin) {
+	if !wait.For(ctx, s.options.Clock, s.options.WordTTL+s.options.Margin) {
 		return fmt.Errorf("declare %q gone: %w", host, ctx.Err())
 	}
 	_, err := s.change(ctx, func(r member.Record) (member.Record, error) {
--- a/app/fleet/service.go
+++ b/app/fleet/service.go
@@ -377,18 +377,6 @@
 	return clockwork.WithTimeout(ctx, s.options.Clock, s.options.CallTimeout)
 }
 
-// sleep waits for d and reports false if ctx ended.
-func (s *Service) sleep(ctx context.Context, d time.Duration) bool {
-	timer := s.options.Clock.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.Chan():
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // wake makes a loop run soon without waiting for it.
 func wake(c chan struct{}) {
 	select {
--- a/app/host/drain.go
+++ b/app/host/drain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"mimosarelay/app/wait"
 	"mimosarelay/io/consul"
 )
 
@@ -26,7 +27,7 @@
 	h.log.Info("drain started", "calls", h.streams.Count())
 	h.announce(consul.Leaving)
 	markErr := h.markLeaving(ctx)
-	h.sleep(ctx, lingerTime)
+	wait.For(ctx, h.clock, lingerTime)
 	errs := []error{markErr, h.callerServer.Shutdown(ctx)}
 	if markErr == nil {
 		errs = append(errs, h.programs.Drain(ctx), h.fleet.Leave(ctx))
@@ -54,7 +55,7 @@
 			return nil
 		}
 		h.log.Warn("leaving is not recorded yet", "error", err)
-		if !h.sleep(ctx, markRetry) {
+		if !wait.For(ctx, h.clock, markRetry) {
 			return err
 		}
 	}
@@ -63,19 +64,9 @@
 // awaitForwarded waits for the calls that other hosts forwarded to this one.
 func (h *Host) awaitForwarded(ctx context.Context) error {
 	for h.relay.Forwarded() > 0 {
-		if !h.sleep(ctx, idleCheck) {
+		if !wait.For(ctx, h.clock, idleCheck) {
 			return ctx.Err()
 		}
 	}
 	return nil
 }
-
-// sleep waits, and reports false if ctx ends first.
-func (h *Host) sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-h.clock.After(d):
-		return true
-	}
-}
--- a/app/host/host.go
+++ b/app/host/host.go
@@ -24,6 +24,7 @@
 	"mimosarelay/app/release"
 	"mimosarelay/app/settings"
 	"mimosarelay/app/suspects"
+	"mimosarelay/app/wait"
 	"mimosarelay/core/model"
 	"mimosarelay/io/caller"
 	"mimosarelay/io/consul"
@@ -188,7 +189,7 @@
 			return nil
 		}
 		h.log.Warn("configuration not known yet", "error", err)
-		if !h.sleep(ctx, bootstrapRetry) {
+		if !wait.For(ctx, h.clock, bootstrapRetry) {
 			return nil
 		}
 	}
--- a/app/host/peers.go
+++ b/app/host/peers.go
@@ -87,13 +87,3 @@
 	}
 	return list
 }
-
-// confirmed adds this host's own revision to those that peers reported.
-func (h *Host) confirmed() map[model.HostID]model.Revision {
-	revisions := h.fleet.Confirmed()
-	if revisions == nil {
-		revisions = map[model.HostID]model.Revision{}
-	}
-	revisions[h.settings.Host.Name] = h.contracts.Revision()
-	return revisions
-}
--- a/app/host/state.go
+++ b/app/host/state.go
@@ -39,7 +39,7 @@
 		Draining: h.draining.Load(), Calls: h.streams.Count(), Epoch: view.Epoch, Settled: h.fleet.Settled(),
 		StoreAway: h.fleet.StoreAway(), Revision: h.contracts.Revision(),
 	}
-	confirmed := h.confirmed()
+	confirmed := h.fleet.Confirmed()
 	for _, m := range view.Members {
 		s.Members = append(s.Members, MemberStatus{Member: m, Revision: confirmed[m.Host]})
 	}
--- a/app/host/wire.go
+++ b/app/host/wire.go
@@ -139,7 +139,7 @@
 	})
 	h.contracts = contracts.New(contracts.Options{
 		Host: h.settings.Host.Name, Store: h.documents, Peers: h.peers, PeerAddresses: h.peerAddresses,
-		Confirmed: h.confirmed, Clock: h.clock, Log: h.log,
+		Confirmed: h.fleet.Confirmed, Clock: h.clock, Log: h.log,
 	})
 	h.limits = limits.New(limits.Options{
 		Host: h.settings.Host.Name, Clock: h.clock, Store: h.control, Peers: h.peers,
--- a/app/limits/gather.go
+++ b/app/limits/gather.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
+	"mimosarelay/app/wait"
 	"mimosarelay/core/escrow"
 	"mimosarelay/core/limit"
 	"mimosarelay/core/model"
@@ -80,20 +81,11 @@
 		case pause == 0:
 			return
 		default:
-			s.sleep(pause)
+			wait.For(s.ctx, s.options.Clock, pause)
 		}
 	}
 }
 
-func (s *Service) sleep(d time.Duration) {
-	t := s.options.Clock.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-s.ctx.Done():
-	case <-t.Chan():
-	}
-}
-
 // nextAsk returns the next request, or the time until the next one is due. It
 // ends the gathering if both are zero.
 func (s *Service) nextAsk(id model.WorkspaceID, ws *workspace) (*ask, time.Duration) {
--- a/app/limits/limits.go
+++ b/app/limits/limits.go
@@ -12,6 +12,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"mimosarelay/app/wait"
 	"mimosarelay/core/config"
 	"mimosarelay/core/escrow"
 	"mimosarelay/core/limit"
@@ -233,10 +234,8 @@
 		case waited >= s.options.SettleWait:
 			return noRight().Retry(rightRetry)
 		}
-		select {
-		case <-ctx.Done():
+		if !wait.For(ctx, s.options.Clock, rightPause) {
 			return ctx.Err()
-		case <-s.options.Clock.After(rightPause):
 		}
 	}
 	return nil
--- a/app/limits/limits_test.go
+++ b/app/limits/limits_test.go
@@ -40,11 +40,11 @@
 	mu       sync.Mutex
 	admitted map[model.WorkspaceID][]time.Time
 	refused  map[model.WorkspaceID][]time.Time
-	waited   []wait
+	waited   []delay
 }
 
-// wait is that of an admitted request.
-type wait struct {
+// delay is the wait of an admitted request.
+type delay struct {
 	id      model.WorkspaceID
 	arrived time.Time
 	d       time.Duration
@@ -61,7 +61,7 @@
 	defer c.mu.Unlock()
 	if err == nil {
 		c.admitted[id] = append(c.admitted[id], time.Now())
-		c.waited = append(c.waited, wait{id, arrived, time.Since(arrived)})
+		c.waited = append(c.waited, delay{id, arrived, time.Since(arrived)})
 		return
 	}
 	c.refused[id] = append(c.refused[id], arrived)
--- a/app/orders/service.go
+++ b/app/orders/service.go
@@ -21,6 +21,7 @@
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 
+	"mimosarelay/app/wait"
 	"mimosarelay/core/config"
 	"mimosarelay/core/model"
 	"mimosarelay/core/order"
@@ -145,7 +146,7 @@
 	defer unlock()
 	var last error
 	for i := range s.options.Attempts {
-		if i > 0 && !s.pause(ctx, s.options.RetryPause) {
+		if i > 0 && !wait.For(ctx, s.options.Clock, s.options.RetryPause) {
 			break
 		}
 		state, err := s.attempt(ctx, t, o)
@@ -177,7 +178,7 @@
 	if err != nil || t.ChecksFencing {
 		return state, err
 	}
-	if !s.pause(ctx, s.options.SendTimeout) {
+	if !wait.For(ctx, s.options.Clock, s.options.SendTimeout) {
 		return order.State{}, ctx.Err()
 	}
 	return s.read(ctx, t, o)
@@ -200,7 +201,7 @@
 		if r.Settled.IsZero() || rest > s.options.RetryPause {
 			rest = s.options.RetryPause // the right may change meanwhile
 		}
-		if !s.pause(ctx, rest) {
+		if !wait.For(ctx, s.options.Clock, rest) {
 			return 0, ctx.Err()
 		}
 	}
@@ -245,12 +246,3 @@
 	}
 	return state, nil
 }
-
-func (s *Service) pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-s.options.Clock.After(d):
-		return true
-	}
-}
--- a/app/relay/forward.go
+++ b/app/relay/forward.go
@@ -253,18 +253,21 @@
 	}
 	req.SetBodyRaw(w.Body)
 	s.Dialect.Encode(req, w.Forward, Dispatch{Target: t, Left: left, LastEvent: lastEvent})
+	var reply Reply // of the response that matches
 	resp, err := s.Targets.Do(ctx, t.Address, req, target.CallOptions{
 		Fresh:      w.attempts.Sends() > 0,
 		MaxIdle:    w.maxIdle(),
 		Idle:       left,
 		BeforeSend: func() error { return s.checkForward(ctx) },
-		Match:      func(m *fasthttp.Response) bool { return s.Dialect.Decode(m).ID == w.ID },
-		Unframed:   true,
+		Match: func(m *fasthttp.Response) bool {
+			reply = s.Dialect.Decode(m)
+			return reply.ID == w.ID
+		},
+		Unframed: true,
 	})
 	if err != nil {
 		return nil, err
 	}
-	reply := s.Dialect.Decode(resp.Message())
 	if reply.Load != nil && s.Loads != nil {
 		s.Loads.Report(t.Name, reply.Load.Running, reply.Load.Waiting)
 	}
@@ -293,7 +296,7 @@
 	if err := ctx.Err(); err != nil {
 		return err
 	}
-	if !s.Owners.MayAct() {
+	if !s.Rights.MayAct() {
 		return model.NewRefusal(model.ErrNoRight, model.RanNo, "this host may not act now").Retry(forwardRetry)
 	}
 	return nil
--- a/app/relay/forward_stream.go
+++ b/app/relay/forward_stream.go
@@ -24,11 +24,9 @@
 	call    *forwarding
 	resp    *target.Response
 	events  *target.EventReader
-	pending []byte
-	last    uint64 // id of the last event passed on
-	count   int    // events passed on
-	whole   bool
-	failed  error
+	pendingEvents
+	last  uint64 // id of the last event passed on
+	count int    // events passed on
 }
 
 // forwardStream returns the answer to a request for a stream.
@@ -48,20 +46,7 @@
 }
 
 // Read implements io.Reader. It returns as many whole events as have arrived.
-func (b *forwardedStream) Read(p []byte) (int, error) {
-	for len(b.pending) == 0 {
-		if b.whole {
-			return 0, io.EOF
-		}
-		if b.failed != nil {
-			return 0, b.failed
-		}
-		b.next()
-	}
-	n := copy(p, b.pending)
-	b.pending = b.pending[n:]
-	return n, nil
-}
+func (b *forwardedStream) Read(p []byte) (int, error) { return b.read(p, b.next) }
 
 func (b *forwardedStream) next() {
 	b.pending = b.pending[:0]
@@ -89,7 +74,7 @@
 // ended handles the end of one run's events.
 func (b *forwardedStream) ended(err error) {
 	if target.AtEnd(err) {
-		b.whole = true
+		b.end = io.EOF
 		b.release(false)
 		return
 	}
@@ -101,7 +86,7 @@
 			return
 		}
 	}
-	b.failed = fmt.Errorf("%w: stream broke off after %d events: %w", io.ErrUnexpectedEOF, b.count, err)
+	b.end = fmt.Errorf("%w: stream broke off after %d events: %w", io.ErrUnexpectedEOF, b.count, err)
 	s.metrics.broken.Inc(1)
 }
 
@@ -160,6 +145,10 @@
 	return model.Tokens(b.count) * b.call.Service.TokensPerEvent
 }
 
+// whole says that the stream has ended as its target ended it. An error may wrap
+// io.EOF.
+func (b *forwardedStream) whole() bool { return b.end == io.EOF } //nolint:errorlint // see above
+
 // Close implements io.Closer. Closing before the end cancels the request at its
 // target.
 func (b *forwardedStream) Close() error {
@@ -167,7 +156,7 @@
 		b.release(false)
 	}
 	b.call.endTurn(b.tokens())
-	b.service.logForward(b.call, fasthttp.StatusOK, b.whole, b.count)
+	b.service.logForward(b.call, fasthttp.StatusOK, b.whole(), b.count)
 	return nil
 }
 
--- a/app/relay/ports.go
+++ b/app/relay/ports.go
@@ -33,8 +33,15 @@
 	End(ctx context.Context, key model.ProgramKey) error
 }
 
+// Rights tells whether this host may act.
+type Rights interface {
+	// MayAct says whether this host holds the right to act now.
+	MayAct() bool
+}
+
 // Owners finds the host that runs the calls of a shard.
 type Owners interface {
+	Rights
 	// Owner returns the peer address of the owner, and whether it is this
 	// host. It fails with model.ErrUnavailable if there is none.
 	Owner(shard model.Shard) (address string, self bool, err error)
@@ -42,8 +49,6 @@
 	ActsFor(shard model.Shard) bool
 	// Changed is closed when the membership changes.
 	Changed() <-chan struct{}
-	// MayAct says whether this host holds the right to act now.
-	MayAct() bool
 }
 
 // Peers forwards calls to other hosts.
--- a/app/relay/service.go
+++ b/app/relay/service.go
@@ -27,8 +27,10 @@
 	Placer    Placer
 	Suspects  Suspects
 	Targets   *target.Client
-	// Dialect, Turns and Loads are needed by Forward only. Turns is nil if
-	// programs have no budget of their own, Loads if targets tell no load.
+	// Rights, Dialect, Turns and Loads are needed by Forward only, which needs no
+	// Contracts, Programs, Owners or Peers. Turns is nil if programs have no budget
+	// of their own, Loads if targets tell no load.
+	Rights  Rights
 	Dialect Dialect
 	Turns   Turns
 	Loads   LoadReports
--- a/app/relay/stream.go
+++ b/app/relay/stream.go
@@ -27,6 +27,26 @@
 	return &Answer{Status: resp.Status(), Headers: headers, Body: b, Length: -1}
 }
 
+// pendingEvents hands on events that have arrived.
+type pendingEvents struct {
+	pending []byte
+	end     error // what Read returns after pending
+}
+
+// read calls advance, which adds to pending or sets end, until there is something
+// to return.
+func (e *pendingEvents) read(p []byte, advance func()) (int, error) {
+	for len(e.pending) == 0 {
+		if e.end != nil {
+			return 0, e.end
+		}
+		advance()
+	}
+	n := copy(p, e.pending)
+	e.pending = e.pending[n:]
+	return n, nil
+}
+
 // streamBody passes server-sent events on. It holds the closing [DONE] event
 // back until the call's record is committed, so that a caller never takes an
 // answer for whole that is not recorded.
@@ -36,26 +56,15 @@
 	call    *chatCall
 	resp    *target.Response
 	events  *target.EventReader
-	pending []byte
+	pendingEvents
 	record  []byte // whole answer of a program's call
 	passed  int    // events handed on over all resumes
 	resumes int
-	end     error
 	settled bool
 }
 
 // Read implements io.Reader. It returns io.EOF only after [DONE].
-func (b *streamBody) Read(p []byte) (int, error) {
-	for len(b.pending) == 0 {
-		if b.end != nil {
-			return 0, b.end
-		}
-		b.advance()
-	}
-	n := copy(p, b.pending)
-	b.pending = b.pending[n:]
-	return n, nil
-}
+func (b *streamBody) Read(p []byte) (int, error) { return b.read(p, b.advance) }
 
 // advance reads the next event into pending, or sets end.
 func (b *streamBody) advance() {
--- a/app/suspects/saved.go
+++ b/app/suspects/saved.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/uuid"
 
+	"mimosarelay/app/wait"
 	"mimosarelay/core/model"
 	"mimosarelay/core/store"
 	"mimosarelay/core/suspect"
@@ -36,7 +37,7 @@
 			return
 		}
 		s.options.Log.Warn("suspect not saved", "fingerprint", f, "error", err)
-		if !s.pause(pause) {
+		if !wait.For(s.ctx, s.options.Clock, pause) {
 			return
 		}
 		pause = min(2*pause, maxSavePause)
--- a/app/suspects/service.go
+++ b/app/suspects/service.go
@@ -37,6 +37,7 @@
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 
+	"mimosarelay/app/wait"
 	"mimosarelay/core/model"
 	"mimosarelay/core/store"
 	"mimosarelay/core/suspect"
@@ -239,23 +240,13 @@
 
 // resend repeats a message until the peer answers or is gone.
 func (s *Service) resend(address string, m *peerpb.MarkSuspectRequest) {
-	for s.pause(resendPause) && slices.Contains(s.options.Peers.Peers(), address) {
+	for wait.For(s.ctx, s.options.Clock, resendPause) && slices.Contains(s.options.Peers.Peers(), address) {
 		if s.send(s.ctx, address, m) == nil {
 			return
 		}
 	}
 }
 
-// pause waits, and reports false if the service closes.
-func (s *Service) pause(d time.Duration) bool {
-	select {
-	case <-s.ctx.Done():
-		return false
-	case <-s.options.Clock.After(d):
-		return true
-	}
-}
-
 // HandleMarkSuspect serves the RPC MarkSuspect.
 func (s *Service) HandleMarkSuspect(_ context.Context, m *peerpb.MarkSuspectRequest) (*peerpb.MarkSuspectResponse, error) {
 	if m.Fingerprint == "" {
@@ -338,7 +329,7 @@
 	s.background(func() {
 		// The owner must know the crash before it stops counting the run.
 		for s.teach(s.ctx, r.owner, r.print) != nil || s.send(s.ctx, r.owner, m) != nil {
-			if !s.pause(resendPause) || !slices.Contains(s.options.Peers.Peers(), r.owner) {
+			if !wait.For(s.ctx, s.options.Clock, resendPause) || !slices.Contains(s.options.Peers.Peers(), r.owner) {
 				return
 			}
 		}
--- a/app/turns/client.go
+++ b/app/turns/client.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"mimosarelay/app/relay"
+	"mimosarelay/app/wait"
 	"mimosarelay/core/model"
 	"mimosarelay/core/program"
 	"mimosarelay/core/turn"
@@ -78,10 +79,7 @@
 		if ctx.Err() != nil || c.Clock.Since(start) > reserveWait {
 			return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "the program's budget cannot be checked: %v", err).Retry(reserveRetry)
 		}
-		select {
-		case <-ctx.Done():
-		case <-c.Clock.After(reservePause):
-		}
+		wait.For(ctx, c.Clock, reservePause)
 	}
 }
 
