app/placement: a refusal names the places of this host

Callers saw 503 at their deadline with "the caller stopped waiting for a target". It now gives the targets in use, the places of this host at them, those taken and the calls that wait. TestRefusalNamesPlaces fails without it.

--- a/app/placement/service.go
+++ b/app/placement/service.go
@@ -23,6 +23,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"slices"
 	"sync"
@@ -168,13 +169,23 @@
 		}
 		p.Release(placement.Usage{})
 	}
-	return nil, unavailable(reason)
+	return nil, s.noPlace(reason, r)
+}
+
+// noPlace refuses a call with the places that this host has, which tells a host
+// without places from busy targets.
+func (s *Service) noPlace(reason string, r placement.Request) *model.Refusal {
+	s.mu.Lock()
+	room := s.scheduler.Room(r)
+	s.mu.Unlock()
+	return unavailable(fmt.Sprintf("%s: %d targets, %d places of this host, %d taken, %d calls waiting",
+		reason, room.Targets, room.Places, room.Taken, room.Waiting))
 }
 
 // retryAfter is the advice to callers whose call found no target.
 const retryAfter = time.Second
 
-func unavailable(reason string) error {
+func unavailable(reason string) *model.Refusal {
 	return model.NewRefusal(model.ErrUnavailable, model.RanNo, "%s", reason).Retry(retryAfter)
 }
 
--- a/app/placement/service_test.go
+++ b/app/placement/service_test.go
@@ -106,6 +106,20 @@
 	}
 }
 
+// Guards against a refusal that does not tell a host without places from busy
+// targets.
+func TestRefusalNamesPlaces(t *testing.T) {
+	f := newFleet(document(1, "a"), "h1", "h2")
+	for _, h := range []model.HostID{"h1", "h2"} {
+		s := f.service(h, nil)
+		taken := len(acquireAll(t, s))
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err := s.Acquire(ctx, request)
+		assert.ErrorContains(t, err, fmt.Sprintf("1 targets, %d places of this host, %d taken", taken, taken))
+	}
+}
+
 // Guards against a part that grows before the removed host stopped acting.
 func TestPartGrowsAfterDelay(t *testing.T) {
 	f := newFleet(document(10, "a"), "h1", "h2")
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -520,6 +520,35 @@
 	return false
 }
 
+// Room describes what this host could offer a call.
+type Room struct {
+	Targets int // that serve the call and are in use
+	Places  int // of this host at these targets
+	Taken   int // places in which calls run
+	Waiting int // calls that wait for the same targets
+}
+
+// Room describes the targets that a request may use.
+func (s *Scheduler) Room(r Request) Room {
+	var room Room
+	c := s.classes[keyOf(&r)]
+	if c == nil {
+		return room
+	}
+	for _, t := range c.targets {
+		if t.Skip {
+			continue
+		}
+		room.Targets++
+		room.Places += t.Limit
+		room.Taken += len(t.inFlight)
+	}
+	for _, l := range c.lanes {
+		room.Waiting += l.waiting
+	}
+	return room
+}
+
 // Starved returns the targets without a place for this host that waiting calls
 // need, because no other target that they may use has one. They are sorted.
 func (s *Scheduler) Starved() []model.TargetID {
