app/placement: every host has places at every target

What callers saw: on the grown sites, calls of tools waited at some hosts until their deadline and were refused then, while the targets were idle. Cause: the places of a target are divided among the hosts in whole numbers. 18 places in 64 parts give none to 72 in 100 hosts, so that with five targets 19 in 100 hosts have no place at any; 3 of 15 logged hosts refused 58 of the 61 calls. Class of fault: a fixed division of a shared resource that becomes finer than its unit as the fleet grows. Loans of places, which the own interface has for this, are not part of the processes on the platform. Change: a host has at least two places at each target there. The bound need not hold at every moment, because these targets refuse what exceeds their queue without running it. The own interface keeps the strict bound. TestEveryHostOfALargeFleetHasAPlace failed before: host-0 had no place.

--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -118,6 +118,9 @@
 	changeDelay = 10 * time.Millisecond
 	// peerDialTimeout bounds a connection attempt to another host.
 	peerDialTimeout = 250 * time.Millisecond
+	// leastPart lets a host of a large fleet run two calls of one program at any
+	// target: with whole parts, most of 64 hosts have no place at a target of 18.
+	leastPart = 2
 	// queueWait is how long a request waits for a place.
 	queueWait = 2 * time.Second
 	// dialTimeout bounds a connection attempt to a target.
@@ -218,7 +221,7 @@
 			Choice:    coreplacement.CacheAware{CallCost: callCost, Slack: callCost},
 			Retention: coreplacement.HoldThroughPause{TokenTime: tokenTime},
 		},
-		QueueWait: queueWait, ChangeDelay: changeDelay, Clock: o.Clock, Log: o.Log,
+		LeastPart: leastPart, QueueWait: queueWait, ChangeDelay: changeDelay, Clock: o.Clock, Log: o.Log,
 	})
 	var turnClient relay.Turns
 	if o.Budgets {
--- a/app/placement/service_test.go
+++ b/app/placement/service_test.go
@@ -106,6 +106,20 @@
 	}
 }
 
+// Guards against hosts that serve no call of a service whose targets have fewer
+// places than the fleet has hosts.
+func TestEveryHostOfALargeFleetHasAPlace(t *testing.T) {
+	var names []model.HostID
+	for i := range 64 {
+		names = append(names, model.HostID(fmt.Sprint("host-", i)))
+	}
+	f := newFleet(document(18, "a", "b", "c", "d", "e"), names...)
+	for _, h := range names {
+		s := f.service(h, func(o *Options) { o.LeastPart = 1 })
+		assert.Assert(t, len(acquireAll(t, s)) >= 5, "%s has no place at some target", h)
+	}
+}
+
 // Guards against a refusal that does not tell a host without places from busy
 // targets.
 func TestRefusalNamesPlaces(t *testing.T) {
