core/placement: hosts find the same home of a program, and old load reports expire

Cause: a host knows only what it sent itself. With 64 hosts the turns of one program arrive at many of them, each of which chose another engine, and a report of an engine's load counted until the next one, ten seconds later. Class of fault: decisions that rest on what one host has seen, whose part of the traffic shrinks as the fleet grows. Change: without knowledge of its own a host credits the targets with the highest rendezvous scores for the shared prefix, and among them the one of the program, so that all hosts choose alike without a message. A report counts in full for 1 s and not at all after 3 s. TestHostsFindTheSameHome failed before: the first two hosts chose differently. TestOldReportDoesNotCount is new with the age.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -30,6 +30,7 @@
 // target is the state of a target at this host.
 type target struct {
 	Target
+	hash     uint64 // of the id
 	inFlight map[CallID]*call
 	classes  []*class
 	free     bool // as counted in the classes
@@ -45,10 +46,22 @@
 
 func (t *target) hasRoom() bool { return !t.Skip && len(t.inFlight) < t.Limit }
 
-// calls returns the corrected number of calls at the target.
-func (t *target) calls() float64 {
-	n := t.load.Running + t.load.Waiting - len(t.ended) + t.sent
-	return float64(max(n, len(t.inFlight)))
+const (
+	// loadFresh is the age up to which a report counts in full.
+	loadFresh = time.Second
+	// loadLifetime is the age at which a report no longer counts: calls last for
+	// fractions of a second, so that it describes other calls.
+	loadLifetime = 3 * time.Second
+)
+
+// calls returns the corrected number of calls at the target. Those of other
+// hosts count for less as the report gets older: a host of a large fleet hears
+// of a target only every few seconds.
+func (t *target) calls(now time.Time) float64 {
+	own := float64(len(t.inFlight))
+	others := float64(t.load.Running+t.load.Waiting-len(t.ended)+t.sent) - own
+	left := float64(loadLifetime-now.Sub(t.load.At)) / float64(loadLifetime-loadFresh)
+	return own + max(0, others)*min(max(0, left), 1)
 }
 
 // report replaces the load unless a newer one is known.
@@ -111,15 +124,19 @@
 func (s *Scheduler) chooseCached(c *class, k *call, p CacheAware, now time.Time) *target {
 	s.findCached(k, now)
 	prompt := s.expected(&k.request)
+	home := s.findHomes(c, k)
 	s.scratch = s.scratch[:0]
 	lowest := 0.0
 	for _, t := range c.targets {
 		if !t.free {
 			continue
 		}
-		calls := t.calls()
+		calls := t.calls(now)
 		load := calls + s.heldLoad(t)
 		cost := float64(prompt-min(s.cachedAt(t), prompt)) + load*p.CallCost
+		if t == home {
+			cost -= homeCalls * p.CallCost
+		}
 		if len(s.scratch) == 0 || cost < lowest {
 			lowest = cost
 		}
--- a/core/placement/dump.go
+++ b/core/placement/dump.go
@@ -46,7 +46,7 @@
 		d.Held += t.held
 		d.Targets = append(d.Targets, TargetDump{
 			Target: t.ID, Limit: t.Limit, InFlight: len(t.inFlight), Skip: t.Skip,
-			Load: t.calls(), ReportedAt: t.load.At, Held: t.held,
+			Load: t.calls(t.load.At), ReportedAt: t.load.At, Held: t.held,
 		})
 	}
 	for _, sh := range s.shares {
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -10,6 +10,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mimosarelay/core/model"
 )
 
@@ -64,7 +66,8 @@
 	pinned   []*call
 	index    prefixIndex
 	scratch  []scored
-	decision uint64 // number of searches for cached prefixes
+	homes    []scoredHome // of the present decision
+	decision uint64       // number of searches for cached prefixes
 }
 
 // NewScheduler returns a Scheduler without targets.
@@ -92,7 +95,7 @@
 	for _, x := range list {
 		t := s.targets[x.ID]
 		if t == nil {
-			t = &target{inFlight: map[CallID]*call{}}
+			t = &target{inFlight: map[CallID]*call{}, hash: xxhash.Sum64String(string(x.ID))}
 		}
 		t.Target = x
 		targets[x.ID] = t
--- a/core/placement/scheduler_test.go
+++ b/core/placement/scheduler_test.go
@@ -249,16 +249,17 @@
 	for id := CallID(1); id <= 4; id++ {
 		add(t, s, start.Add(time.Duration(id)*time.Second), id, Request{Workspace: "w"})
 	}
+	calls := func() float64 { return s.targets["a"].calls(s.targets["a"].load.At) }
 	s.Report("a", Load{At: start.Add(2500 * time.Millisecond), Running: 10, Waiting: 2})
-	assert.Equal(t, s.targets["a"].calls(), 14.0) // calls 3 and 4 are not in the report
+	assert.Equal(t, calls(), 14.0) // calls 3 and 4 are not in the report
 	s.Release(start.Add(5*time.Second), 1, Usage{})
-	assert.Equal(t, s.targets["a"].calls(), 13.0)
+	assert.Equal(t, calls(), 13.0)
 	s.Release(start.Add(5*time.Second), 4, Usage{})
-	assert.Equal(t, s.targets["a"].calls(), 12.0)
+	assert.Equal(t, calls(), 12.0)
 	s.Report("a", Load{At: start.Add(6 * time.Second), Running: 9})
-	assert.Equal(t, s.targets["a"].calls(), 9.0)
+	assert.Equal(t, calls(), 9.0)
 	s.Report("a", Load{At: start, Running: 50}) // older: ignored
-	assert.Equal(t, s.targets["a"].calls(), 9.0)
+	assert.Equal(t, calls(), 9.0)
 }
 
 // Guards against a program that loses its prefix because others took the slot
@@ -498,3 +499,42 @@
 	}
 	assert.Equal(t, Part(hosts, "gone", "t", 100), 0)
 }
+
+// Guards against a target that is avoided for calls that ended long ago: a host
+// of a large fleet gets no newer report while it sends nothing there.
+func TestOldReportDoesNotCount(t *testing.T) {
+	s := scheduler(t, Options{}, engines(100, "a"))
+	add(t, s, start, 1, Request{Workspace: "w"})
+	s.Report("a", Load{At: start, Running: 9})
+	a := s.targets["a"]
+	assert.Equal(t, a.calls(start.Add(loadFresh)), 9.0)
+	assert.Equal(t, a.calls(start.Add((loadFresh+loadLifetime)/2)), 5.0)
+	assert.Equal(t, a.calls(start.Add(loadLifetime)), 1.0, "own calls count in any case")
+}
+
+// Guards against programs whose turns arrive at several hosts and whose prompt
+// each host has computed at another target.
+func TestHostsFindTheSameHome(t *testing.T) {
+	var names []model.TargetID
+	for i := range 45 {
+		names = append(names, model.TargetID(fmt.Sprint("engine-", i)))
+	}
+	used := map[model.TargetID]int{}
+	for i := range 200 {
+		r := Request{
+			Workspace: "w", Program: model.ProgramID(fmt.Sprint("p", i)), Model: "m", Prompt: 16000,
+			Prefixes: []uint64{1, 100 + uint64(i), 500 + uint64(i)}, PrefixTokens: []model.Tokens{12600, 14300, 16000},
+		}
+		var first model.TargetID
+		for seed := range uint64(4) { // one scheduler a host
+			s := scheduler(t, Options{Seed: seed}, engines(100, names...))
+			g := add(t, s, start, 1, r)
+			if seed == 0 {
+				first = g[0].Target
+			}
+			assert.Equal(t, g[0].Target, first)
+		}
+		used[first]++
+	}
+	assert.Equal(t, len(used), 45/homePart, "programs with one shared prefix use its homes, and all of them")
+}
