app/turns: copies of budget records outlast the end of all keepers

Cause: while the store is away a turn starts once its record is at a second keeper, in memory only. If all keepers end before the store is back, the programs start anew. Class of fault: a promise that rests on memory of processes that may end together. Change: both keepers put the page on their disks before it counts as a record, and a new process takes over what it finds there. A page's sequence follows the last one of its host also if the clock was set back, so that an old copy cannot pass for the newest record. TestAllKeepersEndDuringOutage fails without the disk.

--- /dev/null
+++ b/app/entry/disk_test.go
@@ -0,0 +1,33 @@
+package entry_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mimosarelay/app/entry"
+	"mimosarelay/core/model"
+)
+
+// Guards against copies of budget records that the next process of a host does
+// not find.
+func TestDiskKeepsPagesOverRestarts(t *testing.T) {
+	dir := t.TempDir()
+	d, err := entry.OpenDisk(dir)
+	assert.NilError(t, err)
+	for host, page := range map[model.HostID]string{"a": "old", "b": "other"} {
+		assert.NilError(t, d.Save(host, []byte(page)))
+	}
+	assert.NilError(t, d.Save("a", []byte("new")))
+	assert.NilError(t, d.Close())
+
+	d, err = entry.OpenDisk(dir)
+	assert.NilError(t, err)
+	defer d.Close()
+	found := map[string]bool{}
+	assert.NilError(t, d.Load(func(page []byte) error {
+		found[string(page)] = true
+		return nil
+	}))
+	assert.DeepEqual(t, found, map[string]bool{"new": true, "other": true})
+}
--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -64,6 +64,8 @@
 	Readiness func(ready func() (bool, string)) fasthttp.RequestHandler
 	// Evacuations is asked by keepers, whose machines have a disk.
 	Evacuations Evacuations
+	// Disk keeps copies of budget records over restarts; nil without a disk.
+	Disk turns.Disk
 	// Quotas says whether the rates of workspaces are limited, and Budgets
 	// whether programs have budgets of their own.
 	Quotas  bool
@@ -197,7 +199,7 @@
 	})
 	h.turnOwner = turns.NewOwner(turns.OwnerOptions{
 		Host: o.Host, Tenure: h.fleet, Store: o.Keyspace(budgetPrefix), Clock: o.Clock, Log: o.Log,
-		Keepers: h.otherKeepers, Copies: h.peers,
+		Keepers: h.otherKeepers, Copies: h.peers, Disk: o.Disk,
 	})
 	h.suspects = suspects.New(suspects.Options{
 		Host: o.Host, Self: o.PeerAddress, Peers: suspectPeers{h.peers, h}, Store: control, KeyPrefix: suspectPrefix,
--- a/app/turns/owner.go
+++ b/app/turns/owner.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
 
 	"mimosarelay/core/model"
 	"mimosarelay/core/program"
@@ -34,7 +35,16 @@
 	FetchBudgets(ctx context.Context, address string, r *peerpb.FetchBudgetsRequest) (*peerpb.FetchBudgetsResponse, error)
 }
 
-// OwnerOptions configures an Owner. All fields but the times are required.
+// Disk keeps pages over restarts of the process. Implemented over io/disk.
+type Disk interface {
+	// Save returns once the page of a host is on the disk.
+	Save(host model.HostID, page []byte) error
+	// Load calls visit for each page.
+	Load(visit func(page []byte) error) error
+}
+
+// OwnerOptions configures an Owner. All fields but Disk and the times are
+// required.
 type OwnerOptions struct {
 	Host   model.HostID
 	Tenure Tenure
@@ -44,8 +54,10 @@
 	// programs, and Copies reaches them.
 	Keepers func() []string
 	Copies  Copies
-	Clock   clockwork.Clock
-	Log     *slog.Logger
+	// Disk keeps the copies of this host; nil on machines without a disk.
+	Disk  Disk
+	Clock clockwork.Clock
+	Log   *slog.Logger
 	// FlushEvery is the time between two writes of records that no turn waits
 	// for; 0 means 500 ms, in which few programs use up what is recorded.
 	FlushEvery time.Duration
@@ -87,6 +99,8 @@
 	// is this host's.
 	copies map[model.HostID]*peerpb.BudgetPage
 	own    *peerpb.BudgetPage
+	// sequence is that of the newest page of this host, over its restarts.
+	sequence int64
 }
 
 // NewOwner returns an Owner. Run writes its records.
@@ -100,7 +114,41 @@
 	if o.RecordWait == 0 {
 		o.RecordWait = defaultRecordWait
 	}
-	return &Owner{options: o, ledger: turn.NewLedger(), kick: make(chan struct{}, 1), urge: make(chan struct{}, 1), saved: make(chan struct{}), copies: map[model.HostID]*peerpb.BudgetPage{}}
+	owner := &Owner{options: o, ledger: turn.NewLedger(), kick: make(chan struct{}, 1), urge: make(chan struct{}, 1), saved: make(chan struct{}), copies: map[model.HostID]*peerpb.BudgetPage{}}
+	owner.restore()
+	return owner
+}
+
+// restore takes over the copies that an earlier process of this host held.
+func (o *Owner) restore() {
+	if o.options.Disk == nil {
+		return
+	}
+	err := o.options.Disk.Load(func(data []byte) error {
+		m := &peerpb.BudgetPage{}
+		if err := proto.Unmarshal(data, m); err != nil {
+			return err
+		}
+		o.copies[model.HostID(m.GetHost())] = m
+		return nil
+	})
+	if err != nil {
+		o.options.Log.Error("copies of budget records not read from the disk", "error", err)
+	}
+	o.sequence = o.copies[o.options.Host].GetSequence()
+	o.options.Log.Info("copies of budget records restored", "pages", len(o.copies))
+}
+
+// keepOnDisk returns once a page is on the disk of this host, if it has one.
+func (o *Owner) keepOnDisk(m *peerpb.BudgetPage) error {
+	if o.options.Disk == nil {
+		return nil
+	}
+	data, err := proto.Marshal(m)
+	if err != nil {
+		return err
+	}
+	return o.options.Disk.Save(model.HostID(m.GetHost()), data)
 }
 
 // pageEntry is the record of one program in a page.
@@ -250,6 +298,7 @@
 		}
 		if e.Key == string(o.options.Host) {
 			o.noteVersion(e.Version)
+			o.noteSequence(newest[o.options.Host].Sequence)
 		}
 	}
 	held, err := o.heldCopies(ctx)
@@ -270,6 +319,19 @@
 	o.version, o.versionKnown = v, true
 }
 
+func (o *Owner) noteSequence(n int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sequence = max(o.sequence, n)
+}
+
+// nextSequence follows the clock, and grows also if the clock was set back. mu is
+// held.
+func (o *Owner) nextSequence() int64 {
+	o.sequence = max(o.sequence+1, o.options.Clock.Now().UnixNano())
+	return o.sequence
+}
+
 // readVersion asks for the version of this host's page after a write that may
 // have taken effect.
 func (o *Owner) readVersion(ctx context.Context) error {
@@ -315,8 +377,8 @@
 		return nil
 	}
 	records := o.ledger.Records(o.options.Clock.Now())
+	p := page{Sequence: o.nextSequence(), Programs: make([]pageEntry, 0, len(records))}
 	o.mu.Unlock()
-	p := page{Sequence: o.options.Clock.Now().UnixNano(), Programs: make([]pageEntry, 0, len(records))}
 	for _, r := range records {
 		p.Programs = append(p.Programs, pageEntry{r.Program.Workspace, r.Program.Program, r.Allowed, r.Used.Unix()})
 	}
@@ -364,9 +426,10 @@
 // also copied to other keepers. The store answers in milliseconds.
 const copyAfter = 60 * time.Millisecond
 
-// copyLater keeps the records at other keepers if the store does not answer
-// soon, so that programs go on during an outage. The records are safe then as
-// long as this host and that keeper are not both lost before the store is back.
+// copyLater keeps the records at another keeper if the store does not answer
+// soon, so that programs go on during an outage. Both hosts put them on their
+// disks, so that they outlast the end of all processes; they are lost only if
+// both disks are before the store is back.
 func (o *Owner) copyLater(ctx context.Context, sequence int64, value []byte, records []turn.Record) {
 	select {
 	case <-ctx.Done():
@@ -374,6 +437,10 @@
 	case <-o.options.Clock.After(copyAfter):
 	}
 	m := &peerpb.BudgetPage{Host: string(o.options.Host), Sequence: sequence, Value: value}
+	if err := o.keepOnDisk(m); err != nil {
+		o.options.Log.Error("records of program budgets not put on the disk", "error", err)
+		return
+	}
 	for _, address := range o.options.Keepers() {
 		if _, err := o.options.Copies.KeepBudgets(ctx, address, m); err != nil {
 			o.options.Log.Warn("records of program budgets not copied", "peer", address, "error", err)
@@ -384,12 +451,17 @@
 		o.ledger.Saved(records)
 		o.signal()
 		o.mu.Unlock()
+		o.options.Log.Info("records of program budgets copied", "peer", address, "sequence", sequence, "programs", len(records))
 		return
 	}
 }
 
 // HandleKeepBudgets serves the RPC KeepBudgets.
 func (o *Owner) HandleKeepBudgets(_ context.Context, m *peerpb.BudgetPage) (*peerpb.KeepBudgetsResponse, error) {
+	if err := o.keepOnDisk(m); err != nil {
+		o.options.Log.Error("copy of budget records not put on the disk", "host", m.GetHost(), "error", err)
+		return nil, err
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	host := model.HostID(m.GetHost())
--- a/app/turns/owner_test.go
+++ b/app/turns/owner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -27,6 +28,34 @@
 	owners  map[model.HostID]*turns.Owner
 	down    atomic.Bool // the store does not answer
 	unheard atomic.Bool // the owners do not reach each other
+	disks   map[model.HostID]*fakeDisk
+	stop    map[model.HostID]context.CancelFunc
+}
+
+// fakeDisk outlasts the owners of its host.
+type fakeDisk struct {
+	mu    sync.Mutex
+	pages map[model.HostID][]byte
+}
+
+// Save implements turns.Disk.
+func (d *fakeDisk) Save(host model.HostID, page []byte) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pages[host] = page
+	return nil
+}
+
+// Load implements turns.Disk.
+func (d *fakeDisk) Load(visit func([]byte) error) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.pages {
+		if err := visit(p); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 type tenure struct {
@@ -69,23 +98,37 @@
 
 func newKeepers(t *testing.T) *keepers {
 	t.Helper()
-	clock := clockwork.NewRealClock()
-	k := &keepers{t: t, store: memstore.New(clock), owners: map[model.HostID]*turns.Owner{}}
-	other := map[model.HostID]string{"a": "b", "b": "a"}
-	ctx, stop := context.WithCancel(context.Background())
-	t.Cleanup(stop)
-	for host, peer := range other {
-		o := turns.NewOwner(turns.OwnerOptions{
-			Host: host, Tenure: tenure{k, host}, Store: away{k.store.NewClient(string(host)), k}, Clock: clock, Log: slog.New(slog.DiscardHandler),
-			Keepers: func() []string { return []string{peer} }, Copies: k, FlushEvery: 10 * time.Millisecond,
-		})
-		k.owners[host] = o
-		go func() { _ = o.Run(ctx) }()
+	k := &keepers{
+		t: t, store: memstore.New(clockwork.NewRealClock()), owners: map[model.HostID]*turns.Owner{},
+		disks: map[model.HostID]*fakeDisk{}, stop: map[model.HostID]context.CancelFunc{},
+	}
+	for _, host := range []model.HostID{"a", "b"} {
+		k.disks[host] = &fakeDisk{pages: map[model.HostID][]byte{}}
+		k.start(host)
 	}
 	k.move("a")
 	return k
 }
 
+// start replaces the process of a host by one that knows only what the disk
+// holds.
+func (k *keepers) start(host model.HostID) {
+	if stop := k.stop[host]; stop != nil {
+		stop()
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	k.t.Cleanup(stop)
+	k.stop[host] = stop
+	peer := map[model.HostID]string{"a": "b", "b": "a"}[host]
+	o := turns.NewOwner(turns.OwnerOptions{
+		Host: host, Tenure: tenure{k, host}, Store: away{k.store.NewClient(string(host)), k}, Clock: clockwork.NewRealClock(),
+		Log: slog.New(slog.DiscardHandler), Keepers: func() []string { return []string{peer} }, Copies: k,
+		Disk: k.disks[host], FlushEvery: 10 * time.Millisecond,
+	})
+	k.owners[host] = o
+	go func() { _ = o.Run(ctx) }()
+}
+
 // move gives all shards to a host.
 func (k *keepers) move(host model.HostID) {
 	k.acting.Store(host)
@@ -147,3 +190,27 @@
 	err := k.owners["b"].Reserve(ctx, turn.Reservation{Program: fresh, Turn: "3", Budget: 300, Max: 100, Deadline: time.Now().Add(time.Minute)})
 	assert.ErrorIs(t, err, model.ErrBudget)
 }
+
+// Guards against programs that begin anew because all keepers end while the
+// store is away and what was spent is recorded only in copies.
+func TestAllKeepersEndDuringOutage(t *testing.T) {
+	k := newKeepers(t)
+	assert.NilError(t, k.turn("a", "0")) // loads
+	k.owners["a"].End(program, "0", 0)
+	k.down.Store(true)
+	fresh := func(id string) error {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		return k.owners["a"].Reserve(ctx, turn.Reservation{
+			Program: model.ProgramKey{Workspace: "office", Program: "fresh"}, Turn: model.RequestID(id), Budget: 300, Max: 100,
+			Deadline: time.Now().Add(time.Minute),
+		})
+	}
+	assert.NilError(t, fresh("1"))
+	assert.NilError(t, fresh("2"), "a copy at another keeper counts as a record")
+	k.start("a")
+	k.start("b")
+	k.down.Store(false)
+	k.move("a")
+	assert.ErrorIs(t, fresh("3"), model.ErrBudget)
+}
--- a/cmd/managed.go
+++ b/cmd/managed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -31,7 +32,7 @@
 )
 
 // managed runs one host with settings from the platform it is deployed on.
-func managed(ctx context.Context, logs io.Writer) error {
+func managed(ctx context.Context, logs io.Writer) (failed error) {
 	boot, err := platform.LoadBoot()
 	if err != nil {
 		return err
@@ -46,7 +47,7 @@
 		return err
 	}
 	defer client.Close()
-	h := entry.New(entry.Options{
+	options := entry.Options{
 		Host: boot.Host, Zone: boot.Zone, PeerAddress: boot.PeerAddress, MetricsAddress: boot.MetricsAddress,
 		CallerAddress: boot.CallerAddress, ReadyAddress: boot.ReadyAddress, DirectoryAddress: boot.DirectoryAddress,
 		Keyspace: client.Keyspace, Source: client, Dialect: platform.Dialect{},
@@ -61,8 +62,17 @@
 		Lifetime:    boot.Bounds.Revoke - revokeMargin,
 		Grace:       boot.Bounds.Grace,
 		Clock:       boottime.New(), Log: log,
-	})
-	return h.Run(ctx)
+	}
+	if options.Keeper && boot.DataDir != "" {
+		if disk, err := entry.OpenDisk(boot.DataDir); err != nil {
+			// A host without its disk still counts programs; another one has copies.
+			log.Error("data folder not used", "folder", boot.DataDir, "error", err)
+		} else {
+			defer func() { failed = errors.Join(failed, disk.Close()) }()
+			options.Disk = disk
+		}
+	}
+	return entry.New(options).Run(ctx)
 }
 
 // watchSettings reads the settings again on SIGHUP and logs what has changed.
