Entry hosts follow keepers instead of being members of the fleet

Cause: each entry host was a member of the fleet. Heartbeats went from all to all (67 x 66 in 300 ms), each join, stop and loss of an entry host was an epoch with an entry report of every member, two store calls each, that every member watched, and the shares of 79 workspaces were spread over 64 hosts. Class of fault: agreement among all hosts on state that only few of them need to hold. Change: the keepers are the members. They hold the limits and the budgets, which they agree on as before. An entry host holds nothing that outlasts a request. It tells all keepers every 500 ms that it lives, learns the membership and the other entry hosts from their answers, and asks a keeper of its zone for a token. It may act while a keeper that acts has answered within 1.5 s. Messages grow with entry hosts times keepers; an entry host needs no lease and causes no epoch.

--- a/app/catalog/catalog.go
+++ b/app/catalog/catalog.go
@@ -72,6 +72,7 @@
 	known    uint64    // revision of document in the store
 	seen     uint64    // revision up to which the store has looked
 	asked    time.Time // when the store was asked for what it confirmed
+	away     bool      // the store did not answer the last question for the configuration
 	targets  discovery.Targets
 	listed   bool
 	faulty   []string // entries that were logged
@@ -130,6 +131,7 @@
 		now, changed, err := s.options.Source.WatchConfiguration(ctx, seen, s.options.Wait)
 		switch {
 		case err != nil:
+			s.configurationAway()
 			s.failed(ctx, "configuration not watched", err)
 			return false
 		case changed:
@@ -137,7 +139,7 @@
 		}
 		s.mu.Lock()
 		s.seen = max(s.seen, now)
-		s.asked = asked
+		s.asked, s.away = asked, false
 		s.mu.Unlock()
 	}
 	return true
@@ -152,12 +154,13 @@
 	asked := s.options.Clock.Now()
 	c, err := s.options.Source.ReadConfiguration(ctx, known)
 	if err != nil {
+		s.configurationAway()
 		s.failed(ctx, "configuration not read", err)
 		return false
 	}
 	s.mu.Lock()
 	d := c.Document
-	s.asked, s.seen = asked, c.Seen
+	s.asked, s.seen, s.away = asked, c.Seen, false
 	older := d != nil && s.document != nil && d.Revision < s.document.Revision
 	if d == nil || older {
 		s.mu.Unlock()
@@ -174,6 +177,20 @@
 	return true
 }
 
+func (s *Service) configurationAway() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+}
+
+// Away says that the store did not answer the last question for the
+// configuration.
+func (s *Service) Away() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away
+}
+
 func (s *Service) failed(ctx context.Context, event string, err error) {
 	if ctx.Err() != nil && !errors.Is(err, store.ErrUnavailable) {
 		return
--- a/app/entry/disk_test.go
+++ b/app/entry/disk_test.go
@@ -23,11 +23,11 @@
 
 	d, err = entry.OpenDisk(dir)
 	assert.NilError(t, err)
-	defer d.Close()
 	found := map[string]bool{}
 	assert.NilError(t, d.Load(func(page []byte) error {
 		found[string(page)] = true
 		return nil
 	}))
+	assert.NilError(t, d.Close())
 	assert.DeepEqual(t, found, map[string]bool{"new": true, "other": true})
 }
--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -12,27 +11,17 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 	"github.com/valyala/fasthttp"
 
 	"mimosarelay/app/catalog"
-	"mimosarelay/app/fleet"
-	"mimosarelay/app/limits"
-	"mimosarelay/app/placement"
 	"mimosarelay/app/relay"
-	"mimosarelay/app/suspects"
 	"mimosarelay/app/turns"
-	"mimosarelay/app/wait"
-	coreingress "mimosarelay/core/ingress"
-	"mimosarelay/core/member"
 	"mimosarelay/core/model"
-	coreplacement "mimosarelay/core/placement"
 	"mimosarelay/core/store"
 	"mimosarelay/io/ingress"
 	"mimosarelay/io/metrics"
 	"mimosarelay/io/peer"
-	"mimosarelay/io/target"
 )
 
 // Dialect reads and writes the fields of callers and targets.
@@ -149,17 +138,11 @@
 	options Options
 	log     *slog.Logger
 
-	catalog   *catalog.Service
-	fleet     *fleet.Service
-	limits    *limits.Service
-	placement *placement.Service
-	suspects  *suspects.Service
-	turnOwner *turns.Owner
-	relay     *relay.Service
-	peers     *peer.Client
-	targets   *target.Client
-	callers   *ingress.Server
-	metrics   *metrics.Root
+	catalog *catalog.Service
+	peers   *peer.Client
+	metrics *metrics.Root
+	keeper  *keeper // nil on entry hosts
+	front   *front  // nil on keepers
 
 	draining atomic.Bool
 	work     sync.WaitGroup
@@ -169,45 +152,15 @@
 func New(o Options) *Host {
 	h := &Host{options: o, log: o.Log, metrics: metrics.New()}
 	h.peers = peer.NewClient(peer.Options{DialTimeout: peerDialTimeout})
-	h.targets = target.NewClient(target.Options{DialTimeout: dialTimeout})
 	h.catalog = catalog.New(catalog.Options{Source: o.Source, Clock: o.Clock, Log: o.Log, Lifetime: o.Lifetime})
-	h.wireFleet()
-	h.wireRelay()
-	h.subscribe()
+	if o.Keeper {
+		h.keeper = newKeeper(h)
+	} else {
+		h.front = newFront(h)
+	}
 	return h
 }
 
-func (h *Host) wireFleet() {
-	o := h.options
-	control := o.Keyspace(controlPrefix)
-	h.fleet = fleet.New(fleet.Options{
-		Store: control, Clock: o.Clock, Peers: h.peers,
-		Self: member.Member{
-			Host: o.Host, Incarnation: model.Incarnation(uuid.NewString()), Zone: o.Zone,
-			CallerAddress: o.CallerAddress, PeerAddress: o.PeerAddress, Keeper: o.Keeper,
-		},
-		Holdings:       func(e model.Epoch) map[model.WorkspaceID]int64 { return h.limits.Holdings(e) },
-		ConfigRevision: h.revision,
-		Logger:         o.Log, Scope: h.metrics.Scope,
-		LeaseTTL: leaseTTL, Margin: leaseMargin, RenewEvery: renewEvery, RenewTimeout: renewTimeout,
-		GoneAfter: goneAfter, GoneSteady: goneSteady,
-		HeartbeatEvery: heartbeatEvery, WordTTL: wordTTL, WatchPause: watchPause,
-	})
-	h.limits = limits.New(limits.Options{
-		Host: o.Host, Clock: o.Clock, Store: control, Peers: h.peers, MayAct: h.fleet.MayAct, LimitWait: limitWait,
-		SettleWait: settleWait, BurstSlack: burstSlack, Isolated: h.fleet.Isolated,
-	})
-	h.turnOwner = turns.NewOwner(turns.OwnerOptions{
-		Host: o.Host, Tenure: h.fleet, Store: o.Keyspace(budgetPrefix), Clock: o.Clock, Log: o.Log,
-		Keepers: h.otherKeepers, Copies: h.peers, Disk: o.Disk,
-	})
-	h.suspects = suspects.New(suspects.Options{
-		Host: o.Host, Self: o.PeerAddress, Peers: suspectPeers{h.peers, h}, Store: control, KeyPrefix: suspectPrefix,
-		Incarnation: func() model.Incarnation { return h.fleet.Self().Incarnation },
-		Clock:       o.Clock, Log: o.Log,
-	})
-}
-
 func (h *Host) revision() model.Revision {
 	if v := h.catalog.Latest(); v != nil {
 		return v.Revision()
@@ -215,60 +168,6 @@
 	return 0
 }
 
-func (h *Host) wireRelay() {
-	o := h.options
-	h.placement = placement.New(placement.Options{
-		Host: o.Host, Hosts: h.entryHosts, Snapshot: h.snapshot, Prober: h.targets,
-		Policy: coreplacement.Options{
-			Choice:    coreplacement.CacheAware{CallCost: callCost, Slack: callCost},
-			Retention: coreplacement.HoldThroughPause{TokenTime: tokenTime},
-		},
-		LeastPart: leastPart, QueueWait: queueWait, ChangeDelay: changeDelay, Clock: o.Clock, Log: o.Log,
-	})
-	var turnClient relay.Turns
-	if o.Budgets {
-		turnClient = &turns.Client{Owner: h.turnOwner, Owners: owners{h}, Peers: h.peers, Isolated: h.fleet.Isolated, Clock: o.Clock, Log: o.Log}
-	}
-	h.relay = relay.New(relay.Options{
-		Turns:   turnClient,
-		Limiter: limiter{h}, Rights: h.fleet, Placer: placer{h}, Suspects: h.suspects, Targets: h.targets,
-		Dialect: o.Dialect, Loads: h.placement, Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
-	})
-	h.callers = ingress.New(ingress.Options{
-		Relay: h.relay, Dialect: o.Dialect, View: h.catalog.View, Limits: h.catalog.Limits,
-		Draining: h.draining.Load, Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
-	})
-}
-
-func (h *Host) subscribe() {
-	h.fleet.Subscribe(limits.EnterPrefix, h.limits.EntriesChanged)
-	h.fleet.Subscribe(limits.SharesKey, h.limits.SharesChanged)
-	h.fleet.Subscribe(suspectPrefix, h.suspects.EntriesChanged)
-	h.fleet.OnEpoch(h.epochChanged)
-	h.catalog.OnChange(func(v *coreingress.View) { h.limits.ContractsChanged(v.Document()) })
-}
-
-func (h *Host) epochChanged(old, current member.Record) {
-	was, _ := old.Member(h.options.Host)
-	is, _ := current.Member(h.options.Host)
-	h.turnOwner.TenureChanged(func(s model.Shard) bool {
-		owner, ok := current.Owner(s)
-		return ok && owner.Host == h.options.Host
-	}, was.Incarnation == is.Incarnation && is.Incarnation != "")
-	m := limits.Membership{Epoch: current.Epoch, Incarnation: h.fleet.Self().Incarnation}
-	var live []model.Incarnation
-	for _, one := range current.Members {
-		live = append(live, one.Incarnation)
-		m.Members = append(m.Members, limits.Member{
-			Host: one.Host, Incarnation: one.Incarnation, PeerAddress: one.PeerAddress,
-			// Keepers spend no tokens, so they get no shares.
-			Leaving: one.Leaving || one.Keeper,
-		})
-	}
-	h.limits.EpochChanged(m)
-	h.suspects.MembersChanged(live)
-}
-
 // Run serves until ctx ends, then shuts down without cutting a request.
 func (h *Host) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -277,7 +176,7 @@
 	if err := h.start(work, failed); err != nil {
 		return err
 	}
-	h.log.Info("host started", "host", h.options.Host, "zone", h.options.Zone, "caller", h.options.CallerAddress, "incarnation", h.fleet.Self().Incarnation)
+	h.log.Info("host started", "host", h.options.Host, "zone", h.options.Zone, "caller", h.options.CallerAddress, "keeper", h.options.Keeper)
 	var err error
 	select {
 	case <-ctx.Done():
@@ -286,8 +185,11 @@
 		h.log.Error("host failed", "error", err)
 	}
 	stop()
-	h.limits.Close()
-	h.suspects.Close()
+	if h.keeper != nil {
+		h.keeper.limits.Close()
+	} else {
+		h.front.suspects.Close()
+	}
 	h.metrics.Close()
 	h.log.Info("host stopped")
 	return err
@@ -308,37 +210,36 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	run("peer server", func() error { return peer.Serve(ctx, peers, peerHandler{host: h}) })
-	for _, l := range []struct {
-		name, address string
-		serve         func(net.Listener) error
-	}{
-		{"readiness", h.options.ReadyAddress, serveSmall(h.options.Readiness(h.Ready))},
-		{"directory", h.options.DirectoryAddress, serveSmall(h.options.Directory(h.addresses, directoryTTL))},
-		{"metrics", h.options.MetricsAddress, serveSmall(h.diagnose)},
-		{"callers", h.options.CallerAddress, h.callers.Serve},
-	} {
+	run("peer server", func() error { return peer.Serve(ctx, peers, h.peerHandler()) })
+	listeners := []listener{{"metrics", h.options.MetricsAddress, serveSmall(h.diagnose)}}
+	if h.front != nil {
+		listeners = append(listeners, h.front.listeners()...)
+	}
+	for _, l := range listeners {
 		if l.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", l.address)
+		listening, err := net.Listen("tcp", l.address)
 		if err != nil {
 			return fmt.Errorf("listen for %s: %w", l.name, err)
 		}
-		run(l.name, func() error { return l.serve(listener) })
-	}
-	if h.options.CallerAddress != "" {
-		run("catalog", func() error { return h.catalog.Run(ctx) })
-		run("placement", func() error { return h.placement.Run(ctx) })
+		run(l.name, func() error { return l.serve(listening) })
 	}
-	if h.options.Keeper && h.options.Evacuations != nil {
-		run("evacuation", func() error { return h.evacuate(ctx) })
+	run("catalog", func() error { return h.catalog.Run(ctx) })
+	if h.keeper != nil {
+		h.keeper.start(ctx, run)
+	} else {
+		h.front.start(ctx, run)
 	}
-	run("budgets", func() error { return h.turnOwner.Run(ctx) })
-	run("fleet", func() error { return h.fleet.Run(ctx) })
 	return nil
 }
 
+// listener is an address with what serves it.
+type listener struct {
+	name, address string
+	serve         func(net.Listener) error
+}
+
 // smallTimeout bounds a request to the directory or for the readiness.
 const smallTimeout = 5 * time.Second
 
@@ -355,31 +256,26 @@
 	if h.draining.Load() {
 		return false, "the host is leaving"
 	}
+	if h.keeper != nil {
+		return h.keeper.fleet.Ready()
+	}
 	if _, err := h.catalog.View(); err != nil {
 		return false, err.Error()
 	}
-	return h.fleet.Ready()
+	if !h.front.follow.MayAct() {
+		return false, "no keeper that acts answers this host"
+	}
+	return true, ""
 }
 
-// drain leaves the fleet without cutting a request.
+// drain leaves without cutting a request.
 func (h *Host) drain() {
 	h.draining.Store(true)
-	start := h.options.Clock.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), h.options.Grace-exitReserve)
-	defer cancel()
-	h.log.Info("drain started", "requests", h.callers.Running())
-	if h.options.CallerAddress == "" {
-		h.leave()
+	if h.keeper != nil {
+		h.log.Info("drain started")
+		h.keeper.leave()
 		h.log.Info("drain ended")
 		return
 	}
-	mark, done := context.WithTimeout(ctx, time.Second)
-	err := h.fleet.MarkLeaving(mark)
-	done()
-	wait.For(ctx, h.options.Clock, lingerTime-h.options.Clock.Since(start))
-	err = errors.Join(err, h.callers.Shutdown(ctx))
-	leave, done := context.WithTimeout(context.Background(), exitReserve/2)
-	defer done()
-	err = errors.Join(err, h.fleet.Leave(leave))
-	h.log.Info("drain ended", "requests", h.callers.Running(), "error", err)
+	h.front.drain()
 }
--- a/app/entry/evacuate.go
+++ b/app/entry/evacuate.go
@@ -27,54 +27,42 @@
 // evacuate waits until an operator asks for this host to be emptied. A host
 // keeps nothing on its disk: it is empty when it has left the fleet, so that
 // others count its programs.
-func (h *Host) evacuate(ctx context.Context) error {
+func (k *keeper) evacuate(ctx context.Context) error {
 	for {
-		if !wait.For(ctx, h.options.Clock, evacuationEvery) {
+		if !wait.For(ctx, k.options.Clock, evacuationEvery) {
 			return nil
 		}
 		call, cancel := context.WithTimeout(ctx, evacuationCall)
-		asked, err := h.options.Evacuations.EvacuationAsked(call, h.options.Host)
+		asked, err := k.options.Evacuations.EvacuationAsked(call, k.options.Host)
 		cancel()
 		if err != nil {
-			h.log.Warn("evacuation not asked for", "error", err)
+			k.log.Warn("evacuation not asked for", "error", err)
 			continue
 		}
 		if asked {
 			break
 		}
 	}
-	h.log.Info("evacuation started")
-	h.report(ctx, false)
-	h.draining.Store(true)
-	h.leave()
-	h.report(ctx, true)
-	h.log.Info("evacuation ended")
+	k.log.Info("evacuation started")
+	k.report(ctx, false)
+	k.draining.Store(true)
+	k.leave()
+	k.report(ctx, true)
+	k.log.Info("evacuation ended")
 	<-ctx.Done() // a process that ends would be started again
 	return nil
 }
 
 // report repeats a report until the store takes it.
-func (h *Host) report(ctx context.Context, done bool) {
+func (k *keeper) report(ctx context.Context, done bool) {
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, evacuationCall)
-		err := h.options.Evacuations.ReportEvacuation(call, h.options.Host, done)
+		err := k.options.Evacuations.ReportEvacuation(call, k.options.Host, done)
 		cancel()
 		if err == nil {
 			return
 		}
-		h.log.Warn("evacuation not reported", "done", done, "error", err)
-		wait.For(ctx, h.options.Clock, evacuationCall)
-	}
-}
-
-// leave takes this host out of the fleet.
-func (h *Host) leave() {
-	ctx, cancel := context.WithTimeout(context.Background(), exitReserve)
-	defer cancel()
-	if err := h.fleet.MarkLeaving(ctx); err != nil {
-		h.log.Warn("leaving is not recorded", "error", err)
-	}
-	if err := h.fleet.Leave(ctx); err != nil {
-		h.log.Warn("not left in order, the lease lapses", "error", err)
+		k.log.Warn("evacuation not reported", "done", done, "error", err)
+		wait.For(ctx, k.options.Clock, evacuationCall)
 	}
 }
--- a/app/entry/state.go
+++ b/app/entry/state.go
@@ -26,21 +26,30 @@
 	// the store was asked for what it last confirmed; -1ns before.
 	Revision    model.Revision
 	EvidenceAge time.Duration
-	Fleet       any
-	Limits      any
-	Placement   any
-	Budgets     any
-	Suspects    any
+	// Fleet, Limits and Budgets are set on keepers, the others on entry hosts.
+	Fleet     any `json:",omitempty"`
+	Limits    any `json:",omitempty"`
+	Budgets   any `json:",omitempty"`
+	Follow    any `json:",omitempty"`
+	Placement any `json:",omitempty"`
+	Suspects  any `json:",omitempty"`
 }
 
 // State returns the dump.
 func (h *Host) State() State {
 	ready, reason := h.Ready()
-	return State{
-		Host: h.options.Host, Ready: ready, Reason: reason, Draining: h.draining.Load(), Requests: h.callers.Running(),
-		Revision: h.revision(), EvidenceAge: h.catalog.Age(), Fleet: h.fleet.Dump(), Limits: h.limits.Dump(),
-		Placement: h.placement.Dump(), Budgets: h.turnOwner.Dump(), Suspects: h.suspects.Dump(),
+	s := State{
+		Host: h.options.Host, Ready: ready, Reason: reason, Draining: h.draining.Load(),
+		Revision: h.revision(), EvidenceAge: h.catalog.Age(),
 	}
+	if k := h.keeper; k != nil {
+		s.Fleet, s.Limits, s.Budgets = k.fleet.Dump(), k.limits.Dump(), k.turnOwner.Dump()
+		return s
+	}
+	f := h.front
+	s.Requests = f.callers.Running()
+	s.Follow, s.Placement, s.Suspects = f.follow.Dump(), f.placement.Dump(), f.suspects.Dump()
+	return s
 }
 
 // diagnose serves metrics and the dump on the address for traffic between
--- a/app/fleet/service.go
+++ b/app/fleet/service.go
@@ -366,7 +366,10 @@
 	}
 }
 
-func (s *Service) membershipKey() string { return s.options.KeyPrefix + "Membership" }
+// RecordKey holds the membership record, after KeyPrefix.
+const RecordKey = "Membership"
+
+func (s *Service) membershipKey() string { return s.options.KeyPrefix + RecordKey }
 
 func (s *Service) leaseKey(h model.HostID) string { return s.options.KeyPrefix + "Lease/" + string(h) }
 
--- /dev/null
+++ b/app/follow/keeper.go
@@ -0,0 +1,117 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"mimosarelay/core/member"
+	"mimosarelay/core/model"
+	"mimosarelay/core/presence"
+	"mimosarelay/io/peer/peerpb"
+)
+
+// Fleet is the membership of a keeper.
+type Fleet interface {
+	MayAct() bool
+	StoreAway() bool
+	View() member.Record
+}
+
+// Limiter admits requests by a keeper's share of the limits.
+type Limiter interface {
+	Admit(ctx context.Context, workspace model.WorkspaceID) error
+}
+
+// Keeper serves the entry hosts that follow it. It is safe for concurrent use.
+type Keeper struct {
+	Fleet  Fleet
+	Limits Limiter
+	Clock  clockwork.Clock
+
+	mu       sync.Mutex // guards registry
+	registry presence.Registry
+}
+
+// HandleFollow serves the RPC Follow.
+func (k *Keeper) HandleFollow(_ context.Context, r *peerpb.FollowRequest) (*peerpb.FollowResponse, error) {
+	self := r.GetSelf()
+	if self.GetHost() == "" || self.GetPeerAddress() == "" {
+		return nil, fmt.Errorf("follow without host or peer address: %w", model.ErrBadRequest)
+	}
+	record := k.Fleet.View()
+	res := &peerpb.FollowResponse{Acting: k.Fleet.MayAct()}
+	if uint64(record.Epoch) > r.GetKnownEpoch() {
+		data, err := record.Encode()
+		if err != nil {
+			return nil, err
+		}
+		res.Record = data
+	}
+	hosts := k.hosts(self)
+	res.HostsVersion = presence.Version(hosts)
+	if res.HostsVersion == r.GetKnownHosts() {
+		return res, nil
+	}
+	for _, h := range hosts {
+		res.Hosts = append(res.Hosts, encode(h))
+	}
+	return res, nil
+}
+
+// hosts notes a host and lists those that callers may use. Hosts that the store
+// turns away are left out unless this keeper does not reach it either.
+func (k *Keeper) hosts(self *peerpb.EntryHost) []presence.Host {
+	away := k.Fleet.StoreAway()
+	now := k.Clock.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.registry.Heard(now, decode(self))
+	var list []presence.Host
+	for _, h := range k.registry.Live(now) {
+		if away || !h.StoreAway {
+			h.StoreAway = false // changes nothing for followers
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+// admitWait bounds the time in which a keeper decides on a request. It exceeds
+// the time that a request waits for a token.
+const admitWait = 300 * time.Millisecond
+
+// HandleAdmit serves the RPC Admit.
+func (k *Keeper) HandleAdmit(ctx context.Context, r *peerpb.AdmitRequest) (*peerpb.AdmitResponse, error) {
+	if !k.Fleet.MayAct() {
+		return &peerpb.AdmitResponse{}, nil
+	}
+	ctx, cancel := clockwork.WithTimeout(ctx, k.Clock, admitWait)
+	defer cancel()
+	err := k.Limits.Admit(ctx, model.WorkspaceID(r.GetWorkspace()))
+	if err == nil {
+		return &peerpb.AdmitResponse{Outcome: peerpb.AdmitResponse_GRANTED}, nil
+	}
+	var refusal *model.Refusal
+	if errors.As(err, &refusal) && errors.Is(err, model.ErrRateLimited) {
+		return &peerpb.AdmitResponse{Outcome: peerpb.AdmitResponse_LIMITED, RetryAfterUs: refusal.RetryAfter.Microseconds()}, nil
+	}
+	return &peerpb.AdmitResponse{}, nil // the sender logs what it tells its caller
+}
+
+func encode(h presence.Host) *peerpb.EntryHost {
+	return &peerpb.EntryHost{
+		Host: string(h.Host), CallerAddress: h.CallerAddress, PeerAddress: h.PeerAddress, Leaving: h.Leaving, StoreAway: h.StoreAway,
+	}
+}
+
+func decode(m *peerpb.EntryHost) presence.Host {
+	return presence.Host{
+		Host: model.HostID(m.GetHost()), CallerAddress: m.GetCallerAddress(), PeerAddress: m.GetPeerAddress(),
+		Leaving: m.GetLeaving(), StoreAway: m.GetStoreAway(),
+	}
+}
--- a/app/turns/client.go
+++ b/app/turns/client.go
@@ -18,7 +18,9 @@
 
 // Owners finds the owner of a shard.
 type Owners interface {
-	Owner(shard model.Shard) (address string, self bool, err error)
+	Owner(shard model.Shard) (address string, err error)
+	// Wake looks for a newer membership soon.
+	Wake()
 }
 
 // Peers reaches the owners.
@@ -29,7 +31,6 @@
 
 // Client reserves the turns of requests that this host serves.
 type Client struct {
-	Owner  *Owner // of this host
 	Owners Owners
 	Peers  Peers
 	// Isolated reports whether this host is cut off from most others; nil means
@@ -79,21 +80,19 @@
 		if ctx.Err() != nil || c.Clock.Since(start) > reserveWait {
 			return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "the program's budget cannot be checked: %v", err).Retry(reserveRetry)
 		}
+		c.Owners.Wake()
 		wait.For(ctx, c.Clock, reservePause)
 	}
 }
 
 func (c *Client) isolated() bool { return c.Isolated != nil && c.Isolated() }
 
-// reserve asks the owner and returns its address, empty for this host.
+// reserve asks the owner and returns its address.
 func (c *Client) reserve(ctx context.Context, r turn.Reservation) (address string, err error) {
-	address, self, err := c.Owners.Owner(program.ShardOf(r.Program))
+	address, err = c.Owners.Owner(program.ShardOf(r.Program))
 	if err != nil {
 		return "", err
 	}
-	if self {
-		return "", c.Owner.Reserve(ctx, r)
-	}
 	timeout := askTimeout
 	if c.isolated() {
 		timeout = isolatedTimeout
@@ -120,15 +119,11 @@
 	client  *Client
 	key     model.ProgramKey
 	id      model.RequestID
-	address string // of the owner; empty for this host
+	address string // of the owner
 }
 
 // End implements relay.TurnLease. It does not wait for the owner.
 func (l *lease) End(used model.Tokens) {
-	if l.address == "" {
-		l.client.Owner.End(l.key, l.id, used)
-		return
-	}
 	go l.report(used)
 }
 
--- a/app/turns/client_test.go
+++ b/app/turns/client_test.go
@@ -19,7 +19,8 @@
 // farOwner owns all shards at another host.
 type farOwner struct{}
 
-func (farOwner) Owner(model.Shard) (string, bool, error) { return "10.0.0.9:1", false, nil }
+func (farOwner) Owner(model.Shard) (string, error) { return "10.0.0.9:1", nil }
+func (farOwner) Wake()                             {}
 
 // silentOwner never answers.
 type silentOwner struct{ asked int }
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -281,6 +281,17 @@
 	return unary(ctx, c, poolKey{address, general}, request, peerpb.DRPCPeerClient.LivePrograms)
 }
 
+// Follow tells a keeper that this host lives. It shares the connections of
+// heartbeats.
+func (c *Client) Follow(ctx context.Context, address string, request *peerpb.FollowRequest) (*peerpb.FollowResponse, error) {
+	return unary(ctx, c, poolKey{address, heartbeat}, request, peerpb.DRPCPeerClient.Follow)
+}
+
+// Admit takes a token of a workspace's rate at a keeper.
+func (c *Client) Admit(ctx context.Context, address string, request *peerpb.AdmitRequest) (*peerpb.AdmitResponse, error) {
+	return unary(ctx, c, poolKey{address, general}, request, peerpb.DRPCPeerClient.Admit)
+}
+
 // ReserveTurn reserves the tokens of a turn.
 func (c *Client) ReserveTurn(ctx context.Context, address string, request *peerpb.ReserveTurnRequest) (*peerpb.ReserveTurnResponse, error) {
 	return unary(ctx, c, poolKey{address, general}, request, peerpb.DRPCPeerClient.ReserveTurn)
