io/target: a target is not gone because the caller's time passed

Cause: the end of the request's context fails the new connection, which counted as the target's answer.

--- a/app/relay/forward.go
+++ b/app/relay/forward.go
@@ -318,7 +318,7 @@
 		outcome, failed = dispatch.Unsent{}, ctx.Err() == nil
 	default:
 		s.Targets.DropIdle(t.Address)
-		gone := ctx.Err() == nil && !errors.Is(cause, target.ErrIdle) && !s.Targets.Reachable(ctx, t.Address)
+		gone := !errors.Is(cause, target.ErrIdle) && s.Targets.Unreachable(ctx, t.Address)
 		outcome, failed = dispatch.Lost{Gone: gone}, gone
 		if gone {
 			s.Suspects.Crashed(ctx, w.print, t.Name)
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -316,6 +316,12 @@
 	return true
 }
 
+// Unreachable says that the target does not accept a new connection. It is false
+// if ctx ended first, because then nothing is known of the target.
+func (c *Client) Unreachable(ctx context.Context, address string) bool {
+	return !c.Reachable(ctx, address) && ctx.Err() == nil
+}
+
 // loadPath is served by every target.
 const loadPath = "/v1/load"
 
--- a/io/target/client_test.go
+++ b/io/target/client_test.go
@@ -299,3 +299,30 @@
 	e.at = (e.at + n) % len(e.event)
 	return n, nil
 }
+
+// Guards against a target that counts as crashed, and its request as one that
+// crashes targets, because the caller left or its time passed meanwhile.
+func TestUnreachableNeedsAnAnswer(t *testing.T) {
+	c := NewClient(Options{})
+	alive, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := dead.Addr().String()
+	assert.NilError(t, dead.Close())
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	for name, x := range map[string]struct {
+		ctx     context.Context
+		address string
+		want    bool
+	}{
+		"alive":            {t.Context(), alive.Addr().String(), false},
+		"alive, too late":  {ended, alive.Addr().String(), false},
+		"closed":           {t.Context(), address, true},
+		"closed, too late": {ended, address, false},
+	} {
+		assert.Equal(t, c.Unreachable(x.ctx, x.address), x.want, name)
+	}
+	assert.NilError(t, alive.Close())
+}
