Entry hosts read the configuration and the targets at keepers

Change: an entry host asks a keeper that acts for the configuration, with a question that the keeper holds for up to a second, and for the targets. The answer says how long before the question the store was asked, and the evidence counts from then, so that a withdrawn key stops working as soon as before. A keeper that does not reach the store says so, and the host asks the next one, then the store itself.

--- a/app/catalog/catalog.go
+++ b/app/catalog/catalog.go
@@ -26,9 +26,8 @@
 	// store's revision of it is still known.
 	ReadConfiguration(ctx context.Context, known uint64) (ingress.Stored, error)
 	// WatchConfiguration waits until the configuration may have changed after
-	// a revision of the store, or wait has passed. It returns the revision up
-	// to which the store has looked, and whether it saw a change.
-	WatchConfiguration(ctx context.Context, after uint64, wait time.Duration) (seen uint64, changed bool, err error)
+	// a revision of the store, or wait has passed.
+	WatchConfiguration(ctx context.Context, after uint64, wait time.Duration) (ingress.Watched, error)
 	// ReadTargets lists the targets. faults describe entries that name none.
 	ReadTargets(ctx context.Context) (targets []ingress.Target, faults []error, err error)
 }
@@ -69,13 +68,15 @@
 	mu       sync.Mutex // guards all fields below
 	view     *ingress.View
 	document *ingress.Document
+	value    []byte    // of document, as it is stored
 	known    uint64    // revision of document in the store
 	seen     uint64    // revision up to which the store has looked
 	asked    time.Time // when the store was asked for what it confirmed
 	away     bool      // the store did not answer the last question for the configuration
 	targets  discovery.Targets
-	listed   bool
-	faulty   []string // entries that were logged
+	listed   time.Time     // when the targets were asked for; zero before
+	changed  chan struct{} // closed when the configuration changes
+	faulty   []string      // entries that were logged
 	onChange []func(*ingress.View)
 }
 
@@ -90,7 +91,7 @@
 	if o.Timeout == 0 {
 		o.Timeout = defaultTimeout
 	}
-	return &Service{options: o}
+	return &Service{options: o, changed: make(chan struct{})}
 }
 
 // OnChange calls fn with each new view. It must be called before Run.
@@ -128,18 +129,18 @@
 		seen := s.seen
 		s.mu.Unlock()
 		asked := s.options.Clock.Now()
-		now, changed, err := s.options.Source.WatchConfiguration(ctx, seen, s.options.Wait)
+		seenNow, err := s.options.Source.WatchConfiguration(ctx, seen, s.options.Wait)
 		switch {
 		case err != nil:
 			s.configurationAway()
 			s.failed(ctx, "configuration not watched", err)
 			return false
-		case changed:
+		case seenNow.Changed:
 			return true
 		}
 		s.mu.Lock()
-		s.seen = max(s.seen, now)
-		s.asked, s.away = asked, false
+		s.seen = max(s.seen, seenNow.Seen)
+		s.confirm(asked.Add(-seenNow.Age))
 		s.mu.Unlock()
 	}
 	return true
@@ -160,7 +161,8 @@
 	}
 	s.mu.Lock()
 	d := c.Document
-	s.asked, s.seen, s.away = asked, c.Seen, false
+	s.seen = max(s.seen, c.Seen)
+	s.confirm(asked.Add(-c.Age))
 	older := d != nil && s.document != nil && d.Revision < s.document.Revision
 	if d == nil || older {
 		s.mu.Unlock()
@@ -169,7 +171,9 @@
 		}
 		return true
 	}
-	s.document, s.known = d, c.Revision
+	s.document, s.value, s.known = d, c.Value, c.Revision
+	close(s.changed)
+	s.changed = make(chan struct{})
 	view := s.rebuild()
 	s.mu.Unlock()
 	s.options.Log.Info("configuration changed", "revision", d.Revision, "routes", len(d.Routes), "workspaces", len(d.Workspaces))
@@ -177,6 +181,14 @@
 	return true
 }
 
+// confirm notes when the store was asked for what it confirmed. mu is held.
+func (s *Service) confirm(asked time.Time) {
+	s.away = false
+	if asked.After(s.asked) {
+		s.asked = asked
+	}
+}
+
 func (s *Service) configurationAway() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -201,6 +213,7 @@
 func (s *Service) readTargets(ctx context.Context) bool {
 	ctx, cancel := clockwork.WithTimeout(ctx, s.options.Clock, s.options.Timeout)
 	defer cancel()
+	asked := s.options.Clock.Now()
 	list, faults, err := s.options.Source.ReadTargets(ctx)
 	if err != nil {
 		s.mu.Lock()
@@ -212,8 +225,8 @@
 	s.logFaults(faults)
 	s.mu.Lock()
 	changed := s.targets.Update(s.options.Clock.Now(), list)
-	first := !s.listed
-	s.listed = true
+	first := s.listed.IsZero()
+	s.listed = asked
 	var view *ingress.View
 	if changed || first {
 		view = s.rebuild()
@@ -242,15 +255,19 @@
 // rebuild makes a view of what is known, or nil if something is missing. mu is
 // held.
 func (s *Service) rebuild() *ingress.View {
-	if s.document == nil || !s.listed {
+	if s.document == nil || s.listed.IsZero() {
 		return nil
 	}
 	list := s.targets.List()
-	slices.SortFunc(list, func(a, b ingress.Target) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	sortTargets(list)
 	s.view = ingress.NewView(s.document, list)
 	return s.view
 }
 
+func sortTargets(list []ingress.Target) {
+	slices.SortFunc(list, func(a, b ingress.Target) int { return strings.Compare(string(a.ID), string(b.ID)) })
+}
+
 func (s *Service) tell(view *ingress.View) {
 	if view == nil {
 		return
--- a/app/catalog/catalog_test.go
+++ b/app/catalog/catalog_test.go
@@ -57,22 +57,22 @@
 	return out, nil
 }
 
-func (s *source) WatchConfiguration(ctx context.Context, after uint64, wait time.Duration) (uint64, bool, error) {
+func (s *source) WatchConfiguration(ctx context.Context, after uint64, wait time.Duration) (ingress.Watched, error) {
 	s.mu.Lock()
 	changed := s.changed
 	s.mu.Unlock()
 	select {
 	case <-ctx.Done():
-		return 0, false, ctx.Err()
+		return ingress.Watched{}, ctx.Err()
 	case <-changed:
 	case <-time.After(wait):
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.away {
-		return 0, false, store.ErrUnavailable
+		return ingress.Watched{}, store.ErrUnavailable
 	}
-	return s.revision, s.revision > after, nil
+	return ingress.Watched{Seen: s.revision, Changed: s.revision > after}, nil
 }
 
 func (s *source) ReadTargets(context.Context) ([]ingress.Target, []error, error) {
--- a/app/entry/adapters.go
+++ b/app/entry/adapters.go
@@ -97,6 +97,16 @@
 	return p.keeper.followers.HandleAdmit(ctx, r)
 }
 
+// Configuration implements peerpb.DRPCPeerServer.
+func (p keeperHandler) Configuration(ctx context.Context, r *peerpb.ConfigurationRequest) (*peerpb.ConfigurationResponse, error) {
+	return p.keeper.catalog.HandleConfiguration(ctx, r)
+}
+
+// Targets implements peerpb.DRPCPeerServer.
+func (p keeperHandler) Targets(ctx context.Context, r *peerpb.TargetsRequest) (*peerpb.TargetsResponse, error) {
+	return p.keeper.catalog.HandleTargets(ctx, r)
+}
+
 // Heartbeat implements peerpb.DRPCPeerServer.
 func (p keeperHandler) Heartbeat(ctx context.Context, r *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
 	return p.keeper.fleet.HandleHeartbeat(ctx, r)
--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -17,6 +17,7 @@
 	"mimosarelay/app/catalog"
 	"mimosarelay/app/relay"
 	"mimosarelay/app/turns"
+	coreingress "mimosarelay/core/ingress"
 	"mimosarelay/core/model"
 	"mimosarelay/core/store"
 	"mimosarelay/io/ingress"
@@ -46,7 +47,9 @@
 	// Keyspace returns the keys of the store under a prefix.
 	Keyspace func(prefix string) store.Store
 	Source   catalog.Source
-	Dialect  Dialect
+	// Decode reads a configuration as it is stored.
+	Decode  func([]byte) (*coreingress.Document, error)
+	Dialect Dialect
 	// Directory answers callers that ask where to connect, and Readiness the
 	// deployment's checks.
 	Directory func(addresses func() []string, ttl time.Duration) fasthttp.RequestHandler
@@ -152,8 +155,8 @@
 func New(o Options) *Host {
 	h := &Host{options: o, log: o.Log, metrics: metrics.New()}
 	h.peers = peer.NewClient(peer.Options{DialTimeout: peerDialTimeout})
-	h.catalog = catalog.New(catalog.Options{Source: o.Source, Clock: o.Clock, Log: o.Log, Lifetime: o.Lifetime})
 	if o.Keeper {
+		h.catalog = newCatalog(o, o.Source)
 		h.keeper = newKeeper(h)
 	} else {
 		h.front = newFront(h)
@@ -161,6 +164,10 @@
 	return h
 }
 
+func newCatalog(o Options, source catalog.Source) *catalog.Service {
+	return catalog.New(catalog.Options{Source: source, Clock: o.Clock, Log: o.Log, Lifetime: o.Lifetime})
+}
+
 func (h *Host) revision() model.Revision {
 	if v := h.catalog.Latest(); v != nil {
 		return v.Revision()
--- a/app/entry/front.go
+++ b/app/entry/front.go
@@ -41,8 +41,9 @@
 	f.follow = follow.NewClient(follow.Options{
 		Self: presence.Host{Host: o.Host, CallerAddress: o.CallerAddress, PeerAddress: o.PeerAddress},
 		Zone: o.Zone, Store: control, RecordKey: fleet.RecordKey, Peers: h.peers,
-		StoreAway: h.catalog.Away, SettleWait: settleWait, Clock: o.Clock, Log: o.Log,
+		StoreAway: func() bool { return h.catalog.Away() }, SettleWait: settleWait, Clock: o.Clock, Log: o.Log,
 	})
+	h.catalog = newCatalog(o, &follow.Source{Client: f.follow, Peers: h.peers, Store: o.Source, Decode: o.Decode})
 	incarnation := model.Incarnation(uuid.NewString())
 	f.suspects = suspects.New(suspects.Options{
 		Host: o.Host, Self: o.PeerAddress, Peers: suspectPeers{h.peers, f}, Store: control, KeyPrefix: suspectPrefix,
--- a/app/follow/follow_test.go
+++ b/app/follow/follow_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,6 +15,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"mimosarelay/app/catalog"
 	"mimosarelay/app/follow"
 	"mimosarelay/core/member"
 	"mimosarelay/core/model"
@@ -36,6 +38,8 @@
 // keeper is a keeper whose membership and limits the test decides on.
 type keeper struct {
 	*follow.Keeper
+	catalog *catalog.Service
+
 	mu     sync.Mutex
 	silent bool
 	acting bool
@@ -148,7 +152,10 @@
 		_ = c.Run(ctx)
 	}()
 	s.t.Cleanup(func() { stop(); <-done })
-	s.await("acts", c.MayAct)
+	s.await("all keepers act", func() bool {
+		state, ok := c.Dump().(follow.State)
+		return ok && len(state.Keepers) == len(s.keepers) && !slices.ContainsFunc(state.Keepers, func(k follow.KeeperState) bool { return !k.Acting })
+	})
 	return c
 }
 
--- a/cmd/managed.go
+++ b/cmd/managed.go
@@ -50,7 +50,7 @@
 	options := entry.Options{
 		Host: boot.Host, Zone: boot.Zone, PeerAddress: boot.PeerAddress, MetricsAddress: boot.MetricsAddress,
 		CallerAddress: boot.CallerAddress, ReadyAddress: boot.ReadyAddress, DirectoryAddress: boot.DirectoryAddress,
-		Keyspace: client.Keyspace, Source: client, Dialect: platform.Dialect{},
+		Keyspace: client.Keyspace, Source: client, Decode: platform.DecodeConfiguration, Dialect: platform.Dialect{},
 		Directory: func(addresses func() []string, ttl time.Duration) fasthttp.RequestHandler {
 			return platform.Directory{Addresses: addresses, TTL: min(ttl, boot.Bounds.DirectoryTTL)}.Handle
 		},
--- a/core/ingress/ingress.go
+++ b/core/ingress/ingress.go
@@ -122,9 +122,22 @@
 // Stored is a configuration as the store returned it.
 type Stored struct {
 	Document *Document
+	// Value is the configuration as it is stored; nil if Document is.
+	Value []byte
 	// Revision is the store's revision of the configuration, and Seen the one
 	// up to which it has looked.
 	Revision, Seen uint64
+	// Age is how long before the question the store was asked.
+	Age time.Duration
+}
+
+// Watched is what a watch on the configuration saw.
+type Watched struct {
+	// Seen is the revision up to which the store has looked.
+	Seen    uint64
+	Changed bool
+	// Age is how long before the question the store was asked.
+	Age time.Duration
 }
 
 // Target is one back end of a service.
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -292,6 +292,16 @@
 	return unary(ctx, c, poolKey{address, general}, request, peerpb.DRPCPeerClient.Admit)
 }
 
+// Configuration asks a keeper for the configuration.
+func (c *Client) Configuration(ctx context.Context, address string, request *peerpb.ConfigurationRequest) (*peerpb.ConfigurationResponse, error) {
+	return unary(ctx, c, poolKey{address, general}, request, peerpb.DRPCPeerClient.Configuration)
+}
+
+// Targets asks a keeper for the targets.
+func (c *Client) Targets(ctx context.Context, address string, request *peerpb.TargetsRequest) (*peerpb.TargetsResponse, error) {
+	return unary(ctx, c, poolKey{address, general}, request, peerpb.DRPCPeerClient.Targets)
+}
+
 // ReserveTurn reserves the tokens of a turn.
 func (c *Client) ReserveTurn(ctx context.Context, address string, request *peerpb.ReserveTurnRequest) (*peerpb.ReserveTurnResponse, error) {
 	return unary(ctx, c, poolKey{address, general}, request, peerpb.DRPCPeerClient.ReserveTurn)
