app/catalog: a keeper that the store turns away lists no targets

Cause: a change passed two lists of 800 ms, and a keeper that the store turns away told a list that was up to 2 s old. Class: ages that add up along a chain. Change: such a keeper refuses, so that the next one or the store is asked; a keeper's list is used for 1 s, and both lists are made every 400 ms. TestTargetsOfAKeeperWithoutTheStoreAreNotUsed failed before.

--- a/app/catalog/catalog.go
+++ b/app/catalog/catalog.go
@@ -73,6 +73,7 @@
 	seen     uint64    // revision up to which the store has looked
 	asked    time.Time // when the store was asked for what it confirmed
 	away     bool      // the store did not answer the last question for the configuration
+	unlisted bool      // the store did not answer the last question for the targets
 	targets  discovery.Targets
 	listed   time.Time     // when the targets were asked for; zero before
 	changed  chan struct{} // closed when the configuration changes
@@ -218,6 +219,7 @@
 	if err != nil {
 		s.mu.Lock()
 		s.targets.Away()
+		s.unlisted = true
 		s.mu.Unlock()
 		s.failed(ctx, "targets not read", err)
 		return false
@@ -226,7 +228,7 @@
 	s.mu.Lock()
 	changed := s.targets.Update(s.options.Clock.Now(), list)
 	first := s.listed.IsZero()
-	s.listed = asked
+	s.listed, s.unlisted = asked, false
 	var view *ingress.View
 	if changed || first {
 		view = s.rebuild()
--- a/app/catalog/relay.go
+++ b/app/catalog/relay.go
@@ -54,10 +54,10 @@
 // HandleTargets serves the RPC Targets.
 func (s *Service) HandleTargets(_ context.Context, r *peerpb.TargetsRequest) (*peerpb.TargetsResponse, error) {
 	s.mu.Lock()
-	listed, list := s.listed, s.targets.List()
+	listed, unlisted, list := s.listed, s.unlisted, s.targets.List()
 	s.mu.Unlock()
-	if listed.IsZero() {
-		return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "the targets are not known yet")
+	if listed.IsZero() || unlisted {
+		return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "the store has not listed the targets for this host")
 	}
 	sortTargets(list)
 	res := &peerpb.TargetsResponse{Version: versionOf(list), AgeUs: s.options.Clock.Since(listed).Microseconds()}
--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -112,6 +112,10 @@
 	changeDelay = 10 * time.Millisecond
 	// peerDialTimeout bounds a connection attempt to another host.
 	peerDialTimeout = 250 * time.Millisecond
+	// listEvery is the time between two lists of the targets. A change passes two
+	// of them, at the keeper and at the entry host, of the 2 s in which a leaving
+	// target must get no new request.
+	listEvery = 400 * time.Millisecond
 	// leastPart lets a host of a large fleet run two calls of one program at any
 	// target: with whole parts, most of 64 hosts have no place at a target of 18.
 	leastPart = 2
@@ -165,7 +169,7 @@
 }
 
 func newCatalog(o Options, source catalog.Source) *catalog.Service {
-	return catalog.New(catalog.Options{Source: source, Clock: o.Clock, Log: o.Log, Lifetime: o.Lifetime})
+	return catalog.New(catalog.Options{Source: source, Clock: o.Clock, Log: o.Log, Lifetime: o.Lifetime, Interval: listEvery})
 }
 
 func (h *Host) revision() model.Revision {
--- a/app/follow/source.go
+++ b/app/follow/source.go
@@ -42,8 +42,10 @@
 	// staleConfiguration is the age from which a keeper's evidence is not used:
 	// one that reaches the store asks it every second.
 	staleConfiguration = 1500 * time.Millisecond
-	// staleTargets is the same for targets, which are listed more often.
-	staleTargets = 2 * time.Second
+	// staleTargets is the same for targets, which keepers list more often. With
+	// the time until the next question it stays below the 2 s in which a leaving
+	// target must get no new request.
+	staleTargets = time.Second
 	// relayGrace is what an answer may take beyond the wait that was asked for.
 	relayGrace = 300 * time.Millisecond
 )
--- a/app/follow/source_test.go
+++ b/app/follow/source_test.go
@@ -182,3 +182,16 @@
 	assert.ErrorIs(t, err, model.ErrUnavailable)
 	assert.Assert(t, entry.Away())
 }
+
+// Guards against requests to a target that is leaving, which a host learns late
+// because the store turns its keeper away.
+func TestTargetsOfAKeeperWithoutTheStoreAreNotUsed(t *testing.T) {
+	t.Parallel()
+	keepers, own, entry := newCatalogs(t)
+	places := func() int { return entry.Latest().Document().Targets[0].MaxInFlight }
+	before := places()
+	keepers.set(func() { keepers.away = true })
+	own.set(func() { own.revision = 2 }) // doubles the slots of the target
+	time.Sleep(1900 * time.Millisecond)  // 2 s from the change to the last request, less its way
+	assert.Equal(t, places(), 2*before)
+}
