app/catalog: targets that are kept after an outage are not told to other hosts

Cause, from the logs: the store turned store-hobart-a-1 away from second 16.5 to 23.5. When it was back it kept for 2 s all targets that it had known, as is right for its own requests after an outage; front-hobart-a-1 and -2 took over the list at 24.21 and went back to a target that they had dropped at 23.00. Class: a rule for one host's uncertainty told to hosts that are certain. Change: a keeper tells no targets while it keeps some that the store does not list. TestTargetsKeptAfterAnOutageAreNotTold failed before.

--- a/app/catalog/catalog_test.go
+++ b/app/catalog/catalog_test.go
@@ -13,9 +13,11 @@
 
 	"mimosarelay/app/catalog"
 	"mimosarelay/core/config"
+	"mimosarelay/core/discovery"
 	"mimosarelay/core/ingress"
 	"mimosarelay/core/model"
 	"mimosarelay/core/store"
+	"mimosarelay/io/peer/peerpb"
 )
 
 // source is a store of one configuration.
@@ -144,3 +146,24 @@
 		assert.Assert(t, ok)
 	})
 }
+
+// Guards against requests to targets that have left: a host that saw no outage
+// takes over what another one keeps because of its own.
+func TestTargetsKeptAfterAnOutageAreNotTold(t *testing.T) {
+	run(t, func(t *testing.T, src *source, s *catalog.Service) {
+		ask := func() error {
+			_, err := s.HandleTargets(t.Context(), &peerpb.TargetsRequest{})
+			return err
+		}
+		time.Sleep(time.Second)
+		assert.NilError(t, ask())
+		src.setAway(true)
+		time.Sleep(time.Second)
+		assert.ErrorIs(t, ask(), model.ErrUnavailable)
+		src.setAway(false)
+		time.Sleep(discovery.ReturnTime - 100*time.Millisecond)
+		assert.ErrorIs(t, ask(), model.ErrUnavailable)
+		time.Sleep(time.Second)
+		assert.NilError(t, ask())
+	})
+}
--- a/app/catalog/relay.go
+++ b/app/catalog/relay.go
@@ -51,12 +51,15 @@
 	}
 }
 
-// HandleTargets serves the RPC Targets.
+// HandleTargets serves the RPC Targets. After an outage a host keeps targets that
+// the store does not list. That is right for its own requests only: another host
+// that saw no outage knows that they are gone.
 func (s *Service) HandleTargets(_ context.Context, r *peerpb.TargetsRequest) (*peerpb.TargetsResponse, error) {
 	s.mu.Lock()
-	listed, unlisted, list := s.listed, s.unlisted, s.targets.List()
+	listed, list := s.listed, s.targets.List()
+	unlisted := s.listed.IsZero() || s.unlisted || s.targets.Settling(s.options.Clock.Now())
 	s.mu.Unlock()
-	if listed.IsZero() || unlisted {
+	if unlisted {
 		return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "the store has not listed the targets for this host")
 	}
 	sortTargets(list)
--- a/core/discovery/discovery.go
+++ b/core/discovery/discovery.go
@@ -36,7 +36,7 @@
 		next[x.ID] = x
 		changed = changed || t.known[x.ID] != x
 	}
-	settling := !t.back.IsZero() && now.Sub(t.back) < ReturnTime
+	settling := t.Settling(now)
 	for id, x := range t.known {
 		if _, ok := next[id]; ok {
 			continue
@@ -51,6 +51,12 @@
 	return changed
 }
 
+// Settling says that targets are kept which the store does not list, because it
+// came back less than ReturnTime ago.
+func (t *Targets) Settling(now time.Time) bool {
+	return !t.back.IsZero() && now.Sub(t.back) < ReturnTime
+}
+
 // List returns the targets in use.
 func (t *Targets) List() []ingress.Target {
 	list := make([]ingress.Target, 0, len(t.known))
