--- a/app/follow/keeper.go
+++ b/app/follow/keeper.go
@@ -33,10 +33,17 @@
 	Limits Limiter
 	Clock  clockwork.Clock
 
-	mu       sync.Mutex // guards registry
+	mu       sync.Mutex // guards the fields below
 	registry presence.Registry
+	listed   time.Time // when hosts was made
+	hosts    []*peerpb.EntryHost
+	version  uint64
 }
 
+// listEvery is the time for which a list of the entry hosts is told again. It
+// keeps the work per message from growing with the hosts.
+const listEvery = presence.Interval / 5
+
 // HandleFollow serves the RPC Follow.
 func (k *Keeper) HandleFollow(_ context.Context, r *peerpb.FollowRequest) (*peerpb.FollowResponse, error) {
 	self := r.GetSelf()
@@ -52,25 +59,29 @@
 		}
 		res.Record = data
 	}
-	hosts := k.hosts(self)
-	res.HostsVersion = presence.Version(hosts)
-	if res.HostsVersion == r.GetKnownHosts() {
-		return res, nil
-	}
-	for _, h := range hosts {
-		res.Hosts = append(res.Hosts, encode(h))
+	hosts, version := k.heard(decode(self))
+	res.HostsVersion = version
+	if version != r.GetKnownHosts() {
+		res.Hosts = hosts
 	}
 	return res, nil
 }
 
-// hosts notes a host and lists those that callers may use. Hosts that the store
-// turns away are left out unless this keeper does not reach it either.
-func (k *Keeper) hosts(self *peerpb.EntryHost) []presence.Host {
+// heard notes a host and lists those that callers may use.
+func (k *Keeper) heard(h presence.Host) (hosts []*peerpb.EntryHost, version uint64) {
 	away := k.Fleet.StoreAway()
 	now := k.Clock.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.registry.Heard(now, decode(self))
+	if changed := k.registry.Heard(now, h); changed || now.Sub(k.listed) >= listEvery {
+		k.list(now, away)
+	}
+	return k.hosts, k.version
+}
+
+// list makes a new list. Hosts that the store turns away are left out unless this
+// keeper does not reach it either. mu is held.
+func (k *Keeper) list(now time.Time, away bool) {
 	var list []presence.Host
 	for _, h := range k.registry.Live(now) {
 		if away || !h.StoreAway {
@@ -78,7 +89,13 @@
 			list = append(list, h)
 		}
 	}
-	return list
+	k.listed = now
+	if v := presence.Version(list); v != k.version {
+		k.version, k.hosts = v, make([]*peerpb.EntryHost, 0, len(list))
+		for _, h := range list {
+			k.hosts = append(k.hosts, encode(h))
+		}
+	}
 }
 
 // admitWait bounds the time in which a keeper decides on a request. It exceeds
--- /dev/null
+++ b/bench/follow_test.go
@@ -0,0 +1,77 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"mimosarelay/app/follow"
+	"mimosarelay/core/member"
+	"mimosarelay/core/model"
+	"mimosarelay/core/presence"
+	"mimosarelay/io/peer/peerpb"
+)
+
+// restingFleet is the membership of a keeper to which nothing happens.
+type restingFleet struct{ record member.Record }
+
+func (restingFleet) MayAct() bool          { return true }
+func (restingFleet) StoreAway() bool       { return false }
+func (f restingFleet) View() member.Record { return f.record }
+
+// Admit implements follow.Limiter.
+func (restingFleet) Admit(context.Context, model.WorkspaceID) error { return nil }
+
+func followRequest(i int) *peerpb.FollowRequest {
+	return &peerpb.FollowRequest{
+		KnownEpoch: 1,
+		Self: &peerpb.EntryHost{
+			Host: fmt.Sprint("front-hobart-a-", i), CallerAddress: fmt.Sprintf("10.1.%d.%d:8368", i/250, i%250), PeerAddress: fmt.Sprintf("10.1.%d.%d:7780", i/250, i%250),
+		},
+	}
+}
+
+// BenchmarkFollow measures the answer of a keeper to one message of an entry host
+// by the number of entry hosts, without the transport. Messages come evenly
+// over the interval, as hosts that start at different times send them.
+func BenchmarkFollow(b *testing.B) {
+	for _, hosts := range []int{20, 64, 170, 340} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			clock := clockwork.NewFakeClock()
+			k := &follow.Keeper{Fleet: restingFleet{member.Record{Epoch: 1}}, Clock: clock}
+			requests := make([]*peerpb.FollowRequest, hosts)
+			for i := range requests {
+				requests[i] = followRequest(i)
+			}
+			for range 2 { // all are known before the measurement
+				for _, r := range requests {
+					res, err := k.HandleFollow(b.Context(), r)
+					assert.NilError(b, err)
+					r.KnownHosts = res.GetHostsVersion()
+				}
+			}
+			list, err := k.HandleFollow(b.Context(), followRequest(0)) // knows no list
+			assert.NilError(b, err)
+			rest := 0
+			i := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				r := requests[i%hosts]
+				i++
+				clock.Advance(presence.Interval / time.Duration(hosts))
+				res, err := k.HandleFollow(b.Context(), r)
+				if err != nil {
+					b.Fatal(err)
+				}
+				rest = proto.Size(r) + proto.Size(res)
+			}
+			b.ReportMetric(float64(rest), "B/message")
+			b.ReportMetric(float64(proto.Size(list)), "B/list")
+		})
+	}
+}
--- a/core/presence/presence.go
+++ b/core/presence/presence.go
@@ -41,13 +41,15 @@
 	hosts map[model.HostID]entry
 }
 
-// Heard notes a message of a host. A new process of a host replaces the one
-// before.
-func (r *Registry) Heard(now time.Time, h Host) {
+// Heard notes a message of a host and reports whether it says something new. A
+// new process of a host replaces the one before.
+func (r *Registry) Heard(now time.Time, h Host) (changed bool) {
 	if r.hosts == nil {
 		r.hosts = map[model.HostID]entry{}
 	}
+	changed = r.hosts[h.Host].Host != h
 	r.hosts[h.Host] = entry{Host: h, heard: now}
+	return changed
 }
 
 // Live lists the hosts that were heard within Lifetime, sorted, and forgets the
