core/member: half of the members can be removed, not only less than half

What callers could see: with two keepers left, for example after one was emptied, and one of them lost for good, no member could ever be removed: half of the programs had no owner and half of each limit nobody to spend it. With all hosts as members this took more losses. Found by reading, before it was seen. Cause: a removal had to keep a majority. What it must prevent is that the removed members confirm each other, for which they must be a majority of the old epoch; with an even number of members half of them is none.

--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -1,6 +1,7 @@
 package member_test
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -52,6 +53,41 @@
 	assert.Equal(t, closed.Epoch, r.Epoch+1)
 }
 
+// Guards against members that are lost for good and can never be removed, and
+// against a removal of members that may act by confirming each other.
+func TestRemovalOfAtMostHalf(t *testing.T) {
+	for name, c := range map[string]struct {
+		size, lost int
+		want       error
+	}{
+		"1 of 2": {2, 1, nil},
+		"1 of 3": {3, 1, nil},
+		"2 of 3": {3, 2, member.ErrNoMajority},
+		"2 of 4": {4, 2, nil},
+		"3 of 4": {4, 3, member.ErrNoMajority},
+		"3 of 6": {6, 3, nil},
+	} {
+		r := fleet(t, c.size)
+		start := time.Unix(1000, 0)
+		var lost []model.HostID
+		for _, m := range r.Members[:c.lost] {
+			lost = append(lost, m.Host)
+		}
+		_, err := r.RemoveLapsed(lost...)
+		assert.Assert(t, errors.Is(err, c.want), "%s: %v", name, err)
+
+		// The lost members confirm each other in the old epoch.
+		self := r.Members[0]
+		right := member.NewRight(times, self, start)
+		right.Enter(r)
+		right.SetAway(true)
+		for _, m := range r.Members[1:c.lost] {
+			right.Confirm(m.Incarnation, r.Epoch, true, start)
+		}
+		assert.Equal(t, right.MayAct(start), c.want != nil, name)
+	}
+}
+
 // Guards against joins that take over a live host's name and restarts that
 // leave two members at one address.
 func TestJoin(t *testing.T) {
