app/turns: the first turn after a change of the owner needs a record

What callers could see: a program that generates one turn more than its budget allows for each owner that is lost before its record of a first turn is written. The bound holds one such turn, not one per owner. Cause: an owner took a program that it had not seen for a new one. For 10 s after it has taken a shard over it now records also the first turn before it starts. The cost is one write, or a copy, for these turns. TestSecondOwnerRecordsTheFirstTurn failed before. The other tests of the package set the time to 1 ns, so that they play owners that no program came to late.

--- a/app/turns/owner.go
+++ b/app/turns/owner.go
@@ -66,12 +66,17 @@
 	FlushPause time.Duration
 	// RecordWait is how long a turn waits for its record; 0 means 800 ms.
 	RecordWait time.Duration
+	// Inherit is the time after a shard was taken over in which its programs may
+	// have begun at an earlier owner; 0 means 10 s, which covers the pauses
+	// between most turns.
+	Inherit time.Duration
 }
 
 const (
 	defaultFlushEvery = 500 * time.Millisecond
 	defaultFlushPause = 50 * time.Millisecond
 	defaultRecordWait = 800 * time.Millisecond
+	defaultInherit    = 10 * time.Second
 	// storeTimeout bounds one call of the store.
 	storeTimeout = time.Second
 )
@@ -89,7 +94,8 @@
 	mu     sync.Mutex
 	ledger *turn.Ledger
 	loaded [model.ShardCount]bool
-	saved  chan struct{} // closed when records were written or loaded
+	gained [model.ShardCount]time.Time // when its records were loaded
+	saved  chan struct{}               // closed when records were written or loaded
 	// version is that of this host's page, if versionKnown. read says that this
 	// process has taken over what its predecessor recorded.
 	version      store.Version
@@ -114,6 +120,9 @@
 	if o.RecordWait == 0 {
 		o.RecordWait = defaultRecordWait
 	}
+	if o.Inherit == 0 {
+		o.Inherit = defaultInherit
+	}
 	owner := &Owner{options: o, ledger: turn.NewLedger(), kick: make(chan struct{}, 1), urge: make(chan struct{}, 1), saved: make(chan struct{}), copies: map[model.HostID]*peerpb.BudgetPage{}}
 	owner.restore()
 	return owner
@@ -265,8 +274,11 @@
 		// A host without a page has version 0.
 		o.read, o.versionKnown = true, true
 	}
+	now := o.options.Clock.Now()
 	for s := range gained {
-		o.loaded[s] = o.loaded[s] || gained[s] && o.options.Tenure.ActsFor(model.Shard(s))
+		if gained[s] && o.options.Tenure.ActsFor(model.Shard(s)) {
+			o.loaded[s], o.gained[s] = true, now
+		}
 	}
 	o.signal()
 	o.options.Log.Info("records of program budgets loaded", "programs", n, "pages", len(pages))
@@ -544,7 +556,9 @@
 	if !o.loaded[shard] {
 		return nil, o.saved
 	}
-	d := o.ledger.Reserve(o.options.Clock.Now(), r)
+	now := o.options.Clock.Now()
+	r.Inherited = now.Sub(o.gained[shard]) < o.options.Inherit
+	d := o.ledger.Reserve(now, r)
 	if _, ok := d.(turn.Unrecorded); ok {
 		return nil, o.saved
 	}
--- a/app/turns/owner_test.go
+++ b/app/turns/owner_test.go
@@ -28,6 +28,7 @@
 	owners  map[model.HostID]*turns.Owner
 	down    atomic.Bool // the store does not answer
 	unheard atomic.Bool // the owners do not reach each other
+	inherit time.Duration
 	disks   map[model.HostID]*fakeDisk
 	stop    map[model.HostID]context.CancelFunc
 }
@@ -100,7 +101,7 @@
 	t.Helper()
 	k := &keepers{
 		t: t, store: memstore.New(clockwork.NewRealClock()), owners: map[model.HostID]*turns.Owner{},
-		disks: map[model.HostID]*fakeDisk{}, stop: map[model.HostID]context.CancelFunc{},
+		disks: map[model.HostID]*fakeDisk{}, stop: map[model.HostID]context.CancelFunc{}, inherit: time.Nanosecond,
 	}
 	for _, host := range []model.HostID{"a", "b"} {
 		k.disks[host] = &fakeDisk{pages: map[model.HostID][]byte{}}
@@ -123,7 +124,7 @@
 	o := turns.NewOwner(turns.OwnerOptions{
 		Host: host, Tenure: tenure{k, host}, Store: away{k.store.NewClient(string(host)), k}, Clock: clockwork.NewRealClock(),
 		Log: slog.New(slog.DiscardHandler), Keepers: func() []string { return []string{peer} }, Copies: k,
-		Disk: k.disks[host], FlushEvery: 10 * time.Millisecond,
+		Disk: k.disks[host], FlushEvery: 10 * time.Millisecond, Inherit: k.inherit,
 	})
 	k.owners[host] = o
 	go func() { _ = o.Run(ctx) }()
@@ -214,3 +215,25 @@
 	k.move("a")
 	assert.ErrorIs(t, fresh("3"), model.ErrBudget)
 }
+
+// Guards against a program that runs a turn without a record at each of several
+// owners that are lost one after the other. The bound holds one such turn.
+func TestSecondOwnerRecordsTheFirstTurn(t *testing.T) {
+	k := newKeepers(t)
+	assert.NilError(t, k.turn("a", "0")) // loads
+	k.inherit = time.Minute
+	k.start("b")
+	k.move("b")
+	time.Sleep(200 * time.Millisecond) // until it has loaded
+	k.down.Store(true)
+	k.unheard.Store(true)
+	late := turn.Reservation{
+		Program: model.ProgramKey{Workspace: "office", Program: "late"}, Turn: "1", Budget: 300, Max: 100, Deadline: time.Now().Add(time.Minute),
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
+	defer cancel()
+	assert.ErrorIs(t, k.owners["b"].Reserve(ctx, late), turns.ErrNotOwner)
+	k.unheard.Store(false)
+	time.Sleep(1500 * time.Millisecond) // until the next write begins
+	assert.NilError(t, k.owners["b"].Reserve(t.Context(), late), "a copy is a record")
+}
--- a/core/turn/ledger.go
+++ b/core/turn/ledger.go
@@ -6,7 +6,9 @@
 // have spent as much as the turn allows. Records are made ahead in steps, so
 // that few are written; after the loss of the process, all that the record
 // allows counts as spent. The first turn of a program needs no record: the
-// bound allows one turn beyond the budget, and nothing else is unrecorded.
+// bound allows one turn beyond the budget, and nothing else is unrecorded. The
+// first turn after a change of the owner needs one, because the one before may
+// have been lost with an unrecorded turn.
 package turn
 
 import (
@@ -51,6 +53,9 @@
 	Max     model.Tokens
 	// Deadline is when an unfinished turn is over.
 	Deadline time.Time
+	// Inherited says that the program may have run a turn without a record at an
+	// earlier owner, so that its first turn here needs one.
+	Inherited bool
 }
 
 type open struct {
@@ -108,7 +113,7 @@
 	if a.want(need, r.Max) {
 		l.unsaved = true
 	}
-	first := committed == 0 && a.recorded == 0
+	first := committed == 0 && a.recorded == 0 && !r.Inherited
 	if need > a.recorded && !first {
 		return Unrecorded{}
 	}
