app/follow: a host finds its keepers again while the store is silent; endless bytes are no answer

The loop that asks the keepers waited up to 1 s for the store when none answered. TestKeepersComeBackWhileTheStoreIsSilent failed before. TestEndlessBytesAreNoAnswer plays targets whose heads, bodies, chunks, events or other answers never end.

--- a/app/follow/client.go
+++ b/app/follow/client.go
@@ -13,6 +13,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -80,6 +81,7 @@
 	options Options
 	started time.Time
 	wake    chan struct{}
+	finding atomic.Bool // a read of the membership record is on its way
 
 	mu       sync.Mutex // guards all fields below
 	leaving  bool
@@ -102,8 +104,8 @@
 	ticker := c.options.Clock.NewTicker(presence.Interval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		if c.unheard() {
-			c.find(ctx)
+		if c.unheard() && c.finding.CompareAndSwap(false, true) {
+			asks.Go(func() { c.find(ctx) })
 		}
 		for _, address := range c.due() {
 			asks.Go(func() { c.ask(ctx, address) })
@@ -136,8 +138,10 @@
 	return true
 }
 
-// find reads the membership record from the store.
+// find reads the membership record from the store, which may take long while
+// known keepers come back.
 func (c *Client) find(ctx context.Context) {
+	defer c.finding.Store(false)
 	ctx, cancel := clockwork.WithTimeout(ctx, c.options.Clock, findTimeout)
 	defer cancel()
 	e, err := c.options.Store.Get(ctx, c.options.RecordKey)
--- a/app/follow/follow_test.go
+++ b/app/follow/follow_test.go
@@ -20,6 +20,7 @@
 	"mimosarelay/core/member"
 	"mimosarelay/core/model"
 	"mimosarelay/core/presence"
+	"mimosarelay/core/store"
 	"mimosarelay/core/store/memstore"
 	"mimosarelay/io/peer/peerpb"
 )
@@ -33,6 +34,7 @@
 	store   *memstore.Store
 	keepers map[string]*keeper
 	asked   atomic.Int64 // messages to all keepers
+	slow    *atomic.Bool // the store answers no read; nil: never
 }
 
 // keeper is a keeper whose membership and limits the test decides on.
@@ -135,6 +137,29 @@
 	return s
 }
 
+// reach returns the store as a host reaches it.
+func (s *site) reach(name string) store.Store {
+	if s.slow == nil {
+		return s.store.NewClient(name)
+	}
+	return switchedStore{s.store.NewClient(name), s.slow}
+}
+
+// switchedStore answers no read while slow is set.
+type switchedStore struct {
+	store.Store
+	slow *atomic.Bool
+}
+
+// Get implements store.Store.
+func (s switchedStore) Get(ctx context.Context, key string) (store.Entry, error) {
+	if s.slow.Load() {
+		<-ctx.Done()
+		return store.Entry{}, store.ErrUnavailable
+	}
+	return s.Store.Get(ctx, key)
+}
+
 // follower starts an entry host in the zone of the first keeper.
 func (s *site) follower(name string, away *atomic.Bool) *follow.Client {
 	if away == nil {
@@ -142,7 +167,7 @@
 	}
 	c := follow.NewClient(follow.Options{
 		Self: presence.Host{Host: model.HostID(name), CallerAddress: name + ":1", PeerAddress: name + ":2"}, Zone: "zone-0",
-		Store: s.store.NewClient(name), RecordKey: recordKey, Peers: s, StoreAway: away.Load,
+		Store: s.reach(name), RecordKey: recordKey, Peers: s, StoreAway: away.Load,
 		SettleWait: 200 * time.Millisecond, Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler),
 	})
 	ctx, stop := context.WithCancel(context.Background())
@@ -277,3 +302,26 @@
 		return true
 	})
 }
+
+// Guards against hosts that notice late that their keepers are back, because
+// they wait for a store that does not answer.
+func TestKeepersComeBackWhileTheStoreIsSilent(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 2)
+	silent := func(silent bool) {
+		for _, k := range s.keepers {
+			k.set(func() { k.silent = silent })
+		}
+	}
+	var slow atomic.Bool
+	s.slow = &slow
+	c := s.follower("a", nil)
+	slow.Store(true)
+	silent(true)
+	s.await("cut off", c.Isolated)
+	time.Sleep(2 * presence.Interval)
+	silent(false)
+	back := time.Now()
+	s.await("acts", c.MayAct)
+	assert.Assert(t, time.Since(back) < presence.Interval, "%v", time.Since(back))
+}
--- a/io/target/client_test.go
+++ b/io/target/client_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -326,3 +328,86 @@
 	}
 	assert.NilError(t, alive.Close())
 }
+
+// endlessTarget answers each request with a prefix and then repeats a text until the
+// caller closes the connection. It counts the bytes written.
+func endlessTarget(t *testing.T, prefix, text string) (address string, written *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	written = &atomic.Int64{}
+	var done sync.WaitGroup
+	serve := func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		chunk := prefix
+		for {
+			n, err := io.WriteString(c, chunk)
+			written.Add(int64(n))
+			if err != nil {
+				return
+			}
+			chunk = strings.Repeat(text, 4096/len(text)+1)
+		}
+	}
+	done.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			done.Go(func() { serve(c) })
+		}
+	})
+	t.Cleanup(func() { _ = l.Close(); done.Wait() })
+	return l.Addr().String(), written
+}
+
+// Guards against a target whose bytes never end, in a head or a body: they must
+// cost neither memory nor the time until the caller's deadline, and be no answer.
+func TestEndlessBytesAreNoAnswer(t *testing.T) {
+	const limit = 1 << 20 // of a body, in bytes
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for name, c := range map[string]struct{ prefix, text string }{
+		"status line":   {"HTTP/1.1 200 ", "x"},
+		"no line":       {"", "x"},
+		"fields":        {ok, "A: b\r\n"},
+		"one field":     {ok + "A: ", "b"},
+		"informational": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"empty lines":   {"", "\r\n"},
+		"body":          {ok + "\r\n", "x"},
+		"chunks":        {ok + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+		"chunk size":    {ok + "Transfer-Encoding: chunked\r\n\r\n", "0"},
+		"trailers":      {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+		"other answers": {"", ok + "X-Other: 1\r\nContent-Length: 0\r\n\r\n"},
+		"events":        {ok + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, written := endlessTarget(t, c.prefix, c.text)
+			client := NewClient(Options{})
+			defer func() { assert.Check(t, client.Close()) }()
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			req := fasthttp.AcquireRequest()
+			defer fasthttp.ReleaseRequest(req)
+			req.SetRequestURI("/")
+			req.Header.SetHost(address)
+			resp, err := client.Do(ctx, address, req, CallOptions{
+				Idle: time.Second, Unframed: true, Match: func(m *fasthttp.Response) bool { return len(m.Header.Peek("X-Other")) == 0 },
+			})
+			if err == nil {
+				if name == "events" {
+					_, err = NewEventReader(resp).Next()
+				} else {
+					_, err = resp.ReadAll(limit)
+				}
+				assert.NilError(t, resp.Close())
+			}
+			assert.Assert(t, err != nil)
+			assert.NilError(t, ctx.Err())
+			assert.Assert(t, written.Load() < 16<<20, "%d bytes were read", written.Load()) // limit, and the buffers of the kernel
+		})
+	}
+}
