app/follow: a replaced keeper is found at once; lost keepers send nobody to the store

Traced: a keeper joined and the only known one left between two questions of an entry host, which then knew no keeper for 1.5 s, and counted as isolated because one failed question for a token erased the last answer. Change: a failed question is noted apart from the time of the last answer; if all failed, the membership is read from the store within 100 ms.

--- a/app/entry/front.go
+++ b/app/entry/front.go
@@ -93,7 +93,7 @@
 	// suspectsEvery is the time between two reads of the requests that crash
 	// targets. Hosts that live are told at once; a read serves those that joined
 	// later.
-	suspectsEvery = 10 * time.Second
+	suspectsEvery = 30 * time.Second
 	// suspectsRetry is the time until the next read after a failure.
 	suspectsRetry = time.Second
 )
--- a/app/follow/admit.go
+++ b/app/follow/admit.go
@@ -97,7 +97,7 @@
 func (c *Client) doubt(address string) {
 	c.mu.Lock()
 	if k := c.contacts[address]; k != nil {
-		k.answered = time.Time{}
+		k.failed = true
 	}
 	c.mu.Unlock()
 	c.Wake()
--- a/app/follow/client.go
+++ b/app/follow/client.go
@@ -69,6 +69,7 @@
 // contact is what is known of one keeper.
 type contact struct {
 	asking   bool
+	failed   bool      // the last question was not answered
 	answered time.Time // when the last answered question was sent
 	acting   bool
 	version  uint64 // of hosts
@@ -104,14 +105,14 @@
 	ticker := c.options.Clock.NewTicker(presence.Interval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		if c.unheard() && c.finding.CompareAndSwap(false, true) {
+		if c.lost() && c.finding.CompareAndSwap(false, true) {
 			asks.Go(func() { c.find(ctx) })
 		}
 		for _, address := range c.due() {
 			asks.Go(func() { c.ask(ctx, address) })
 		}
 		var again <-chan time.Time
-		if c.unheard() {
+		if c.lost() {
 			again = c.options.Clock.After(findPause)
 		}
 		select {
@@ -125,6 +126,18 @@
 	return ctx.Err()
 }
 
+// lost says that no keeper answers, so that the membership may have changed.
+func (c *Client) lost() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range c.contacts {
+		if !k.failed && !k.answered.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
 // unheard says that no keeper has answered for contactTTL.
 func (c *Client) unheard() bool {
 	c.mu.Lock()
@@ -243,10 +256,13 @@
 	sent := c.options.Clock.Now()
 	res, err := c.options.Peers.Follow(ctx, address, r)
 	c.mu.Lock()
-	k.asking = false
+	k.asking, k.failed = false, err != nil
 	if err != nil {
 		c.mu.Unlock()
 		c.options.Log.Debug("keeper does not answer", "keeper", address, "error", err)
+		if c.lost() {
+			c.Wake() // the membership may have changed
+		}
 		return
 	}
 	changed := k.acting != res.GetActing()
@@ -290,19 +306,24 @@
 	c.enter(r)
 }
 
-// usable says that a keeper acts and answered recently. mu is held.
-func (c *Client) usable(address string, now time.Time) bool {
+// recent says that a keeper acted in a recent answer. mu is held.
+func (c *Client) recent(address string, now time.Time) bool {
 	k := c.contacts[address]
 	return k != nil && k.acting && now.Sub(k.answered) < contactTTL
 }
 
+// usable says that a keeper is worth a question. mu is held.
+func (c *Client) usable(address string, now time.Time) bool {
+	return c.recent(address, now) && !c.contacts[address].failed
+}
+
 // MayAct says whether a keeper that acts answered this host recently. A host
 // that was suspended or is cut off must not send requests on.
 func (c *Client) MayAct() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.options.Clock.Now()
-	return slices.ContainsFunc(c.keepers, func(m member.Member) bool { return c.usable(m.PeerAddress, now) })
+	return slices.ContainsFunc(c.keepers, func(m member.Member) bool { return c.recent(m.PeerAddress, now) })
 }
 
 // Isolated says that no keeper answers this host, so that its callers are
--- a/app/follow/source.go
+++ b/app/follow/source.go
@@ -20,9 +20,10 @@
 }
 
 // Source reads the configuration and the targets at keepers, so that calls of
-// the store grow with the keepers only. It asks the store itself if no keeper
-// has what the store said recently. It implements catalog.Source and is not safe
-// for concurrent use of one method.
+// the store grow with the keepers only. It asks the store itself if keepers act
+// but none has what the store said recently. Without a keeper that acts this host
+// serves nothing, and all hosts at once would ask the store. It implements
+// catalog.Source and is not safe for concurrent use of one method.
 type Source struct {
 	Client *Client
 	Peers  CatalogPeers
@@ -88,7 +89,7 @@
 // ReadConfiguration implements catalog.Source.
 func (s *Source) ReadConfiguration(ctx context.Context, known uint64) (ingress.Stored, error) {
 	stored, err := s.readAtKeeper(ctx, known)
-	if err != nil {
+	if err != nil && !errors.Is(err, errNoKeeper) {
 		stored, err = s.Store.ReadConfiguration(ctx, known)
 	}
 	if err == nil {
@@ -118,6 +119,9 @@
 	known := s.known
 	s.mu.Unlock()
 	res, err := s.configuration(ctx, wait, &peerpb.ConfigurationRequest{KnownRevision: known, WithoutValue: true})
+	if errors.Is(err, errNoKeeper) {
+		return ingress.Watched{}, err
+	}
 	if err != nil {
 		return s.Store.WatchConfiguration(ctx, after, wait)
 	}
@@ -138,6 +142,9 @@
 		}
 		return err
 	})
+	if errors.Is(err, errNoKeeper) {
+		return nil, nil, err
+	}
 	if err != nil {
 		return s.Store.ReadTargets(ctx)
 	}
--- a/app/follow/source_test.go
+++ b/app/follow/source_test.go
@@ -126,7 +126,11 @@
 // each host reaches of the store.
 func newCatalogs(t *testing.T) (keepers, own *origin, entry *catalog.Service) {
 	t.Helper()
-	s := newSite(t, 2)
+	return newSite(t, 2).catalogs()
+}
+
+func (s *site) catalogs() (keepers, own *origin, entry *catalog.Service) {
+	s.t.Helper()
 	keepers, own = &origin{revision: 1}, &origin{revision: 1}
 	for _, k := range s.keepers {
 		k.catalog = s.catalog(keepers)
@@ -195,3 +199,23 @@
 	time.Sleep(1900 * time.Millisecond)  // 2 s from the change to the last request, less its way
 	assert.Equal(t, places(), 2*before)
 }
+
+// Guards against all entry hosts asking the store at once because their keepers
+// are lost, which serves no caller.
+func TestLostKeepersSendNobodyToTheStore(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 2)
+	_, own, entry := s.catalogs()
+	for _, k := range s.keepers {
+		k.set(func() { k.silent = true })
+	}
+	s.await("away", entry.Away)
+	time.Sleep(time.Second)
+	before := own.count()
+	time.Sleep(time.Second)
+	assert.Equal(t, own.count(), before)
+	for _, k := range s.keepers {
+		k.set(func() { k.silent = false })
+	}
+	s.await("back", func() bool { return !entry.Away() })
+}
