KNOWN-RED: TestCallerThatStopsReadingLosesTheStream overruns its 15 s

Traced so far: the host ends the stream after 1.1 s, the engine stand-in goes on for up to 18 s more. Ruled out: the size of the caller's receive buffer, set before the connection was opened. The check and its bound stay.

--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -16,6 +16,7 @@
 	"mimosarelay/core/config"
 	"mimosarelay/standin/engine"
 	"mimosarelay/standin/fault"
+	"mimosarelay/test/knownred"
 )
 
 func chatBody(text string, stream bool) string {
@@ -308,6 +309,7 @@
 // Guards against a stream that is held for ever, with its place at the engine,
 // for a caller that stops reading.
 func TestCallerThatStopsReadingLosesTheStream(t *testing.T) {
+	knownred.Skip(t)
 	s := newSite(t, engine.Options{})
 	conn, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
 	assert.NilError(t, err)
