--- a/app/entry/adapters.go
+++ b/app/entry/adapters.go
@@ -23,14 +23,14 @@
 }
 
 // limiter admits requests where quotas are in force.
-type limiter struct{ front *front }
+type limiter struct{ entry *entryHost }
 
 // Admit implements relay.Limiter.
 func (l limiter) Admit(ctx context.Context, id model.WorkspaceID) error {
-	if !l.front.options.Quotas {
+	if !l.entry.options.Quotas {
 		return nil
 	}
-	return l.front.follow.Admit(ctx, id)
+	return l.entry.follow.Admit(ctx, id)
 }
 
 // placer adapts placement to the relay.
@@ -48,14 +48,14 @@
 // suspectPeers adapts the peer client to package suspects.
 type suspectPeers struct {
 	*peer.Client
-	front *front
+	entry *entryHost
 }
 
 // Peers implements suspects.Peers.
 func (p suspectPeers) Peers() []string {
 	var list []string
-	for _, h := range p.front.follow.Hosts() {
-		if h.Host != p.front.options.Host {
+	for _, h := range p.entry.follow.Hosts() {
+		if h.Host != p.entry.options.Host {
 			list = append(list, h.PeerAddress)
 		}
 	}
@@ -67,18 +67,18 @@
 	if h.keeper != nil {
 		return keeperHandler{keeper: h.keeper}
 	}
-	return frontHandler{front: h.front}
+	return entryHandler{entry: h.entry}
 }
 
-// frontHandler serves other entry hosts.
-type frontHandler struct {
+// entryHandler serves other entry hosts.
+type entryHandler struct {
 	*peerpb.DRPCPeerUnimplementedServer
-	front *front
+	entry *entryHost
 }
 
 // MarkSuspect implements peerpb.DRPCPeerServer.
-func (p frontHandler) MarkSuspect(ctx context.Context, r *peerpb.MarkSuspectRequest) (*peerpb.MarkSuspectResponse, error) {
-	return p.front.suspects.HandleMarkSuspect(ctx, r)
+func (p entryHandler) MarkSuspect(ctx context.Context, r *peerpb.MarkSuspectRequest) (*peerpb.MarkSuspectResponse, error) {
+	return p.entry.suspects.HandleMarkSuspect(ctx, r)
 }
 
 // keeperHandler serves entry hosts and other keepers.
--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -148,8 +148,8 @@
 	catalog *catalog.Service
 	peers   *peer.Client
 	metrics *metrics.Root
-	keeper  *keeper // nil on entry hosts
-	front   *front  // nil on keepers
+	keeper  *keeper    // nil on entry hosts
+	entry   *entryHost // nil on keepers
 
 	draining atomic.Bool
 	work     sync.WaitGroup
@@ -163,7 +163,7 @@
 		h.catalog = newCatalog(o, o.Source)
 		h.keeper = newKeeper(h)
 	} else {
-		h.front = newFront(h)
+		h.entry = newEntryHost(h)
 	}
 	return h
 }
@@ -199,7 +199,7 @@
 	if h.keeper != nil {
 		h.keeper.limits.Close()
 	} else {
-		h.front.suspects.Close()
+		h.entry.suspects.Close()
 	}
 	h.metrics.Close()
 	h.log.Info("host stopped")
@@ -223,8 +223,8 @@
 	}
 	run("peer server", func() error { return peer.Serve(ctx, peers, h.peerHandler()) })
 	listeners := []listener{{"metrics", h.options.MetricsAddress, serveSmall(h.diagnose)}}
-	if h.front != nil {
-		listeners = append(listeners, h.front.listeners()...)
+	if h.entry != nil {
+		listeners = append(listeners, h.entry.listeners()...)
 	}
 	for _, l := range listeners {
 		if l.address == "" {
@@ -240,7 +240,7 @@
 	if h.keeper != nil {
 		h.keeper.start(ctx, run)
 	} else {
-		h.front.start(ctx, run)
+		h.entry.start(ctx, run)
 	}
 	return nil
 }
@@ -273,7 +273,7 @@
 	if _, err := h.catalog.View(); err != nil {
 		return false, err.Error()
 	}
-	if !h.front.follow.MayAct() {
+	if !h.entry.follow.MayAct() {
 		return false, "no keeper that acts answers this host"
 	}
 	return true, ""
@@ -288,5 +288,5 @@
 		h.log.Info("drain ended")
 		return
 	}
-	h.front.drain()
+	h.entry.drain()
 }
--- a/app/entry/front.go
+++ b/app/entry/entryhost.go
@@ -21,9 +21,9 @@
 	"mimosarelay/io/target"
 )
 
-// front is the part of a host that serves callers. It is no member of the fleet
+// entryHost is the part of a host that serves callers. It is no member of the fleet
 // but follows the keepers.
-type front struct {
+type entryHost struct {
 	*Host
 	follow    *follow.Client
 	placement *placement.Service
@@ -33,25 +33,25 @@
 	callers   *ingress.Server
 }
 
-func newFront(h *Host) *front {
-	f := &front{Host: h}
+func newEntryHost(h *Host) *entryHost {
+	e := &entryHost{Host: h}
 	o := h.options
 	control := o.Keyspace(controlPrefix)
-	f.targets = target.NewClient(target.Options{DialTimeout: dialTimeout})
-	f.follow = follow.NewClient(follow.Options{
+	e.targets = target.NewClient(target.Options{DialTimeout: dialTimeout})
+	e.follow = follow.NewClient(follow.Options{
 		Self: presence.Host{Host: o.Host, CallerAddress: o.CallerAddress, PeerAddress: o.PeerAddress},
 		Zone: o.Zone, Store: control, RecordKey: fleet.RecordKey, Peers: h.peers,
 		StoreAway: func() bool { return h.catalog.Away() }, SettleWait: settleWait, Clock: o.Clock, Log: o.Log,
 	})
-	h.catalog = newCatalog(o, &follow.Source{Client: f.follow, Peers: h.peers, Store: o.Source, Decode: o.Decode})
+	h.catalog = newCatalog(o, &follow.Source{Client: e.follow, Peers: h.peers, Store: o.Source, Decode: o.Decode})
 	incarnation := model.Incarnation(uuid.NewString())
-	f.suspects = suspects.New(suspects.Options{
-		Host: o.Host, Self: o.PeerAddress, Peers: suspectPeers{h.peers, f}, Store: control, KeyPrefix: suspectPrefix,
+	e.suspects = suspects.New(suspects.Options{
+		Host: o.Host, Self: o.PeerAddress, Peers: suspectPeers{h.peers, e}, Store: control, KeyPrefix: suspectPrefix,
 		Incarnation: func() model.Incarnation { return incarnation },
 		Clock:       o.Clock, Log: o.Log,
 	})
-	f.placement = placement.New(placement.Options{
-		Host: o.Host, Hosts: f.hosts, Snapshot: h.snapshot, Prober: f.targets,
+	e.placement = placement.New(placement.Options{
+		Host: o.Host, Hosts: e.hosts, Snapshot: h.snapshot, Prober: e.targets,
 		Policy: coreplacement.Options{
 			Choice:    coreplacement.CacheAware{CallCost: callCost, Slack: callCost},
 			Retention: coreplacement.HoldThroughPause{TokenTime: tokenTime},
@@ -60,33 +60,33 @@
 	})
 	var turnClient relay.Turns
 	if o.Budgets {
-		turnClient = &turns.Client{Owners: f.follow, Peers: h.peers, Isolated: f.follow.Isolated, Clock: o.Clock, Log: o.Log}
+		turnClient = &turns.Client{Owners: e.follow, Peers: h.peers, Isolated: e.follow.Isolated, Clock: o.Clock, Log: o.Log}
 	}
-	f.relay = relay.New(relay.Options{
+	e.relay = relay.New(relay.Options{
 		Turns:   turnClient,
-		Limiter: limiter{f}, Rights: f.follow, Placer: placer{f.placement}, Suspects: f.suspects, Targets: f.targets,
-		Dialect: o.Dialect, Loads: f.placement, Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
+		Limiter: limiter{e}, Rights: e.follow, Placer: placer{e.placement}, Suspects: e.suspects, Targets: e.targets,
+		Dialect: o.Dialect, Loads: e.placement, Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
 	})
-	f.callers = ingress.New(ingress.Options{
-		Relay: f.relay, Dialect: o.Dialect, View: h.catalog.View, Limits: h.catalog.Limits,
+	e.callers = ingress.New(ingress.Options{
+		Relay: e.relay, Dialect: o.Dialect, View: h.catalog.View, Limits: h.catalog.Limits,
 		Draining: h.draining.Load, Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
 	})
-	return f
+	return e
 }
 
-func (f *front) listeners() []listener {
-	o := f.options
+func (e *entryHost) listeners() []listener {
+	o := e.options
 	return []listener{
-		{"readiness", o.ReadyAddress, serveSmall(o.Readiness(f.Ready))},
-		{"directory", o.DirectoryAddress, serveSmall(o.Directory(f.addresses, directoryTTL))},
-		{"callers", o.CallerAddress, f.callers.Serve},
+		{"readiness", o.ReadyAddress, serveSmall(o.Readiness(e.Ready))},
+		{"directory", o.DirectoryAddress, serveSmall(o.Directory(e.addresses, directoryTTL))},
+		{"callers", o.CallerAddress, e.callers.Serve},
 	}
 }
 
-func (f *front) start(ctx context.Context, run func(string, func() error)) {
-	run("placement", func() error { return f.placement.Run(ctx) })
-	run("follow", func() error { return f.follow.Run(ctx) })
-	run("suspects", func() error { return f.readSuspects(ctx) })
+func (e *entryHost) start(ctx context.Context, run func(string, func() error)) {
+	run("placement", func() error { return e.placement.Run(ctx) })
+	run("follow", func() error { return e.follow.Run(ctx) })
+	run("suspects", func() error { return e.readSuspects(ctx) })
 }
 
 const (
@@ -99,28 +99,28 @@
 )
 
 // readSuspects takes over what other hosts saved of requests that crash targets.
-func (f *front) readSuspects(ctx context.Context) error {
-	control := f.options.Keyspace(controlPrefix)
+func (e *entryHost) readSuspects(ctx context.Context) error {
+	control := e.options.Keyspace(controlPrefix)
 	for ctx.Err() == nil {
 		pause := suspectsEvery
 		entries, _, err := control.List(ctx, suspectPrefix)
 		if err != nil {
-			f.log.Warn("requests that crash targets not read", "error", err)
+			e.log.Warn("requests that crash targets not read", "error", err)
 			pause = suspectsRetry
 		} else {
-			f.suspects.EntriesChanged(entries)
+			e.suspects.EntriesChanged(entries)
 		}
-		wait.For(ctx, f.options.Clock, pause)
+		wait.For(ctx, e.options.Clock, pause)
 	}
 	return nil
 }
 
 // hosts lists the entry hosts that are not leaving, and this one in any case:
 // while it leaves, callers that have its address still come.
-func (f *front) hosts() []model.HostID {
-	list := []model.HostID{f.options.Host}
-	for _, h := range f.follow.Hosts() {
-		if !h.Leaving && h.Host != f.options.Host {
+func (e *entryHost) hosts() []model.HostID {
+	list := []model.HostID{e.options.Host}
+	for _, h := range e.follow.Hosts() {
+		if !h.Leaving && h.Host != e.options.Host {
 			list = append(list, h.Host)
 		}
 	}
@@ -130,13 +130,13 @@
 // addresses lists the hosts for callers, in random order. It is empty on a host
 // that is cut off: its list may be old and it cannot serve itself, so that
 // callers had better ask another host.
-func (f *front) addresses() []string {
-	if _, err := f.catalog.View(); err != nil || !f.follow.MayAct() {
+func (e *entryHost) addresses() []string {
+	if _, err := e.catalog.View(); err != nil || !e.follow.MayAct() {
 		return nil
 	}
 	var list []string
-	for _, h := range f.follow.Hosts() {
-		if h.Leaving || h.Host == f.options.Host && f.draining.Load() {
+	for _, h := range e.follow.Hosts() {
+		if h.Leaving || h.Host == e.options.Host && e.draining.Load() {
 			continue
 		}
 		list = append(list, h.CallerAddress)
@@ -146,13 +146,13 @@
 }
 
 // drain ends this host without cutting a request.
-func (f *front) drain() {
-	start := f.options.Clock.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), f.options.Grace-exitReserve)
+func (e *entryHost) drain() {
+	start := e.options.Clock.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), e.options.Grace-exitReserve)
 	defer cancel()
-	f.log.Info("drain started", "requests", f.callers.Running())
-	f.follow.Leave()
-	wait.For(ctx, f.options.Clock, lingerTime-f.options.Clock.Since(start))
-	err := f.callers.Shutdown(ctx)
-	f.log.Info("drain ended", "requests", f.callers.Running(), "error", err)
+	e.log.Info("drain started", "requests", e.callers.Running())
+	e.follow.Leave()
+	wait.For(ctx, e.options.Clock, lingerTime-e.options.Clock.Since(start))
+	err := e.callers.Shutdown(ctx)
+	e.log.Info("drain ended", "requests", e.callers.Running(), "error", err)
 }
--- a/app/entry/state.go
+++ b/app/entry/state.go
@@ -46,7 +46,7 @@
 		s.Fleet, s.Limits, s.Budgets = k.fleet.Dump(), k.limits.Dump(), k.turnOwner.Dump()
 		return s
 	}
-	f := h.front
+	f := h.entry
 	s.Requests = f.callers.Running()
 	s.Follow, s.Placement, s.Suspects = f.follow.Dump(), f.placement.Dump(), f.suspects.Dump()
 	return s
--- a/bench/follow_test.go
+++ b/bench/follow_test.go
@@ -31,7 +31,7 @@
 	return &peerpb.FollowRequest{
 		KnownEpoch: 1,
 		Self: &peerpb.EntryHost{
-			Host: fmt.Sprint("front-hobart-a-", i), CallerAddress: fmt.Sprintf("10.1.%d.%d:8368", i/250, i%250), PeerAddress: fmt.Sprintf("10.1.%d.%d:7780", i/250, i%250),
+			Host: fmt.Sprint("entry-hobart-a-", i), CallerAddress: fmt.Sprintf("10.1.%d.%d:8368", i/250, i%250), PeerAddress: fmt.Sprintf("10.1.%d.%d:7780", i/250, i%250),
 		},
 	}
 }
