app/turns: an older copy of budget records does not replace a newer one on the disk

What callers could see: BUDGET again, if a keeper restarts from a copy that arrived late: the page was put on the disk before its sequence was compared. TestOlderCopyDoesNotReplaceANewerOne failed before.

--- a/app/turns/owner.go
+++ b/app/turns/owner.go
@@ -84,13 +84,17 @@
 // Owner counts the turns of the programs that this host owns. It is safe for
 // concurrent use.
 //
-// Lock order: mu is the only lock, and no port but Tenure is called with it
-// held.
+// Lock order: keeping, mu. No port but Tenure is called with mu held, and none
+// but Disk with keeping.
 type Owner struct {
 	options OwnerOptions
 	kick    chan struct{} // a record is wanted
 	urge    chan struct{} // a turn waits for a record
 
+	// keeping lets one page of another host be kept at a time, so that an older
+	// one that arrives late does not replace a newer one on the disk.
+	keeping sync.Mutex
+
 	mu     sync.Mutex
 	ledger *turn.Ledger
 	loaded [model.ShardCount]bool
@@ -470,16 +474,22 @@
 
 // HandleKeepBudgets serves the RPC KeepBudgets.
 func (o *Owner) HandleKeepBudgets(_ context.Context, m *peerpb.BudgetPage) (*peerpb.KeepBudgetsResponse, error) {
+	o.keeping.Lock()
+	defer o.keeping.Unlock()
+	host := model.HostID(m.GetHost())
+	o.mu.Lock()
+	known := o.copies[host].GetSequence()
+	o.mu.Unlock()
+	if known >= m.GetSequence() {
+		return &peerpb.KeepBudgetsResponse{}, nil // a newer page is kept already
+	}
 	if err := o.keepOnDisk(m); err != nil {
-		o.options.Log.Error("copy of budget records not put on the disk", "host", m.GetHost(), "error", err)
+		o.options.Log.Error("copy of budget records not put on the disk", "host", host, "error", err)
 		return nil, err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	host := model.HostID(m.GetHost())
-	if known := o.copies[host]; known.GetSequence() < m.GetSequence() {
-		o.copies[host] = m
-	}
+	o.copies[host] = m
 	return &peerpb.KeepBudgetsResponse{}, nil
 }
 
--- a/app/turns/owner_test.go
+++ b/app/turns/owner_test.go
@@ -237,3 +237,18 @@
 	time.Sleep(1500 * time.Millisecond) // until the next write begins
 	assert.NilError(t, k.owners["b"].Reserve(t.Context(), late), "a copy is a record")
 }
+
+// Guards against a copy that arrives late and replaces a newer one on the disk,
+// which the next process would take for the last record.
+func TestOlderCopyDoesNotReplaceANewerOne(t *testing.T) {
+	k := newKeepers(t)
+	for _, sequence := range []int64{2, 1} {
+		_, err := k.owners["b"].HandleKeepBudgets(t.Context(), &peerpb.BudgetPage{Host: "a", Sequence: sequence})
+		assert.NilError(t, err)
+	}
+	k.start("b")
+	res, err := k.owners["b"].HandleFetchBudgets(t.Context(), &peerpb.FetchBudgetsRequest{})
+	assert.NilError(t, err)
+	assert.Equal(t, len(res.GetPages()), 1)
+	assert.Equal(t, res.GetPages()[0].GetSequence(), int64(2))
+}
