--- a/app/catalog/catalog.go
+++ b/app/catalog/catalog.go
@@ -291,6 +291,17 @@
 	return s.ageLocked()
 }
 
+// Confirmation returns the revision of the newest configuration, or 0 if there is
+// none, and its Age.
+func (s *Service) Confirmation() (model.Revision, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.document == nil {
+		return 0, s.ageLocked()
+	}
+	return s.document.Revision, s.ageLocked()
+}
+
 func (s *Service) ageLocked() time.Duration {
 	if s.confirmedAsOf.IsZero() {
 		return -1
--- a/io/ingress/server.go
+++ b/io/ingress/server.go
@@ -66,6 +66,9 @@
 	View func() (*coreingress.View, error)
 	// Limits returns the limits for requests, also while View fails.
 	Limits func() coreingress.Limits
+	// Confirmation returns the revision of the configuration and how long ago the
+	// store confirmed it.
+	Confirmation func() (model.Revision, time.Duration)
 	// Draining reports whether the host is draining. Connections are then closed
 	// after the answer, so that callers move to other hosts.
 	Draining func() bool
@@ -267,8 +270,9 @@
 	}
 	s.options.Dialect.Refuse(&ctx.Response, id, refusal)
 	s.options.Scope.Tagged(map[string]string{"status": strconv.Itoa(ctx.Response.StatusCode())}).Counter("requests_refused").Inc(1)
+	revision, age := s.options.Confirmation()
 	s.options.Log.Info("request refused", "request", id, "route", route, "workspace", workspace, "status", ctx.Response.StatusCode(), "ran", refusal.Ran,
-		"retry_after", refusal.RetryAfter, "error", refusal)
+		"retry_after", refusal.RetryAfter, "revision", revision, "age", age, "error", refusal)
 }
 
 // handleParseError refuses a request that fasthttp failed to read.
