app/catalog: confirm the configuration before a request is refused for good

Cause: the only bound on the age of a configuration was the one for withdrawn keys (4.6 s). It is right for requests that are served, because without keepers none is, but a refusal for good needs the shorter bound for changes (2 s). While all keepers are lost the store answers the operator and nobody tells the entry hosts. Excluded: a relayed older version (no keeper had a newer one than 128, which both hosts had) and a failed look-up in the right version.

Change: 401, 404 and 413 need a confirmation younger than that bound less 100 ms. If the last one is older, the host asks a keeper, and the keeper the store if its own is older than 1.5 s; concurrent requests share one read. If no answer comes the request gets 503 with Retry-After.

--- a/app/catalog/catalog.go
+++ b/app/catalog/catalog.go
@@ -42,6 +42,10 @@
 	// which the store last confirmed it. It is shorter than the time after
 	// which a withdrawn key must no longer work.
 	Lifetime time.Duration
+	// FinalRefusalAge is how old the last confirmation may be when a request is
+	// refused in a way that callers do not retry; 0 means Lifetime. It is shorter
+	// than the time after which a changed configuration must be in force.
+	FinalRefusalAge time.Duration
 	// Interval is the time between two reads of the targets; 0 means 800 ms.
 	Interval time.Duration
 	// Wait bounds one watch of the configuration; 0 means 1 s. A watch that
@@ -57,6 +61,8 @@
 	// retryInterval is the time between two reads after a failure.
 	retryInterval  = 100 * time.Millisecond
 	defaultTimeout = time.Second
+	// confirmTimeout bounds the time for which a request waits in Confirm.
+	confirmTimeout = 400 * time.Millisecond
 )
 
 // defaultLimits apply to callers before a configuration is known.
@@ -66,6 +72,7 @@
 // concurrent use.
 type Service struct {
 	options Options
+	reading chan struct{} // holds a value while the configuration is being read
 
 	mu                 sync.Mutex // guards the fields below except loggedFaults and onChange
 	view               *ingress.View
@@ -94,7 +101,10 @@
 	if o.Timeout == 0 {
 		o.Timeout = defaultTimeout
 	}
-	return &Service{options: o, changed: make(chan struct{})}
+	if o.FinalRefusalAge == 0 {
+		o.FinalRefusalAge = o.Lifetime
+	}
+	return &Service{options: o, reading: make(chan struct{}, 1), changed: make(chan struct{})}
 }
 
 // OnChange registers fn, which is called with each new view. It must be called
@@ -125,7 +135,7 @@
 // followConfiguration reads the configuration and watches it until it changes or
 // a watch fails. It returns false if the read or a watch failed.
 func (s *Service) followConfiguration(ctx context.Context) bool {
-	if !s.readConfiguration(ctx) {
+	if !s.readConfiguration(ctx, unconditionally) {
 		return false
 	}
 	for ctx.Err() == nil {
@@ -150,9 +160,24 @@
 	return true
 }
 
-func (s *Service) readConfiguration(ctx context.Context) bool {
+// unconditionally is a maxAge for readConfiguration.
+const unconditionally time.Duration = -1
+
+// readConfiguration reads the configuration, unless the store confirmed it within
+// maxAge. Concurrent calls wait for each other. It returns false if the read failed
+// or ctx ended.
+func (s *Service) readConfiguration(ctx context.Context, maxAge time.Duration) bool {
 	ctx, cancel := clockwork.WithTimeout(ctx, s.options.Clock, s.options.Timeout)
 	defer cancel()
+	select {
+	case s.reading <- struct{}{}:
+		defer func() { <-s.reading }()
+	case <-ctx.Done():
+		return false
+	}
+	if s.confirmedWithin(maxAge) {
+		return true
+	}
 	s.mu.Lock()
 	known := s.documentRevision
 	s.mu.Unlock()
@@ -309,6 +334,28 @@
 	return s.options.Clock.Since(s.confirmedAsOf)
 }
 
+func (s *Service) confirmedWithin(maxAge time.Duration) bool {
+	age := s.Age()
+	return age >= 0 && age <= maxAge
+}
+
+// Confirm makes sure that the configuration may be the reason for a refusal that
+// callers do not retry: it reads the configuration if the store last confirmed it
+// more than FinalRefusalAge ago. It fails with a *model.Refusal if the read fails.
+func (s *Service) Confirm(ctx context.Context) error {
+	if s.confirmedWithin(s.options.FinalRefusalAge) {
+		return nil
+	}
+	ctx, cancel := clockwork.WithTimeout(ctx, s.options.Clock, confirmTimeout)
+	defer cancel()
+	s.readConfiguration(ctx, s.options.FinalRefusalAge)
+	if s.confirmedWithin(s.options.FinalRefusalAge) {
+		return nil
+	}
+	revision, age := s.Confirmation()
+	return model.NewRefusal(model.ErrUnavailable, model.RanNo, "the request is not allowed by configuration %d, which the store last confirmed %v ago and which may have changed", revision, age).Retry(staleRetryAfter)
+}
+
 // Retry-After times of refusals. A host that has just started learns the
 // configuration within a moment. An outage of the store lasts for seconds: callers
 // that retry sooner use up their attempts before it ends.
--- a/app/catalog/catalog_test.go
+++ b/app/catalog/catalog_test.go
@@ -26,9 +26,16 @@
 	document    *ingress.Document
 	revision    uint64
 	unavailable bool
+	reads       int // of the configuration
 	changed     chan struct{}
 }
 
+func (s *source) readCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
 func (s *source) set(version model.Revision, workspace string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -49,6 +56,7 @@
 func (s *source) ReadConfiguration(_ context.Context, known uint64) (ingress.StoredDocument, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reads++
 	if s.unavailable {
 		return ingress.StoredDocument{}, store.ErrUnavailable
 	}
@@ -86,14 +94,19 @@
 	return []ingress.Target{{ID: "t", Service: "s", Address: "10.0.0.1:80", Slots: 1}}, nil, nil
 }
 
-const lifetime = 4 * time.Second
+const (
+	lifetime        = 4 * time.Second
+	finalRefusalAge = 500 * time.Millisecond
+)
 
 // run runs a test in a synctest bubble, with a started service.
 func run(t *testing.T, test func(t *testing.T, src *source, s *catalog.Service)) {
 	synctest.Test(t, func(t *testing.T) {
 		src := &source{changed: make(chan struct{})}
 		src.set(1, "first")
-		s := catalog.New(catalog.Options{Source: src, Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Lifetime: lifetime})
+		s := catalog.New(catalog.Options{
+			Source: src, Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Lifetime: lifetime, FinalRefusalAge: finalRefusalAge,
+		})
 		ctx, stop := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() { defer close(done); _ = s.Run(ctx) }()
@@ -168,3 +181,45 @@
 		assert.NilError(t, fetch())
 	})
 }
+
+// Guards against refusals for good with a configuration that may have changed, and
+// against a read of the store for each of them.
+func TestFinalRefusalNeedsRecentConfirmation(t *testing.T) {
+	run(t, func(t *testing.T, src *source, s *catalog.Service) {
+		time.Sleep(finalRefusalAge + 100*time.Millisecond)
+		before := src.readCount()
+		var wg sync.WaitGroup
+		for range 20 {
+			wg.Go(func() { assert.Check(t, s.Confirm(t.Context())) })
+		}
+		wg.Wait()
+		assert.Equal(t, src.readCount(), before+1)
+		assert.Assert(t, s.Age() <= finalRefusalAge, "%v", s.Age())
+
+		src.setUnavailable(true)
+		time.Sleep(finalRefusalAge + 100*time.Millisecond)
+		_, err := s.View()
+		assert.NilError(t, err)
+		assert.ErrorIs(t, s.Confirm(t.Context()), model.ErrUnavailable)
+	})
+}
+
+// Guards against a keeper that confirms a configuration which it has not checked
+// recently enough for the host that asks.
+func TestKeeperAsksStoreForRecentConfirmation(t *testing.T) {
+	run(t, func(t *testing.T, src *source, s *catalog.Service) {
+		const maxAge = 300 * time.Millisecond
+		request := &peerpb.ConfigurationRequest{MaxAgeUs: maxAge.Microseconds()}
+		time.Sleep(maxAge + 100*time.Millisecond)
+		before := src.readCount()
+		res, err := s.HandleConfiguration(t.Context(), request)
+		assert.NilError(t, err)
+		assert.Equal(t, src.readCount(), before+1)
+		assert.Assert(t, res.GetAgeUs() <= maxAge.Microseconds(), "%d µs", res.GetAgeUs())
+
+		src.setUnavailable(true)
+		time.Sleep(maxAge + 100*time.Millisecond)
+		_, err = s.HandleConfiguration(t.Context(), request)
+		assert.ErrorIs(t, err, model.ErrUnavailable)
+	})
+}
--- a/app/catalog/peers.go
+++ b/app/catalog/peers.go
@@ -21,9 +21,12 @@
 	if s.StoreAway() {
 		// The requesting host reaches another keeper or the store sooner than a
 		// wait here would end.
-		return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "the store does not answer this host")
+		return nil, storeAwayRefusal()
 	}
 	arrivedAt := s.options.Clock.Now()
+	if maxAge := time.Duration(r.GetMaxAgeUs()) * time.Microsecond; maxAge > 0 && !s.readConfiguration(ctx, maxAge) {
+		return nil, storeAwayRefusal()
+	}
 	s.waitForChange(ctx, r.GetKnownRevision(), min(maxLongPollWait, time.Duration(r.GetWaitMs())*time.Millisecond))
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -37,6 +40,10 @@
 	return res, nil
 }
 
+func storeAwayRefusal() error {
+	return model.NewRefusal(model.ErrUnavailable, model.RanNo, "the store does not answer this host")
+}
+
 // waitForChange waits until the configuration has a store revision other than
 // known, ctx ends or wait has passed.
 func (s *Service) waitForChange(ctx context.Context, known uint64, wait time.Duration) {
--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -69,6 +69,9 @@
 	// Lifetime is how long a configuration may be used after the request to the
 	// store that last confirmed it.
 	Lifetime time.Duration
+	// FinalRefusalAge is how old that confirmation may be when a request is refused
+	// in a way that callers do not retry.
+	FinalRefusalAge time.Duration
 	// Grace is the time within which the process must end after it was asked to.
 	Grace time.Duration
 
@@ -178,7 +181,9 @@
 }
 
 func newCatalog(o Options, source catalog.Source) *catalog.Service {
-	return catalog.New(catalog.Options{Source: source, Clock: o.Clock, Log: o.Log, Lifetime: o.Lifetime, Interval: targetListInterval})
+	return catalog.New(catalog.Options{
+		Source: source, Clock: o.Clock, Log: o.Log, Lifetime: o.Lifetime, FinalRefusalAge: o.FinalRefusalAge, Interval: targetListInterval,
+	})
 }
 
 func (h *Host) revision() model.Revision {
--- a/app/entry/entryhost.go
+++ b/app/entry/entryhost.go
@@ -69,7 +69,7 @@
 	})
 	e.callers = ingress.New(ingress.Options{
 		Relay: e.relay, Dialect: o.Dialect, View: h.catalog.View, Limits: h.catalog.Limits,
-		Confirmation: h.catalog.Confirmation, Draining: h.draining.Load, Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
+		Confirm: h.catalog.Confirm, Confirmation: h.catalog.Confirmation, Draining: h.draining.Load, Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
 	})
 	return e
 }
--- a/app/follow/source.go
+++ b/app/follow/source.go
@@ -106,7 +106,7 @@
 }
 
 func (s *Source) readFromKeeper(ctx context.Context, known uint64) (ingress.StoredDocument, error) {
-	res, err := s.requestConfiguration(ctx, 0, &peerpb.ConfigurationRequest{KnownRevision: known})
+	res, err := s.requestConfiguration(ctx, 0, &peerpb.ConfigurationRequest{KnownRevision: known, MaxAgeUs: maxConfigurationAge.Microseconds()})
 	if err != nil {
 		return ingress.StoredDocument{}, err
 	}
--- a/cmd/managed.go
+++ b/cmd/managed.go
@@ -31,6 +31,9 @@
 	// revokeMargin is subtracted from the time within which a withdrawn key must
 	// stop working, to allow for the difference between the clocks of two machines.
 	revokeMargin = 400 * time.Millisecond
+	// configMargin is the same for the time within which a changed configuration
+	// must be in force.
+	configMargin = 100 * time.Millisecond
 )
 
 // runManaged runs a host with the settings of the platform on which it is deployed.
@@ -56,14 +59,15 @@
 		Directory: func(addresses func() []string, ttl time.Duration) fasthttp.RequestHandler {
 			return platform.Directory{Addresses: addresses, TTL: min(ttl, boot.Bounds.DirectoryTTL)}.Handle
 		},
-		Readiness:   func(ready func() (bool, string)) fasthttp.RequestHandler { return platform.Readiness(ready).Handle },
-		Evacuations: client,
-		Quotas:      boot.Quotas,
-		Budgets:     boot.Programs,
-		Keeper:      boot.CallerAddress == "",
-		Lifetime:    boot.Bounds.Revoke - revokeMargin,
-		Grace:       boot.Bounds.Grace,
-		Clock:       boottime.New(), Log: log,
+		Readiness:       func(ready func() (bool, string)) fasthttp.RequestHandler { return platform.Readiness(ready).Handle },
+		Evacuations:     client,
+		Quotas:          boot.Quotas,
+		Budgets:         boot.Programs,
+		Keeper:          boot.CallerAddress == "",
+		Lifetime:        boot.Bounds.Revoke - revokeMargin,
+		FinalRefusalAge: boot.Bounds.Config - configMargin,
+		Grace:           boot.Bounds.Grace,
+		Clock:           boottime.New(), Log: log,
 	}
 	if options.Keeper && boot.DataDir != "" {
 		if disk, err := entry.OpenDisk(boot.DataDir); err != nil {
--- a/io/ingress/server.go
+++ b/io/ingress/server.go
@@ -66,6 +66,9 @@
 	View func() (*coreingress.View, error)
 	// Limits returns the limits for requests, also while View fails.
 	Limits func() coreingress.Limits
+	// Confirm fails with a *model.Refusal unless the configuration is known to be in
+	// effect now, so that a request may be refused for good.
+	Confirm func(context.Context) error
 	// Confirmation returns the revision of the configuration and how long ago the
 	// store confirmed it.
 	Confirmation func() (model.Revision, time.Duration)
@@ -161,6 +164,11 @@
 		return
 	}
 	f, err := s.resolve(ctx, fields, received)
+	if errors.Is(err, model.ErrNotFound) || errors.Is(err, model.ErrUnauthorized) {
+		if err = s.options.Confirm(context.Background()); err == nil {
+			f, err = s.resolve(ctx, fields, received)
+		}
+	}
 	if err != nil {
 		s.refuse(ctx, fields.ID, nil, err)
 		return
@@ -288,11 +296,32 @@
 	case errors.As(err, &netErr) && netErr.Timeout():
 		kind = ErrRequestTimeout
 	}
-	s.refuse(ctx, "", nil, model.NewRefusal(kind, model.RanNo, "failed to read the request: %v", err))
+	refusal := error(model.NewRefusal(kind, model.RanNo, "failed to read the request: %v", err))
+	if errors.Is(refusal, model.ErrTooLarge) {
+		refusal = s.confirmTooLarge(refusal)
+	}
+	s.refuse(ctx, "", nil, refusal)
 	ctx.SetConnectionClose()
 	lingerOnClose(ctx.Conn())
 }
 
+// limitRaisedRetryAfter is the Retry-After of a request whose body was above a limit
+// that has just been raised.
+const limitRaisedRetryAfter = 20 * time.Millisecond
+
+// confirmTooLarge returns the refusal of a request whose body is too large. If the
+// limit may have been raised, callers may send the request again.
+func (s *Server) confirmTooLarge(refusal error) error {
+	limit := s.options.Limits().BodyBytes
+	if err := s.options.Confirm(context.Background()); err != nil {
+		return err
+	}
+	if raised := s.options.Limits().BodyBytes; raised > limit {
+		return model.NewRefusal(model.ErrUnavailable, model.RanNo, "the limit for bodies was raised from %d to %d bytes", limit, raised).Retry(limitRaisedRetryAfter)
+	}
+	return refusal
+}
+
 // lingerOnClose makes Close of a connection keep reading for a moment, after a
 // request was refused before it was read. Closing a connection with unread data
 // resets it, which could lose the answer.
