app/follow: do not wait for frozen keepers one after the other

An entry host watches the configuration at one keeper for up to 1.3 s and then asks the next of a list that it made before. With two keepers frozen a change was known after up to 2.6 s; it must be in force after 2 s.

A request now also ends when the keeper does not answer another request, such as the Follow of each 500 ms.

TestChangeIsKnownWhileTwoKeepersAreFrozen failed before in 5 of 5 runs (revision 1 after 2 s) and passes 3 of 3 with the race detector.

--- a/app/follow/admit.go
+++ b/app/follow/admit.go
@@ -99,7 +99,7 @@
 func (c *Client) markUnresponsive(address string) {
 	c.mu.Lock()
 	if k := c.contacts[address]; k != nil {
-		k.unresponsive = true
+		k.setUnresponsive(true)
 	}
 	c.mu.Unlock()
 	c.Wake()
--- a/app/follow/client.go
+++ b/app/follow/client.go
@@ -76,6 +76,25 @@
 	acting       bool      // the keeper may act
 	hostsVersion uint64
 	hosts        []presence.Host
+
+	responsive context.Context // ends when unresponsive becomes true
+	lose       context.CancelFunc
+}
+
+func newContact() *contact {
+	k := &contact{}
+	k.responsive, k.lose = context.WithCancel(context.Background())
+	return k
+}
+
+func (k *contact) setUnresponsive(unresponsive bool) {
+	switch {
+	case unresponsive:
+		k.lose()
+	case k.unresponsive:
+		k.responsive, k.lose = context.WithCancel(context.Background())
+	}
+	k.unresponsive = unresponsive
 }
 
 // Client follows the keepers on behalf of one entry host. It is safe for
@@ -189,11 +208,12 @@
 	for _, m := range r.Members {
 		known[m.PeerAddress] = true
 		if c.contacts[m.PeerAddress] == nil {
-			c.contacts[m.PeerAddress] = &contact{}
+			c.contacts[m.PeerAddress] = newContact()
 		}
 	}
-	for address := range c.contacts {
+	for address, k := range c.contacts {
 		if !known[address] {
+			k.lose()
 			delete(c.contacts, address)
 		}
 	}
@@ -264,7 +284,8 @@
 	sent := c.options.Clock.Now()
 	res, err := c.options.Peers.Follow(ctx, address, r)
 	c.mu.Lock()
-	k.inFlight, k.unresponsive = false, err != nil
+	k.inFlight = false
+	k.setUnresponsive(err != nil)
 	if err != nil {
 		c.mu.Unlock()
 		c.options.Log.Debug("keeper did not answer", "keeper", address, "error", err)
@@ -329,6 +350,21 @@
 	return c.actedRecentlyLocked(address, now) && !c.contacts[address].unresponsive
 }
 
+// whileResponsive returns a context that also ends when the keeper at address does
+// not answer another request.
+func (c *Client) whileResponsive(ctx context.Context, address string) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.contacts[address]
+	if k == nil {
+		cancel()
+		return ctx, cancel
+	}
+	stop := context.AfterFunc(k.responsive, cancel)
+	return ctx, func() { stop(); cancel() }
+}
+
 // MayAct reports whether a keeper that may act has answered this host recently. A
 // host that was suspended or is cut off must not forward requests.
 func (c *Client) MayAct() bool {
--- a/app/follow/follow_test.go
+++ b/app/follow/follow_test.go
@@ -44,6 +44,7 @@
 
 	mu         sync.Mutex
 	silent     bool
+	frozen     bool // requests get no answer
 	acting     bool
 	storeAway  bool
 	record     member.Record
@@ -96,13 +97,26 @@
 	return k, nil
 }
 
+// withhold waits until ctx ends if the keeper is frozen.
+func (k *keeper) withhold(ctx context.Context) error {
+	k.mu.Lock()
+	frozen := k.frozen
+	k.mu.Unlock()
+	if !frozen {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
 // Follow implements follow.Peers.
 func (tf *testFleet) Follow(ctx context.Context, address string, r *peerpb.FollowRequest) (*peerpb.FollowResponse, error) {
 	k, err := tf.keeper(address)
 	if err != nil {
 		return nil, err
 	}
-	return k.HandleFollow(ctx, r)
+	res, err := k.HandleFollow(ctx, r)
+	return res, errors.Join(err, k.withhold(ctx))
 }
 
 // Admit implements follow.Peers.
--- a/app/follow/source.go
+++ b/app/follow/source.go
@@ -57,13 +57,16 @@
 var errStale = errors.New("data of the keeper is out of date")
 
 // askKeepers runs call with the address of each usable keeper, in order of
-// preference, until it succeeds for one.
+// preference, until it succeeds for one. It goes on to the next keeper as soon as
+// one stops answering other requests too, because wait can be long.
 func (s *Source) askKeepers(ctx context.Context, wait time.Duration, call func(ctx context.Context, address string) error) error {
 	lastErr := errNoKeeper
 	for _, address := range s.Client.usableKeepers() {
-		callCtx, cancel := context.WithTimeout(ctx, wait+answerGrace)
+		keeperCtx, release := s.Client.whileResponsive(ctx, address)
+		callCtx, cancel := context.WithTimeout(keeperCtx, wait+answerGrace)
 		lastErr = call(callCtx, address)
 		cancel()
+		release()
 		if lastErr == nil || ctx.Err() != nil {
 			return lastErr
 		}
--- a/app/follow/source_test.go
+++ b/app/follow/source_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"log/slog"
 	"sync"
 	"testing"
@@ -97,7 +98,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return k.catalog.HandleConfiguration(ctx, r)
+	res, err := k.catalog.HandleConfiguration(ctx, r)
+	return res, errors.Join(err, k.withhold(ctx))
 }
 
 // Targets implements follow.CatalogPeers.
@@ -131,15 +133,21 @@
 }
 
 func (tf *testFleet) startCatalogs() (keepers, direct *fakeSource, entry *catalog.Service) {
+	tf.t.Helper()
+	keepers, direct, entry, _ = tf.startCatalogsAndClient()
+	return keepers, direct, entry
+}
+
+func (tf *testFleet) startCatalogsAndClient() (keepers, direct *fakeSource, entry *catalog.Service, client *follow.Client) {
 	tf.t.Helper()
 	keepers, direct = &fakeSource{revision: 1}, &fakeSource{revision: 1}
 	for _, k := range tf.keepers {
 		k.catalog = tf.startCatalog(keepers)
 	}
-	client := tf.startSettledClient("a", nil)
+	client = tf.startSettledClient("a", nil)
 	entry = tf.startCatalog(&follow.Source{Client: client, Peers: tf, Store: direct, Decode: decode})
 	tf.waitFor("catalog has a configuration", func() bool { return entry.Latest() != nil })
-	return keepers, direct, entry
+	return keepers, direct, entry, client
 }
 
 // Guards against a number of store calls that grows with the number of entry hosts,
@@ -189,6 +197,23 @@
 	assert.Assert(t, entry.StoreAway())
 }
 
+// Guards against a change that is not in force after 2 s because a host waits for
+// keepers that do not answer, one after the other.
+func TestChangeIsKnownWhileTwoKeepersAreFrozen(t *testing.T) {
+	t.Parallel()
+	tf := newTestFleet(t, 3)
+	keepers, _, entry, client := tf.startCatalogsAndClient()
+	state, ok := client.Dump().(follow.State)
+	assert.Assert(t, ok)
+	for _, k := range state.Keepers[:2] { // asked before the third
+		frozen := tf.keepers[string(k.Host)]
+		frozen.update(func() { frozen.frozen = true })
+	}
+	keepers.update(func() { keepers.revision = 2 })
+	time.Sleep(2 * time.Second)
+	assert.Equal(t, entry.Latest().Revision(), model.Revision(2))
+}
+
 // Guards against requests to a target that is leaving, which a host learns too late
 // because its keepers cannot reach the store.
 func TestTargetsOfKeeperWithoutStoreAreNotUsed(t *testing.T) {
