io/caller: a host that does not serve refuses nothing for good

It answers 503 with Retry-After now, as it did for known keys.

TestNotReadyHostRefusesNothingForGood failed before for all six requests (401, 404).

--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 	"gotest.tools/v3/poll"
 
 	"mimosarelay/core/config"
@@ -346,6 +347,26 @@
 	assert.Equal(t, h.send("GET", "/healthz", "").status, 200)
 }
 
+// Guards against final refusals by a host whose configuration may be out of date
+// because it lost the right to act.
+func TestNotReadyHostRefusesNothingForGood(t *testing.T) {
+	h := newHarness(t, engine.Options{})
+	h.setReady(false)
+	h.key = config.NewKey("k2") // may have been granted meanwhile
+	for name, c := range map[string]struct{ method, path, body string }{
+		"chat":    {"POST", "/v1/chat/completions", chatBody("x", false)},
+		"route":   {"POST", "/v1/routes/pay/now", "x"},
+		"added":   {"POST", "/v1/routes/added/now", "x"},
+		"models":  {"GET", "/v1/models", ""},
+		"history": {"GET", "/v1/programs/letter-17/history", ""},
+		"outcome": {"GET", "/v1/calls/key-17", ""},
+	} {
+		a := h.send(c.method, c.path, c.body)
+		assert.Check(t, is.Equal(a.status, 503), "%s: %s", name, a.body)
+		assert.Check(t, a.header.Get("Retry-After") != "", name)
+	}
+}
+
 // Guards against a draining host that refuses callers which know its address, and
 // against one that still reports itself as ready for new callers.
 func TestDrainingHostAcceptsCalls(t *testing.T) {
--- a/io/caller/handlers.go
+++ b/io/caller/handlers.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"slices"
 	"strings"
@@ -121,7 +123,7 @@
 	id := newRequestID()
 	r, err := s.authenticate(ctx, id, false)
 	if err != nil {
-		s.refuse(ctx, id, err)
+		s.refuse(ctx, id, s.confirmRefusal(err))
 		return
 	}
 	list := modelList{Object: "list", Data: []modelItem{}}
@@ -164,7 +166,7 @@
 	name, path, _ := strings.Cut(rest, "/")
 	route, ok := s.options.Snapshot().Route(model.RouteID(name))
 	if !ok {
-		s.refuse(ctx, id, model.NewRefusal(model.ErrNotFound, model.RanNo, "route %q does not exist", name))
+		s.refuse(ctx, id, s.confirmRefusal(model.NewRefusal(model.ErrNotFound, model.RanNo, "route %q does not exist", name)))
 		return
 	}
 	r, err := s.authenticate(ctx, id, route.Open)
@@ -222,11 +224,11 @@
 // request if err, the result of reading the request, is not nil.
 func (s *Server) relayCall(ctx *fasthttp.RequestCtx, r *relay.Request, id model.RequestID, err error) {
 	if err != nil {
-		s.refuse(ctx, id, err)
+		s.refuse(ctx, id, s.confirmRefusal(err))
 		return
 	}
-	if ok, reason := s.options.Serves(); !ok {
-		s.refuse(ctx, id, model.NewRefusal(model.ErrUnavailable, model.RanNo, "this host does not accept calls: %s", reason).Retry(time.Second))
+	if err := s.checkServes(); err != nil {
+		s.refuse(ctx, id, err)
 		return
 	}
 	// The context of fasthttp is cancelled at the start of a shutdown, which must
@@ -242,6 +244,25 @@
 	s.writeAnswer(ctx, r, answer, s.callEnder(r, answer.Status, done))
 }
 
+// checkServes returns a refusal if the host does not accept calls.
+func (s *Server) checkServes() error {
+	if ok, reason := s.options.Serves(); !ok {
+		return model.NewRefusal(model.ErrUnavailable, model.RanNo, "this host does not accept calls: %s", reason).Retry(time.Second)
+	}
+	return nil
+}
+
+// confirmRefusal returns the refusal err, or a temporary one if err follows from a
+// configuration that the host cannot know to be in effect.
+func (s *Server) confirmRefusal(err error) error {
+	for _, kind := range []error{model.ErrUnauthorized, model.ErrForbidden, model.ErrNotFound} {
+		if errors.Is(err, kind) {
+			return cmp.Or(s.checkServes(), err)
+		}
+	}
+	return err
+}
+
 // callEnder returns a function that ends a call and logs it. Its argument says
 // whether the answer was read to its end.
 func (s *Server) callEnder(r *relay.Request, status int, done func()) func(complete bool) {
