app/pacing: keep the rate that a target states, over all hosts

A server in need states in Server-Limit how many requests a second it takes from all hosts together.

A host that has read a rate asks the owner of the target's shard, a keeper, before each request to it, so that one schedule paces all hosts, including those that have just started. Kept by each host alone, the rate of 6 a second would leave a tenth of a request a second to each of 64 hosts. A denied request goes elsewhere, and the target is paused at that host; the owner spreads the times at which hosts come back. Without a decision the target gets no request.

--- a/app/entry/adapters.go
+++ b/app/entry/adapters.go
@@ -117,6 +117,11 @@
 	return h.keeper.limits.HandleMoveShare(ctx, r)
 }
 
+// Pace implements peerpb.DRPCPeerServer.
+func (h keeperHandler) Pace(ctx context.Context, r *peerpb.PaceRequest) (*peerpb.PaceResponse, error) {
+	return h.keeper.pacing.HandlePace(ctx, r)
+}
+
 // ReserveTurn implements peerpb.DRPCPeerServer.
 func (h keeperHandler) ReserveTurn(ctx context.Context, r *peerpb.ReserveTurnRequest) (*peerpb.ReserveTurnResponse, error) {
 	return h.keeper.turnOwner.HandleReserveTurn(ctx, r)
--- a/app/entry/entryhost.go
+++ b/app/entry/entryhost.go
@@ -9,11 +9,13 @@
 
 	"mimosarelay/app/fleet"
 	"mimosarelay/app/follow"
+	"mimosarelay/app/pacing"
 	"mimosarelay/app/placement"
 	"mimosarelay/app/relay"
 	"mimosarelay/app/suspects"
 	"mimosarelay/app/turns"
 	"mimosarelay/app/wait"
+	coreingress "mimosarelay/core/ingress"
 	"mimosarelay/core/model"
 	coreplacement "mimosarelay/core/placement"
 	"mimosarelay/core/presence"
@@ -62,8 +64,12 @@
 	if o.Budgets {
 		turnClient = &turns.Client{Owners: e.follow, Peers: h.peers, Isolated: e.follow.Isolated, Clock: o.Clock, Log: o.Log}
 	}
+	pacer := pacing.NewClient(e.follow, h.peers, o.Clock, o.Log)
+	h.catalog.OnChange(func(v *coreingress.View) {
+		pacer.Retain(func(id model.TargetID) bool { _, ok := v.Target(id); return ok })
+	})
 	e.relay = relay.New(relay.Options{
-		Turns:   turnClient,
+		Turns: turnClient, Pacer: pacer, Pauser: e.placement,
 		Limiter: limiter{e}, Rights: e.follow, Placer: placer{e.placement}, Suspects: e.suspects, Targets: e.targets,
 		Dialect: o.Dialect, Loads: e.placement, Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
 	})
--- a/app/entry/keeper.go
+++ b/app/entry/keeper.go
@@ -8,6 +8,7 @@
 	"mimosarelay/app/fleet"
 	"mimosarelay/app/follow"
 	"mimosarelay/app/limits"
+	"mimosarelay/app/pacing"
 	"mimosarelay/app/turns"
 	coreingress "mimosarelay/core/ingress"
 	"mimosarelay/core/member"
@@ -22,6 +23,7 @@
 	limits    *limits.Service
 	turnOwner *turns.Owner
 	followers *follow.Keeper
+	pacing    *pacing.Owner
 }
 
 func newKeeper(h *Host) *keeper {
@@ -48,6 +50,7 @@
 		Host: o.Host, ShardOwnership: k.fleet, Store: o.Keyspace(budgetPrefix), Clock: o.Clock, Log: o.Log,
 		Keepers: k.peerAddresses, CopyClient: h.peers, Disk: o.Disk,
 	})
+	k.pacing = pacing.NewOwner(o.Clock)
 	k.followers = &follow.Keeper{Fleet: k.fleet, Limits: k.limits, Clock: o.Clock}
 	k.fleet.Subscribe(limits.EnterPrefix, k.limits.EntriesChanged)
 	k.fleet.Subscribe(limits.SharesKey, k.limits.SharesChanged)
--- a/app/placement/loop.go
+++ b/app/placement/loop.go
@@ -135,7 +135,7 @@
 		return
 	}
 	h.skip = false
-	s.deliverGrants(now, s.scheduler.SetSkip(now, t.Name, false))
+	s.deliverGrants(now, s.scheduler.SetSkip(now, t.Name, s.skipped(t.Name)))
 }
 
 // clearFailures resets the backoff of a target unless it is out of use. The caller
--- a/app/placement/service.go
+++ b/app/placement/service.go
@@ -26,6 +26,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -132,7 +133,8 @@
 	snapshot   *config.Snapshot
 	membership membership
 	health     map[model.TargetID]*targetHealth
-	targets    []placement.Target // of the snapshot; Limit is without loans
+	pauses     map[model.TargetID]time.Time // ends of the pauses
+	targets    []placement.Target           // of the snapshot; Limit is without loans
 	loans      loans
 }
 
@@ -146,6 +148,7 @@
 		waiters:    map[placement.CallID]chan config.Target{},
 		membership: membership{delay: o.ChangeDelay},
 		health:     map[model.TargetID]*targetHealth{},
+		pauses:     map[model.TargetID]time.Time{},
 		loans:      newLoans(),
 	}
 }
@@ -278,12 +281,42 @@
 	if !t.Leaving {
 		target.Limit = max(s.membership.hostLimit(s.options.Host, t.Name, t.MaxInFlight), s.options.MinHostLimit)
 	}
-	if h := s.health[t.Name]; h != nil {
-		target.Skip = h.skip
-	}
+	target.Skip = s.skipped(t.Name)
 	return target
 }
 
+// skipped reports whether a target is out of use. The caller holds mu.
+func (s *Service) skipped(id model.TargetID) bool {
+	_, paused := s.pauses[id]
+	h := s.health[id]
+	return paused || h != nil && h.skip
+}
+
+// Pause takes a target out of use for a time. A longer pause is not shortened.
+func (s *Service) Pause(id model.TargetID, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Clock.Now()
+	end := now.Add(d)
+	if !end.After(s.pauses[id]) {
+		return
+	}
+	s.pauses[id] = end
+	s.deliverGrants(now, s.scheduler.SetSkip(now, id, true))
+	s.options.Clock.AfterFunc(d, func() { s.endPause(id) })
+}
+
+func (s *Service) endPause(id model.TargetID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Clock.Now()
+	if now.Before(s.pauses[id]) {
+		return // a longer pause ends later
+	}
+	delete(s.pauses, id)
+	s.deliverGrants(now, s.scheduler.SetSkip(now, id, s.skipped(id)))
+}
+
 // limitWithLoans returns the number of calls that this host may have in flight at
 // a target, given its limit without loans.
 func (s *Service) limitWithLoans(t config.Target, hostLimit int, now time.Time) int {
@@ -344,6 +377,7 @@
 		placement.Dump
 		Hosts   []model.HostID
 		Skipped []model.TargetID
+		Paused  []model.TargetID
 		Lent    int
 		Loans   int
 	}
@@ -355,5 +389,6 @@
 		}
 	}
 	slices.Sort(d.Skipped)
+	d.Paused = slices.Sorted(maps.Keys(s.pauses))
 	return d
 }
--- a/app/placement/service_test.go
+++ b/app/placement/service_test.go
@@ -319,3 +319,24 @@
 		assert.Equal(t, p.Target().Name, model.TargetID("b"))
 	}
 }
+
+// Guards against a paused target that gets calls, against one that stays paused, and
+// against a pause that ends early because a shorter one was set.
+func TestPausedTargetGetsNoCalls(t *testing.T) {
+	f := newFleet(document(2, "a"), "h1")
+	s := f.service("h1", nil)
+	s.Pause("a", time.Second)
+	s.Pause("a", 100*time.Millisecond)
+	assert.Assert(t, tryAcquire(t, s) == nil)
+	f.clock.Advance(500 * time.Millisecond)
+	assert.Assert(t, tryAcquire(t, s) == nil)
+	granted := make(chan Place, 1)
+	go func() {
+		p, err := s.Acquire(t.Context(), request)
+		assert.Check(t, err)
+		granted <- p
+	}()
+	assert.NilError(t, f.clock.BlockUntilContext(t.Context(), 2)) // the timers of the pause and of Acquire
+	f.clock.Advance(500 * time.Millisecond)
+	(<-granted).Release(placement.Usage{Prompt: 1})
+}
--- a/app/relay/forward.go
+++ b/app/relay/forward.go
@@ -13,6 +13,7 @@
 	"mimosarelay/core/dispatch"
 	"mimosarelay/core/ingress"
 	"mimosarelay/core/model"
+	"mimosarelay/core/pacing"
 	"mimosarelay/core/placement"
 	"mimosarelay/io/target"
 )
@@ -81,6 +82,10 @@
 	NotRun bool
 	// Load is nil if the target does not report its load.
 	Load *TargetLoad
+	// StatedRate is the rate of requests that the target takes from all hosts
+	// together, if StatesRate is set.
+	StatedRate pacing.Rate
+	StatesRate bool
 }
 
 // TargetLoad is the number of running and waiting requests at a target.
@@ -209,7 +214,7 @@
 
 // forwardOnce makes one attempt. On an error, Next is nil if no attempt was made.
 func (s *Service) forwardOnce(ctx context.Context, c *forwardCall) (*Answer, dispatch.Next, error) {
-	place, err := s.Placer.Acquire(ctx, c.placeRequest())
+	place, err := s.acquirePlace(ctx, c)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -256,11 +261,15 @@
 	req.SetBodyRaw(c.Body)
 	s.Dialect.Encode(req, c.Forward, Dispatch{Target: t, TimeLeft: left, LastEvent: lastEvent})
 	var reply Reply // of the response that belongs to the request
+	var sentAt time.Time
 	resp, err := s.Targets.Do(ctx, t.Address, req, target.CallOptions{
 		Fresh:           c.attempts.Count() > 0,
 		MaxConnIdleTime: c.maxConnIdle(),
 		IdleTimeout:     left,
-		BeforeSend:      func() error { return s.checkBeforeForward(ctx) },
+		BeforeSend: func() error {
+			sentAt = s.Clock.Now()
+			return s.checkBeforeForward(ctx)
+		},
 		Match: func(m *fasthttp.Response) bool {
 			reply = s.Dialect.Decode(m)
 			return reply.ID == c.ID
@@ -273,6 +282,9 @@
 	if reply.Load != nil && s.Loads != nil {
 		s.Loads.Report(t.Name, reply.Load.Running, reply.Load.Waiting)
 	}
+	if s.Pacer != nil {
+		s.Pacer.Observe(t.Name, reply.StatedRate, reply.StatesRate, sentAt)
+	}
 	if reply.NotRun {
 		status := resp.Status()
 		_, _ = resp.ReadAll(maxAnswer)
--- a/app/relay/forward_stream.go
+++ b/app/relay/forward_stream.go
@@ -100,7 +100,7 @@
 // resume continues the stream with another attempt.
 func (b *forwardStreamBody) resume() (dispatch.Next, error) {
 	s, c := b.service, b.call
-	place, err := s.Placer.Acquire(b.ctx, c.placeRequest())
+	place, err := s.acquirePlace(b.ctx, c)
 	if err != nil {
 		return nil, err
 	}
--- a/app/relay/interfaces.go
+++ b/app/relay/interfaces.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -9,6 +10,7 @@
 	"mimosarelay/app/suspects"
 	"mimosarelay/core/config"
 	"mimosarelay/core/model"
+	"mimosarelay/core/pacing"
 	"mimosarelay/core/placement"
 	"mimosarelay/core/program"
 	"mimosarelay/io/peer/peerpb"
@@ -72,6 +74,23 @@
 	Acquire(ctx context.Context, r placement.Request) (Place, error)
 }
 
+// Pauser takes targets out of use.
+type Pauser interface {
+	// Pause takes a target out of use for a time.
+	Pause(id model.TargetID, d time.Duration)
+}
+
+// Pacer limits the requests that all hosts together send to targets that state how
+// many they take.
+type Pacer interface {
+	// Observe records the rate that a target states in a response. stated is false
+	// if the response has none. sentAt is when its request was sent.
+	Observe(id model.TargetID, rate pacing.Rate, stated bool, sentAt time.Time)
+	// Take decides whether a request may be sent to a target. It is denied if it
+	// would have to wait for longer than maxDelay.
+	Take(ctx context.Context, id model.TargetID, maxDelay time.Duration) pacing.Decision
+}
+
 // Suspects tracks requests that crash targets.
 type Suspects interface {
 	// Begin claims one run of a request at one target. Errors are *model.Refusal
--- a/app/relay/service.go
+++ b/app/relay/service.go
@@ -28,13 +28,16 @@
 	Placer    Placer
 	Suspects  Suspects
 	Targets   *target.Client
-	// Rights, Dialect, Turns and Loads are used by Forward only, which does not use
-	// Contracts, Programs, Owners and Peers. Turns is nil if programs have no
-	// budget, and Loads is nil if targets do not report their load.
+	// Rights, Dialect, Turns, Loads, Pacer and Pauser are used by Forward only,
+	// which does not use Contracts, Programs, Owners and Peers. Turns is nil if
+	// programs have no budget, Loads is nil if targets do not report their load, and
+	// Pacer and Pauser are nil if they do not state the rate that they take.
 	Rights  Rights
 	Dialect Dialect
 	Turns   Turns
 	Loads   LoadReports
+	Pacer   Pacer
+	Pauser  Pauser
 	Clock   clockwork.Clock
 	Log     *slog.Logger
 	Scope   tally.Scope
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -311,6 +311,11 @@
 	return unary(ctx, c, poolKey{address, generalConn}, request, peerpb.DRPCPeerClient.Targets)
 }
 
+// Pace asks the owner of a target when a request may be sent to the target.
+func (c *Client) Pace(ctx context.Context, address string, request *peerpb.PaceRequest) (*peerpb.PaceResponse, error) {
+	return unary(ctx, c, poolKey{address, generalConn}, request, peerpb.DRPCPeerClient.Pace)
+}
+
 // ReserveTurn reserves the tokens of one turn in the budget of its program, at
 // the owner of the program.
 func (c *Client) ReserveTurn(ctx context.Context, address string, request *peerpb.ReserveTurnRequest) (*peerpb.ReserveTurnResponse, error) {
