app/relay: end a stream at bytes that are not an event of it

Answers with an error status, another content type, another request's id or no response at all were handled: the stream ends visibly incomplete. But a response that says 200 and text/event-stream and then carries an error text or the head of another response was forwarded, and the stream ended as complete: each block of lines up to a blank one counted as an event. On a stream without a length a second answer on the same connection looks just like this.

Each event must have a numeric id, which the streams of these routes have, and its lines must be fields; comments pass. Anything else is a failed run, so that the stream goes on at another run or ends visibly.

TestErrorAfterBrokenStreamIsNotForwarded failed before for "error in events" and "text in events" and passed for the other eight.

--- a/app/relay/forward_stream.go
+++ b/app/relay/forward_stream.go
@@ -58,14 +58,18 @@
 			b.handleEnd(err)
 			return
 		}
-		id, ok := eventID(event)
+		id, ok, err := eventID(event)
+		if err != nil {
+			b.handleEnd(err)
+			return
+		}
 		if ok && id <= b.lastEventID && b.lastEventID > 0 {
 			continue // a resumed stream may repeat events
 		}
 		if ok {
 			b.lastEventID = id
+			b.eventCount++
 		}
-		b.eventCount++
 		b.pending = append(b.pending, event...)
 		if !b.events.Buffered() {
 			return
@@ -164,17 +168,42 @@
 	return nil
 }
 
-var idField = []byte("id:")
+var idField = []byte("id")
+
+// errNotEvent reports bytes in a stream that are not an event, for example the
+// response to another request or the text of an error.
+var errNotEvent = errors.New("stream contains bytes that are not an event")
 
-// eventID returns the numeric id of a server-sent event, and whether it has one.
-func eventID(event []byte) (uint64, bool) {
+// eventID returns the numeric id of a server-sent event, or false for a comment. It
+// fails if an event has no id or a line that is not a field.
+func eventID(event []byte) (id uint64, ok bool, err error) {
+	comment := true
 	for line := range bytes.Lines(event) {
-		value, ok := bytes.CutPrefix(line, idField)
-		if !ok {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 || line[0] == ':' {
+			continue
+		}
+		comment = false
+		name, value, isField := bytes.Cut(line, []byte(":"))
+		if !isField || !isFieldName(name) {
+			return 0, false, fmt.Errorf("%w: line %.40q", errNotEvent, line)
+		}
+		if !bytes.Equal(name, idField) {
 			continue
 		}
-		id, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
-		return id, err == nil
+		if id, err = strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64); err != nil {
+			return 0, false, fmt.Errorf("%w: %w", errNotEvent, err)
+		}
+		ok = true
 	}
-	return 0, false
+	if !ok && !comment {
+		return 0, false, fmt.Errorf("%w: %.40q has no id", errNotEvent, event)
+	}
+	return id, ok, nil
+}
+
+// isFieldName reports whether name consists of lower-case letters and hyphens, as
+// the names of all fields of events do.
+func isFieldName(name []byte) bool {
+	return len(name) > 0 && bytes.IndexFunc(name, func(r rune) bool { return r != '-' && (r < 'a' || r > 'z') }) < 0
 }
