io/target: a body that ends in blanks after an event is broken off

A stream that ends with its connection is complete if it ends after an event. One that ends inside an event was recognized, except if the part consists of blanks. Only line ends may follow the last event now.

TestStreamThatEndsWithItsConnection covers streams without a length or chunks: whole ones, ends inside a line, an event and blanks, resets, and a second answer behind the stream. "ends in blanks" failed before.

--- a/io/target/events.go
+++ b/io/target/events.go
@@ -68,7 +68,7 @@
 // endError returns the error for the end of the body: a truncated event is not a
 // regular end.
 func (e *EventReader) endError(err error) error {
-	if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.event)) > 0 {
+	if errors.Is(err, io.EOF) && len(bytes.Trim(e.event, "\r\n")) > 0 {
 		return fmt.Errorf("%w: the body ends within an event: %w", ErrBroken, io.ErrUnexpectedEOF)
 	}
 	return err
