core/discovery: a target that says it is leaving gets no new requests

The list of targets may say it later or never.

The host takes the target out of use at the first such answer, until it is listed with another start (born, new in the list between hosts): a target may start again under its id.

--- a/app/catalog/catalog.go
+++ b/app/catalog/catalog.go
@@ -270,6 +270,20 @@
 	return true
 }
 
+// MarkLeaving takes a target out of use that said in a response that it is leaving.
+func (s *Service) MarkLeaving(id model.TargetID) {
+	s.mu.Lock()
+	var view *ingress.View
+	if s.targets.MarkLeaving(s.options.Clock.Now(), id) {
+		view = s.rebuildView()
+	}
+	s.mu.Unlock()
+	if view != nil {
+		s.options.Log.Info("target said that it is leaving", "target", id)
+		s.notify(view)
+	}
+}
+
 // logFaults logs the faults that the previous read did not have.
 func (s *Service) logFaults(faults []error) {
 	var current []string
--- a/app/catalog/peers.go
+++ b/app/catalog/peers.go
@@ -80,6 +80,7 @@
 	for _, t := range list {
 		res.Targets = append(res.Targets, &peerpb.TargetEntry{
 			Id: string(t.ID), Service: string(t.Service), Address: t.Address, Zone: string(t.Zone), Slots: int64(t.Slots), Leaving: t.Leaving,
+			StartedMs: int64(t.StartedAt),
 		})
 	}
 	return res, nil
--- a/app/entry/entryhost.go
+++ b/app/entry/entryhost.go
@@ -69,7 +69,7 @@
 		pacer.Retain(func(id model.TargetID) bool { _, ok := v.Target(id); return ok })
 	})
 	e.relay = relay.New(relay.Options{
-		Turns: turnClient, Pacer: pacer, Pauser: e.placement,
+		Turns: turnClient, Departures: h.catalog, Pacer: pacer, Pauser: e.placement,
 		Limiter: limiter{e}, Rights: e.follow, Placer: placer{e.placement}, Suspects: e.suspects, Targets: e.targets,
 		Dialect: o.Dialect, Loads: e.placement, Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
 	})
--- a/app/follow/source.go
+++ b/app/follow/source.go
@@ -169,7 +169,7 @@
 	for _, t := range list {
 		targets = append(targets, ingress.Target{
 			ID: model.TargetID(t.GetId()), Service: ingress.ServiceID(t.GetService()), Address: t.GetAddress(), Zone: model.Zone(t.GetZone()),
-			Slots: int(t.GetSlots()), Leaving: t.GetLeaving(),
+			Slots: int(t.GetSlots()), Leaving: t.GetLeaving(), StartedAt: ingress.UnixMilliseconds(t.GetStartedMs()),
 		})
 	}
 	return targets
--- a/app/relay/forward.go
+++ b/app/relay/forward.go
@@ -82,6 +82,8 @@
 	NotRun bool
 	// Load is nil if the target does not report its load.
 	Load *TargetLoad
+	// Leaving says that the target is leaving and takes no new requests soon.
+	Leaving bool
 	// StatedRate is the rate of requests that the target takes from all hosts
 	// together, if StatesRate is set.
 	StatedRate pacing.Rate
@@ -282,6 +284,9 @@
 	if reply.Load != nil && s.Loads != nil {
 		s.Loads.Report(t.Name, reply.Load.Running, reply.Load.Waiting)
 	}
+	if reply.Leaving && s.Departures != nil {
+		s.Departures.MarkLeaving(t.Name)
+	}
 	if s.Pacer != nil {
 		s.Pacer.Observe(t.Name, reply.StatedRate, reply.StatesRate, sentAt)
 	}
--- a/app/relay/interfaces.go
+++ b/app/relay/interfaces.go
@@ -130,3 +130,10 @@
 type LoadReports interface {
 	Report(id model.TargetID, running, waiting int)
 }
+
+// Departures learns which targets are leaving.
+type Departures interface {
+	// MarkLeaving records that a target said in a response that it is leaving. It
+	// gets no new requests then.
+	MarkLeaving(id model.TargetID)
+}
--- a/app/relay/service.go
+++ b/app/relay/service.go
@@ -28,19 +28,21 @@
 	Placer    Placer
 	Suspects  Suspects
 	Targets   *target.Client
-	// Rights, Dialect, Turns, Loads, Pacer and Pauser are used by Forward only,
-	// which does not use Contracts, Programs, Owners and Peers. Turns is nil if
-	// programs have no budget, Loads is nil if targets do not report their load, and
-	// Pacer and Pauser are nil if they do not state the rate that they take.
-	Rights  Rights
-	Dialect Dialect
-	Turns   Turns
-	Loads   LoadReports
-	Pacer   Pacer
-	Pauser  Pauser
-	Clock   clockwork.Clock
-	Log     *slog.Logger
-	Scope   tally.Scope
+	// Rights, Dialect, Turns, Loads, Departures, Pacer and Pauser are used by
+	// Forward only, which does not use Contracts, Programs, Owners and Peers. Turns
+	// is nil if programs have no budget, Loads is nil if targets do not report their
+	// load, Departures is nil if they do not say that they are leaving, and Pacer and
+	// Pauser are nil if they do not state the rate that they take.
+	Rights     Rights
+	Dialect    Dialect
+	Turns      Turns
+	Loads      LoadReports
+	Departures Departures
+	Pacer      Pacer
+	Pauser     Pauser
+	Clock      clockwork.Clock
+	Log        *slog.Logger
+	Scope      tally.Scope
 	// StreamIdle is the time without progress after which an exchange with a
 	// target is ended; 0 means 20 s.
 	StreamIdle time.Duration
--- a/core/discovery/discovery_test.go
+++ b/core/discovery/discovery_test.go
@@ -44,3 +44,38 @@
 	targets.Update(at(time.Minute), []ingress.Target{a})
 	assert.Assert(t, targets.Update(at(time.Minute), []ingress.Target{leaving}))
 }
+
+// Guards against requests to a target that has said that it is leaving, and against a
+// target that gets none after it has started again.
+func TestDepartureLastsUntilNextStart(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	listed := func(startedAt ingress.UnixMilliseconds) []ingress.Target {
+		return []ingress.Target{{ID: "a", StartedAt: startedAt}}
+	}
+	for name, c := range map[string]struct {
+		first, second ingress.UnixMilliseconds
+		missing       bool // from a list in between
+		want          bool // leaving after the second list
+	}{
+		"same start":                        {5, 5, false, true},
+		"same start, missing between":       {5, 5, true, true},
+		"next start":                        {5, 6, false, false},
+		"unknown start":                     {0, 0, false, true},
+		"unknown start, missing in between": {0, 0, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var targets discovery.Targets
+			targets.Update(at(0), listed(c.first))
+			assert.Assert(t, targets.MarkLeaving(at(1), "a"))
+			assert.Assert(t, !targets.MarkLeaving(at(1), "a"), "changed twice")
+			assert.Assert(t, !targets.MarkLeaving(at(1), "unknown"))
+			assert.Assert(t, targets.List()[0].Leaving)
+			if c.missing {
+				targets.Update(at(2), nil)
+			}
+			targets.Update(at(3), listed(c.second))
+			assert.Equal(t, targets.List()[0].Leaving, c.want)
+		})
+	}
+}
--- a/core/ingress/ingress.go
+++ b/core/ingress/ingress.go
@@ -155,8 +155,14 @@
 	// Slots is the number of requests that the target serves at a time.
 	Slots   int
 	Leaving bool
+	// StartedAt is when the target started, or 0 if that is not known. A target that
+	// starts again may have the same ID.
+	StartedAt UnixMilliseconds
 }
 
+// UnixMilliseconds is a time of a target's clock, in milliseconds since 1970.
+type UnixMilliseconds int64
+
 // View is an immutable snapshot of the configuration and the targets. It is
 // safe for concurrent use.
 type View struct {
