app/fleet: delete the entry report of a removed host once

Known red TestSettledMembersMakeFewStoreCalls: up to five writes too many after the loss of one of 6 hosts, in 20 of 1,181 runs; the tenth write was not traced.

The first member deletes the reports that the last answer of its watch lists. Until the watch returns the deletion, each round of the control loop deletes them again, and rounds follow each other when reports arrive.

--- a/app/fleet/control.go
+++ b/app/fleet/control.go
@@ -325,31 +325,45 @@
 // deleteReports deletes the entry reports of hosts that are not members any more.
 // Only the first member does so, after the epoch is settled.
 func (s *Service) deleteReports(ctx context.Context) error {
-	s.mu.Lock()
-	var stale []store.Entry
-	if s.settled && s.attached && s.record.Members[0].Host == s.self.Host {
-		for _, e := range s.entries {
-			h, ok := strings.CutPrefix(e.Key, s.entryKey(""))
-			_, present := s.record.Member(model.HostID(h))
-			// A report of a newer epoch belongs to a host that has just joined.
-			if ok && !present && s.reports[model.HostID(h)].Epoch <= s.record.Epoch {
-				stale = append(stale, e)
-			}
-		}
-	}
-	s.mu.Unlock()
 	var errs []error
-	for _, e := range stale {
+	for _, e := range s.staleReports() {
 		callCtx, cancel := s.withCallTimeout(ctx)
 		err := s.options.Store.Delete(callCtx, e.Key, e.Version)
 		cancel()
-		if !errors.Is(err, store.ErrConflict) {
+		if err != nil && !errors.Is(err, store.ErrConflict) {
 			errs = append(errs, err)
+			continue
 		}
+		s.mu.Lock()
+		s.deletedReports[e.Key] = e.Version
+		s.mu.Unlock()
 	}
 	return errors.Join(errs...)
 }
 
+// staleReports returns the entry reports that this host must delete and has not
+// deleted yet: the watch returns a deletion later than the next control round.
+func (s *Service) staleReports() []store.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.settled || !s.attached || s.record.Members[0].Host != s.self.Host {
+		return nil
+	}
+	var stale []store.Entry
+	listed := map[string]store.Version{}
+	for _, e := range s.entries {
+		listed[e.Key] = e.Version
+		h, ok := strings.CutPrefix(e.Key, s.entryKey(""))
+		_, present := s.record.Member(model.HostID(h))
+		// A report of a newer epoch belongs to a host that has just joined.
+		if ok && !present && s.reports[model.HostID(h)].Epoch <= s.record.Epoch && s.deletedReports[e.Key] != e.Version {
+			stale = append(stale, e)
+		}
+	}
+	maps.DeleteFunc(s.deletedReports, func(key string, v store.Version) bool { return listed[key] != v })
+	return stale
+}
+
 // runDispatch calls the subscribers whose entries have changed.
 func (s *Service) runDispatch(ctx context.Context) {
 	for {
--- a/app/fleet/service.go
+++ b/app/fleet/service.go
@@ -174,6 +174,7 @@
 	entries        []store.Entry                   // of the last watch; nil before the first one
 	leases         map[model.HostID]bool           // hosts that held their lease in entries
 	reports        map[model.HostID]EntryReport    // from entries, with the own last report
+	deletedReports map[string]store.Version        // that the watch may still return, by key
 	missingSince   map[model.Incarnation]time.Time // first seen without a lease
 	peerStoreAway  map[model.HostID]bool
 	peerEpoch      map[model.Incarnation]model.Epoch // from heartbeats
@@ -195,11 +196,11 @@
 	times := member.Times{LeaseTTL: o.LeaseTTL, ConfirmationTTL: o.ConfirmationTTL, Margin: o.Margin}
 	return &Service{
 		options: o, started: now, self: o.Self, storeAwayAt: now,
-		right:         member.NewRight(times, o.Self, now),
-		ownership:     member.NewShardOwnership(o.Self.Host),
-		leases:        map[model.HostID]bool{},
-		reports:       map[model.HostID]EntryReport{},
-		missingSince:  map[model.Incarnation]time.Time{},
+		right:        member.NewRight(times, o.Self, now),
+		ownership:    member.NewShardOwnership(o.Self.Host),
+		leases:       map[model.HostID]bool{},
+		reports:      map[model.HostID]EntryReport{},
+		missingSince: map[model.Incarnation]time.Time{}, deletedReports: map[string]store.Version{},
 		peerStoreAway: map[model.HostID]bool{},
 		peerEpoch:     map[model.Incarnation]model.Epoch{},
 		answeredAt:    map[model.Incarnation]time.Time{},
--- a/bench/storecalls_test.go
+++ b/bench/storecalls_test.go
@@ -20,7 +20,6 @@
 	"mimosarelay/core/store"
 	"mimosarelay/core/store/memstore"
 	"mimosarelay/io/peer/peerpb"
-	"mimosarelay/test/knownred"
 )
 
 // memberFleet runs members with an in-memory store and network. It is used in a
@@ -92,7 +91,6 @@
 // The figures of docs/CAPACITY.md are based on these rates. With -full it logs
 // their slopes at larger sizes.
 func TestSettledMembersMakeFewStoreCalls(t *testing.T) {
-	knownred.Skip(t)
 	sizes, idle := []int{3, 6}, 10*time.Second
 	if *full {
 		sizes, idle = []int{8, 16, 32, 64}, 60*time.Second
