--- a/app/catalog/catalog.go
+++ b/app/catalog/catalog.go
@@ -135,7 +135,7 @@
 // followConfiguration reads the configuration and watches it until it changes or
 // a watch fails. It returns false if the read or a watch failed.
 func (s *Service) followConfiguration(ctx context.Context) bool {
-	if !s.readConfiguration(ctx, unconditionally) {
+	if !s.readConfiguration(ctx, alwaysRead) {
 		return false
 	}
 	for ctx.Err() == nil {
@@ -160,8 +160,8 @@
 	return true
 }
 
-// unconditionally is a maxAge for readConfiguration.
-const unconditionally time.Duration = -1
+// alwaysRead is a maxAge for which readConfiguration never skips the read.
+const alwaysRead time.Duration = -1
 
 // readConfiguration reads the configuration, unless the store confirmed it within
 // maxAge. Concurrent calls wait for each other. It returns false if the read failed
--- a/app/catalog/catalog_test.go
+++ b/app/catalog/catalog_test.go
@@ -182,8 +182,7 @@
 	})
 }
 
-// Guards against refusals for good with a configuration that may have changed, and
-// against a read of the store for each of them.
+// Guards against final refusals with an old configuration, and against a read for each of them.
 func TestFinalRefusalNeedsRecentConfirmation(t *testing.T) {
 	run(t, func(t *testing.T, src *source, s *catalog.Service) {
 		time.Sleep(finalRefusalAge + 100*time.Millisecond)
@@ -204,8 +203,7 @@
 	})
 }
 
-// Guards against a keeper that confirms a configuration which it has not checked
-// recently enough for the host that asks.
+// Guards against a keeper that relays a confirmation older than the host asked for.
 func TestKeeperAsksStoreForRecentConfirmation(t *testing.T) {
 	run(t, func(t *testing.T, src *source, s *catalog.Service) {
 		const maxAge = 300 * time.Millisecond
--- a/app/follow/source_test.go
+++ b/app/follow/source_test.go
@@ -197,8 +197,7 @@
 	assert.Assert(t, entry.StoreAway())
 }
 
-// Guards against a change that is not in force after 2 s because a host waits for
-// keepers that do not answer, one after the other.
+// Guards against a change that is late because a host waits for one frozen keeper after the other.
 func TestChangeIsKnownWhileTwoKeepersAreFrozen(t *testing.T) {
 	t.Parallel()
 	tf := newTestFleet(t, 3)
--- a/app/pacing/pacing_test.go
+++ b/app/pacing/pacing_test.go
@@ -34,8 +34,7 @@
 	return p.owner.HandlePace(ctx, r)
 }
 
-// Guards against hosts that each keep a stated rate for themselves, against questions
-// to the owner about other targets, and against requests without a decision.
+// Guards against hosts that each keep a stated rate for themselves, and against undecided requests.
 func TestHostsShareStatedRate(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	peers := &ownerPeers{owner: pacing.NewOwner(clock)}
--- a/app/placement/service_test.go
+++ b/app/placement/service_test.go
@@ -320,8 +320,7 @@
 	}
 }
 
-// Guards against a paused target that gets calls, against one that stays paused, and
-// against a pause that ends early because a shorter one was set.
+// Guards against calls to a paused target, and against a pause that ends too early or never.
 func TestPausedTargetGetsNoCalls(t *testing.T) {
 	f := newFleet(document(2, "a"), "h1")
 	s := f.service("h1", nil)
--- a/app/relay/forward_stream_test.go
+++ b/app/relay/forward_stream_test.go
@@ -7,8 +7,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against text that is taken for an event, and against events and comments that
-// are taken for other text.
+// Guards against text that is taken for an event, and against events that are taken for text.
 func TestEventID(t *testing.T) {
 	for name, c := range map[string]struct {
 		event string
--- a/bench/pacing_test.go
+++ b/bench/pacing_test.go
@@ -9,10 +9,7 @@
 	"mimosarelay/core/pacing"
 )
 
-// Guards against questions about the turn at a target that grow faster than the hosts,
-// and against a stated rate that is left unused by many hosts. All hosts always have a
-// request for the target and ask when they may. The figures of docs/CAPACITY.md are
-// based on these rates.
+// Guards against questions that grow faster than the hosts; docs/CAPACITY.md has the figures.
 func TestPacingQuestionsGrowWithHosts(t *testing.T) {
 	const (
 		rate     pacing.Rate = 6
--- a/core/discovery/discovery_test.go
+++ b/core/discovery/discovery_test.go
@@ -45,8 +45,7 @@
 	assert.Assert(t, targets.Update(at(time.Minute), []ingress.Target{leaving}))
 }
 
-// Guards against requests to a target that has said that it is leaving, and against a
-// target that gets none after it has started again.
+// Guards against requests to a target that leaves, and against none to it after its next start.
 func TestDepartureLastsUntilNextStart(t *testing.T) {
 	start := time.Unix(1000, 0)
 	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
--- a/core/pacing/pacing_test.go
+++ b/core/pacing/pacing_test.go
@@ -12,8 +12,7 @@
 	"mimosarelay/core/pacing"
 )
 
-// Guards against grants above the rate of a target, whatever hosts ask for, and
-// against a schedule that leaves most of the rate unused.
+// Guards against grants above the rate of a target, and against a rate that is left unused.
 func TestGrantsFollowRate(t *testing.T) {
 	for name, rate := range map[string]pacing.Rate{"slow": 0.5, "usual": 6.1, "fast": 200} {
 		t.Run(name, func(t *testing.T) {
@@ -57,8 +56,7 @@
 	}
 }
 
-// Guards against a rate that ends with a late response to an earlier request, and
-// against one that never ends.
+// Guards against a rate that ends with a late response to an earlier request, or never.
 func TestRateEndsWithResponseToLaterRequest(t *testing.T) {
 	s := pacing.NewStated()
 	start := time.Unix(1000, 0)
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -345,8 +345,7 @@
 	assert.Equal(t, h.send("GET", "/healthz", "").status, 200)
 }
 
-// Guards against final refusals by a host whose configuration may be out of date
-// because it lost the right to act.
+// Guards against final refusals by a host that has lost the right to act.
 func TestNotReadyHostRefusesNothingForGood(t *testing.T) {
 	h := newHarness(t, engine.Options{})
 	h.setReady(false)
--- a/io/ingress/server.go
+++ b/io/ingress/server.go
@@ -164,7 +164,7 @@
 		return
 	}
 	f, err := s.resolve(ctx, fields, received)
-	if errors.Is(err, model.ErrNotFound) || errors.Is(err, model.ErrUnauthorized) {
+	if errors.Is(err, model.ErrNotFound) || errors.Is(err, model.ErrUnauthorized) { // callers do not retry these
 		if err = s.options.Confirm(context.Background()); err == nil {
 			f, err = s.resolve(ctx, fields, received)
 		}
