io/consul: wait for the write of a test before its context is cancelled

Traced: the test writes in the background with the context that it cancels later. The watch can return the change before the answer to the write arrives.

--- a/io/consul/consul_test.go
+++ b/io/consul/consul_test.go
@@ -342,12 +342,14 @@
 	entries, since, err := c.List(ctx, "control/")
 	assert.NilError(t, err)
 	assert.Equal(t, len(entries), 0)
-	go func() {
+	var put sync.WaitGroup
+	put.Go(func() {
 		_, err := c.Put(ctx, "control/Config", []byte("one"), 0)
 		assert.Check(t, err)
-	}()
+	})
 	entries, since, err = c.Watch(ctx, "control/", since, 5*time.Second)
 	assert.NilError(t, err)
+	put.Wait() // its context is cancelled below
 	assert.Equal(t, len(entries), 1)
 	assert.Equal(t, entries[0].Key, "control/Config")
 	f.mu.Lock()
