app/fleet: a host that joins a fleet without members does not end

Traced: after all members have left (a planned stop of every keeper), the record in the store has an epoch and no members. A host that starts enters this epoch, which counts as settled, since every member of none has entered it. Between its own join and the watch that returns it, the control loop looks for the first member of the record. Callers would have seen keepers that end once more after a restart of all of them; the platform test that starts a keeper after the last one has left came across it.

TestHostJoinsFleetWithoutMembers, whose watch does not return the join, ends with this panic on and on and passes now.

--- a/app/fleet/control.go
+++ b/app/fleet/control.go
@@ -346,7 +346,7 @@
 func (s *Service) staleReports() []store.Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.settled || !s.attached || s.record.Members[0].Host != s.self.Host {
+	if !s.settled || !s.attached || !s.isFirstMemberLocked() {
 		return nil
 	}
 	var stale []store.Entry
@@ -364,6 +364,12 @@
 	return stale
 }
 
+// isFirstMemberLocked reports whether this host is the first member of the record,
+// which has none before the watch returns the join of a first host. mu is held.
+func (s *Service) isFirstMemberLocked() bool {
+	return len(s.record.Members) > 0 && s.record.Members[0].Host == s.self.Host
+}
+
 // runDispatch calls the subscribers whose entries have changed.
 func (s *Service) runDispatch(ctx context.Context) {
 	for {
--- a/app/fleet/join_test.go
+++ b/app/fleet/join_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
@@ -82,3 +85,53 @@
 	assert.Assert(t, joined.Incarnation != "i1", "the same incarnation joined again in epoch %d", record.Epoch)
 	assert.Equal(t, joined.Incarnation, s.Self().Incarnation)
 }
+
+// lateWatchStore answers the first watch with the entries of its creation and no later
+// one.
+type lateWatchStore struct {
+	store.Store
+	entries []store.Entry
+	version store.Version
+	watched bool
+}
+
+// Watch implements store.Store.
+func (s *lateWatchStore) Watch(ctx context.Context, _ string, _ store.Version, _ time.Duration) ([]store.Entry, store.Version, error) {
+	if s.watched {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	s.watched = true
+	return s.entries, s.version, nil
+}
+
+// Guards against a process that ends when it joins a fleet that all members have left.
+func TestHostJoinsFleetWithoutMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := clockwork.NewRealClock()
+		client := memstore.New(clock).NewClient("h0")
+		record, err := member.Record{Epoch: 5}.Encode()
+		assert.NilError(t, err)
+		_, err = client.Put(t.Context(), RecordKey, record, 0)
+		assert.NilError(t, err)
+		entries, version, err := client.List(t.Context(), "")
+		assert.NilError(t, err)
+		s := New(Options{
+			Store: &lateWatchStore{Store: client, entries: entries, version: version}, Peers: unreachablePeers{}, Clock: clock,
+			Self:     member.Member{Host: "h0", Incarnation: "i0", Zone: "a", PeerAddress: "h0"},
+			Holdings: func(model.Epoch) map[model.WorkspaceID]int64 { return nil }, ConfigRevision: func() model.Revision { return 0 },
+			Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { _ = s.Run(ctx) })
+		time.Sleep(5 * time.Second)
+		e, err := client.Get(t.Context(), RecordKey)
+		assert.NilError(t, err)
+		joined, err := member.Decode(e.Value)
+		assert.NilError(t, err)
+		assert.Assert(t, joined.Has("h0", "i0"))
+		stop()
+		running.Wait()
+	})
+}
