--- a/review/.harness/store.go
+++ b/review/.harness/store.go
@@ -130,7 +130,7 @@
 type door struct {
 	store   *store
 	address string
-	away    atomic.Bool // the store answers this machine 503
+	away    atomic.Bool // the store answers this machine 429
 }
 
 func (s *store) open(address string) *door {
@@ -151,7 +151,7 @@
 
 func (d *door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if d.away.Load() {
-		reply(w, http.StatusServiceUnavailable, map[string]string{"error": "busy"})
+		reply(w, http.StatusTooManyRequests, map[string]string{"error": "many"})
 		return
 	}
 	time.Sleep(2 * time.Millisecond)
