--- a/app/entry/entryhost.go
+++ b/app/entry/entryhost.go
@@ -58,6 +58,7 @@
 	e.placement = placement.New(placement.Options{
 		Host: o.Host, Hosts: e.hosts, Snapshot: h.snapshot, Prober: e.targets,
 		Policy: coreplacement.Options{
+			Zone:      o.Zone,
 			Choice:    coreplacement.CacheAware{CallCost: requestCostTokens, Slack: requestCostTokens},
 			Retention: coreplacement.HoldThroughPause{TokenTime: prefillTokenTime},
 		},
--- a/app/placement/service.go
+++ b/app/placement/service.go
@@ -277,7 +277,7 @@
 
 // schedulerTarget converts a configured target. Its Limit is without loans.
 func (s *Service) schedulerTarget(t config.Target) placement.Target {
-	target := placement.Target{ID: t.Name, Models: t.Models}
+	target := placement.Target{ID: t.Name, Models: t.Models, Zone: t.Zone, Slots: t.Slots}
 	if !t.Leaving {
 		target.Limit = max(s.membership.hostLimit(s.options.Host, t.Name, t.MaxInFlight), s.options.MinHostLimit)
 	}
@@ -285,11 +285,29 @@
 	return target
 }
 
-// skipped reports whether a target is out of use. The caller holds mu.
+// exclusion returns why a target gets no new call of this host, apart from its
+// places. The caller holds mu.
+func (s *Service) exclusion(id model.TargetID) placement.Exclusion {
+	if t, ok := s.snapshot.Target(id); ok && t.Leaving {
+		return placement.ExcludedLeaving
+	}
+	if h := s.health[id]; h != nil && h.skip {
+		return placement.ExcludedUnreachable
+	}
+	if _, paused := s.pauses[id]; paused {
+		return placement.ExcludedPaused
+	}
+	return placement.NotExcluded
+}
+
+// skipped reports whether a target is out of use. A leaving target is not: it has
+// no places. The caller holds mu.
 func (s *Service) skipped(id model.TargetID) bool {
-	_, paused := s.pauses[id]
-	h := s.health[id]
-	return paused || h != nil && h.skip
+	switch s.exclusion(id) {
+	case placement.NotExcluded, placement.ExcludedLeaving:
+		return false
+	}
+	return true
 }
 
 // Pause takes a target out of use for a time. A longer pause is not shortened.
@@ -355,11 +373,12 @@
 	s.deliverGrants(now, s.scheduler.Release(now, id, u))
 }
 
-// Report records the load that a target reported in a response.
-func (s *Service) Report(id model.TargetID, running, waiting int) {
+// Report records the load that a target reported in a response, as of now.
+func (s *Service) Report(id model.TargetID, l placement.Load) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.scheduler.Report(id, placement.Load{At: s.options.Clock.Now(), Running: running, Waiting: waiting})
+	l.At = s.options.Clock.Now()
+	s.scheduler.Report(id, l)
 }
 
 // EndProgram removes the scheduler's state of a program that ended.
--- a/app/relay/forward.go
+++ b/app/relay/forward.go
@@ -88,8 +88,8 @@
 	ID model.RequestID
 	// NotRun reports that the target rejected the request without running it.
 	NotRun bool
-	// Load is nil if the target does not report its load.
-	Load *TargetLoad
+	// Load is nil if the target does not report its load. Its time is not set.
+	Load *placement.Load
 	// Leaving says that the target is leaving and takes no new requests soon.
 	Leaving bool
 	// StatedRate is the rate of requests that the target takes from all hosts
@@ -98,9 +98,6 @@
 	StatesRate bool
 }
 
-// TargetLoad is the number of running and waiting requests at a target.
-type TargetLoad struct{ Running, Waiting int }
-
 // nonRepeatableMaxIdle limits the idle time of a connection that is reused for a
 // request that must not run twice. Targets close connections that are idle for
 // longer, and the outcome of a request that is sent while the target closes the
@@ -314,7 +311,7 @@
 		return nil, err
 	}
 	if reply.Load != nil && s.Loads != nil {
-		s.Loads.Report(t.Name, reply.Load.Running, reply.Load.Waiting)
+		s.Loads.Report(t.Name, *reply.Load)
 	}
 	if reply.Leaving && s.Departures != nil {
 		s.Departures.MarkLeaving(t.Name)
--- a/app/relay/interfaces.go
+++ b/app/relay/interfaces.go
@@ -146,7 +146,7 @@
 
 // LoadReports receives the load that targets report in responses.
 type LoadReports interface {
-	Report(id model.TargetID, running, waiting int)
+	Report(id model.TargetID, l placement.Load)
 }
 
 // Departures learns which targets are leaving.
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -94,6 +94,9 @@
 	Models []model.ModelID `yaml:"Models,omitempty"`
 	// MaxInFlight limits the calls in flight at this target, fleet-wide.
 	MaxInFlight int `yaml:"MaxInFlight"`
+	// Slots is the number of calls that the target says it runs at a time; 0 if it
+	// does not say so. It is not part of the document.
+	Slots int `yaml:"-"`
 	// ChecksFencing is set if the target rejects orders with an outdated
 	// fencing token.
 	ChecksFencing bool `yaml:"ChecksFencing,omitempty"`
--- a/core/ingress/ingress.go
+++ b/core/ingress/ingress.go
@@ -171,6 +171,8 @@
 	// Slots is the number of requests that the target serves at a time.
 	Slots   int
 	Leaving bool
+	// ColdFor is how long the target stays cold; 0 for a warm target.
+	ColdFor time.Duration
 	// StartedAt is when the target started, or 0 if that is not known. A target that
 	// starts again may have the same ID.
 	StartedAt UnixMilliseconds
@@ -205,7 +207,7 @@
 			// Placement looks up targets by model, so that the service ID is
 			// used as the name of the model.
 			Models:      []model.ModelID{model.ModelID(t.Service)},
-			MaxInFlight: max(1, t.Slots*overcommit), Leaving: t.Leaving,
+			MaxInFlight: max(1, t.Slots*overcommit), Slots: t.Slots, Leaving: t.Leaving,
 		})
 	}
 	v := &View{
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -10,6 +10,10 @@
 type Target struct {
 	ID     model.TargetID
 	Models []model.ModelID
+	Zone   model.Zone
+	// Slots is the number of calls of all hosts that the target runs at a time; 0 if
+	// that is not known.
+	Slots int
 	// Limit is the number of places: calls that this host may have in flight
 	// at the target. A target with limit 0 gets no call.
 	Limit int
@@ -25,6 +29,11 @@
 	// Running and Waiting count the target's calls from all hosts.
 	Running int
 	Waiting int
+	// Slots is the number of calls that the target runs at a time; 0 if not stated.
+	Slots int
+	// Slowness is the time that work takes at the target at the moment, relative to
+	// the usual time; 0 if not stated.
+	Slowness float64
 }
 
 // target holds a target's configuration and its state at this host.
--- /dev/null
+++ b/core/placement/exclusion.go
@@ -0,0 +1,13 @@
+package placement
+
+// Exclusion is the reason why a target gets no new call.
+type Exclusion string
+
+// Reasons to exclude a target.
+const (
+	NotExcluded         Exclusion = ""
+	ExcludedLeaving     Exclusion = "leaving"
+	ExcludedUnreachable Exclusion = "refuses connections"
+	ExcludedPaused      Exclusion = "paused"
+	ExcludedNoPlaces    Exclusion = "no places"
+)
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"time"
+
+	"mimosarelay/core/model"
 )
 
 // Order decides which waiting call runs next: FirstCome or FairShare.
@@ -109,6 +111,8 @@
 // Options configures a Scheduler. Nil policies mean FairShare, CacheAware and
 // HoldThroughPause.
 type Options struct {
+	// Zone is the availability zone of this host.
+	Zone      model.Zone
 	Order     Order
 	Choice    Choice
 	Retention Retention
