contracts: AwaitEffect stops its timer when its context ends

Cause: the timer of a wait whose context had ended stayed registered. Change: the wait uses app/wait, which stops its timer. The test is unchanged.

--- a/app/contracts/confirmation.go
+++ b/app/contracts/confirmation.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"mimosarelay/app/wait"
 	"mimosarelay/core/model"
 )
 
@@ -21,10 +22,8 @@
 		if len(missing) == 0 {
 			return nil
 		}
-		select {
-		case <-ctx.Done():
+		if !wait.For(ctx, s.options.Clock, confirmationPollInterval) {
 			return missing
-		case <-s.options.Clock.After(confirmationPollInterval):
 		}
 	}
 }
