ingress: request target and header fields are forwarded as received

Cause: checkFraming called Request.RequestURI of fasthttp, which replaces the request target by the normalized one once the URI was parsed. Header fields were read with Header.All and written with Header.Add, which parse cookies, rename fields and keep only one of some repeated fields. The own interface forwarded the decoded path of routes.

Change: io/rawhead reads target and fields from the bytes received; the framing check, the dialect and the own interface use it. The relay writes fields to targets without the special handling of fasthttp. Reserved and hop-by-hop fields are found in any spelling. The route is selected by the literal target.

--- a/app/relay/chat.go
+++ b/app/relay/chat.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
@@ -200,13 +201,14 @@
 	c.suspectRun, c.exclusive = run, run.Exclusive()
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.SetRequestURI("/v1/chat/completions")
-	req.Header.SetHost(c.place.Target().Address)
+	beginHead(req, fasthttp.MethodPost, "/v1/chat/completions")
+	req.Header.Set(fasthttp.HeaderHost, c.place.Target().Address)
 	for _, h := range c.request.Headers {
-		req.Header.Set(h.Name, h.Value)
+		if !strings.EqualFold(h.Name, fasthttp.HeaderContentType) {
+			req.Header.Add(h.Name, h.Value)
+		}
 	}
-	req.Header.SetContentType("application/json")
+	req.Header.Set(fasthttp.HeaderContentType, "application/json")
 	req.Header.Set("X-Request-Id", c.streamID())
 	if c.request.Program != "" {
 		req.Header.Set("X-Program", c.programName())
--- a/app/relay/forward.go
+++ b/app/relay/forward.go
@@ -282,10 +282,7 @@
 	}
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	req.Header.SetNoDefaultContentType(true)
-	req.Header.DisableNormalizing()
-	req.Header.SetMethod(c.Method)
-	req.Header.SetRequestURI(c.URI)
+	beginHead(req, c.Method, c.URI)
 	for _, h := range c.Headers {
 		addHeader(&req.Header, h)
 	}
@@ -328,19 +325,6 @@
 	return resp, nil
 }
 
-// addHeader adds a header field to a request. Add of fasthttp removes the quotes around
-// the values of cookies.
-func addHeader(r *fasthttp.RequestHeader, h Header) {
-	if h.Name != fasthttp.HeaderCookie || !strings.Contains(h.Value, `"`) {
-		r.Add(h.Name, h.Value)
-		return
-	}
-	for cookie := range strings.SplitSeq(h.Value, ";") {
-		name, value, _ := strings.Cut(strings.TrimSpace(cookie), "=")
-		r.SetCookie(name, value)
-	}
-}
-
 // errNotRun reports that the target rejected a request without running it.
 var errNotRun = errors.New("request was rejected without being run")
 
--- a/app/relay/headers.go
+++ b/app/relay/headers.go
@@ -1,6 +1,10 @@
 package relay
 
-import "strings"
+import (
+	"strings"
+
+	"github.com/valyala/fasthttp"
+)
 
 // requestHeaders are the header fields of callers that are forwarded to targets.
 // It is an allowlist because a denylist would let through credentials in a field
@@ -34,3 +38,22 @@
 func PassResponseHeader(name string) bool {
 	return responseHeaders[strings.ToLower(name)]
 }
+
+// beginHead sets the method and the request target of a request whose header fields
+// are written as they are added. Without DisableSpecialHeader fasthttp would parse
+// cookies and write them again, and keep only the last of some repeated fields.
+func beginHead(r *fasthttp.Request, method, requestTarget string) {
+	r.Header.DisableNormalizing()
+	r.Header.DisableSpecialHeader()
+	r.Header.SetMethod(method)
+	r.Header.SetRequestURI(requestTarget)
+}
+
+// addHeader adds a header field to a request. fasthttp finds the field Host only in
+// this spelling.
+func addHeader(r *fasthttp.RequestHeader, h Header) {
+	if strings.EqualFold(h.Name, fasthttp.HeaderHost) {
+		h.Name = fasthttp.HeaderHost
+	}
+	r.Add(h.Name, h.Value)
+}
--- a/app/relay/service_call.go
+++ b/app/relay/service_call.go
@@ -160,11 +160,10 @@
 }
 
 func (c *serviceCall) fillRequest(req *fasthttp.Request, address string) {
-	req.Header.SetMethod(c.request.Method)
-	req.SetRequestURI("/" + strings.TrimPrefix(c.request.Path, "/"))
-	req.Header.SetHost(address)
+	beginHead(req, c.request.Method, "/"+c.request.Path)
+	req.Header.Set(fasthttp.HeaderHost, address)
 	for _, h := range c.request.Headers {
-		req.Header.Set(h.Name, h.Value)
+		req.Header.Add(h.Name, h.Value)
 	}
 	req.Header.Set("X-Request-Id", string(c.request.ID))
 	if c.request.IdempotencyKey != "" {
--- a/io/caller/handlers.go
+++ b/io/caller/handlers.go
@@ -16,6 +16,7 @@
 	"mimosarelay/app/relay"
 	"mimosarelay/core/config"
 	"mimosarelay/core/model"
+	"mimosarelay/io/rawhead"
 	"mimosarelay/io/target"
 )
 
@@ -41,6 +42,16 @@
 	if s.options.Draining() {
 		defer ctx.SetConnectionClose()
 	}
+	if err := rawhead.Check(&ctx.Request); err != nil {
+		s.refuse(ctx, newRequestID(), model.NewRefusal(model.ErrBadRequest, model.RanNo, "%v", err))
+		ctx.SetConnectionClose()
+		return
+	}
+	// Calls of routes are forwarded, so that their path is taken from the bytes received.
+	if rest, ok := strings.CutPrefix(string(rawhead.Target(&ctx.Request)), pathRoutes); ok {
+		s.handleRoute(ctx, rest)
+		return
+	}
 	switch {
 	case path == pathHealth:
 		s.writeText(ctx, fasthttp.StatusOK, "ok")
@@ -52,8 +63,6 @@
 		s.requireMethod(ctx, fasthttp.MethodGet, s.handleModels)
 	case path == pathChat:
 		s.requireMethod(ctx, fasthttp.MethodPost, s.handleChat)
-	case strings.HasPrefix(path, pathRoutes):
-		s.handleRoute(ctx, strings.TrimPrefix(path, pathRoutes))
 	case strings.HasPrefix(path, pathPrograms):
 		s.handleProgram(ctx, strings.TrimPrefix(path, pathPrograms))
 	case strings.HasPrefix(path, pathCalls):
@@ -161,9 +170,10 @@
 	s.relayCall(ctx, r, id, err)
 }
 
+// handleRoute relays a call of a route. rest is the request target after pathRoutes.
 func (s *Server) handleRoute(ctx *fasthttp.RequestCtx, rest string) {
 	id := newRequestID()
-	name, path, _ := strings.Cut(rest, "/")
+	name, path := splitRoute(rest)
 	route, ok := s.options.Snapshot().Route(model.RouteID(name))
 	if !ok {
 		s.refuse(ctx, id, s.confirmRefusal(model.NewRefusal(model.ErrNotFound, model.RanNo, "route %q does not exist", name)))
@@ -171,7 +181,7 @@
 	}
 	r, err := s.authenticate(ctx, id, route.Open)
 	if err == nil {
-		r.Route, r.Method, r.Path = route.Name, string(ctx.Method()), servicePath(ctx, path)
+		r.Route, r.Method, r.Path = route.Name, string(ctx.Method()), path
 		err = s.readCall(ctx, r)
 	}
 	if err == nil {
@@ -180,12 +190,14 @@
 	s.relayCall(ctx, r, id, err)
 }
 
-// servicePath returns the path below the route, with the query of the request.
-func servicePath(ctx *fasthttp.RequestCtx, path string) string {
-	if query := ctx.URI().QueryString(); len(query) > 0 {
-		return path + "?" + string(query)
+// splitRoute splits a request target after pathRoutes into the name of the route and
+// the rest without its first slash. A query may follow the name.
+func splitRoute(target string) (name, path string) {
+	end := strings.IndexAny(target, "/?")
+	if end < 0 {
+		return target, ""
 	}
-	return path
+	return target[:end], strings.TrimPrefix(target[end:], "/")
 }
 
 // ensureIdempotencyKey generates a key for a non-repeatable call outside a program
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -11,6 +11,7 @@
 
 	"mimosarelay/app/relay"
 	"mimosarelay/core/model"
+	"mimosarelay/io/rawhead"
 )
 
 // Header fields of the HTTP API for callers.
@@ -70,15 +71,15 @@
 // checkKeyNotForwarded refuses requests that contain the caller's key in a part
 // that is forwarded to a target.
 func checkKeyNotForwarded(ctx *fasthttp.RequestCtx, key []byte) error {
-	uri := ctx.RequestURI()
+	uri := rawhead.Target(&ctx.Request)
 	decoded, err := url.PathUnescape(string(uri))
 	if err != nil {
 		return model.NewRefusal(model.ErrBadRequest, model.RanNo, "the request path is not well formed")
 	}
 	parts := [][]byte{uri, []byte(decoded), ctx.PostBody()}
-	for name, value := range ctx.Request.Header.All() {
-		if relay.PassRequestHeader(string(name)) {
-			parts = append(parts, value)
+	for _, h := range rawhead.Fields(&ctx.Request) {
+		if relay.PassRequestHeader(h.Name) {
+			parts = append(parts, []byte(h.Value))
 		}
 	}
 	if containsKey(key, parts...) {
@@ -93,9 +94,9 @@
 // readCall reads the body and the header fields of a call into r.
 func (s *Server) readCall(ctx *fasthttp.RequestCtx, r *relay.Request) error {
 	r.Body = bytes.Clone(ctx.PostBody())
-	for name, value := range ctx.Request.Header.All() {
-		if relay.PassRequestHeader(string(name)) {
-			r.Headers = append(r.Headers, relay.Header{Name: string(name), Value: string(value)})
+	for _, h := range rawhead.Fields(&ctx.Request) {
+		if relay.PassRequestHeader(h.Name) {
+			r.Headers = append(r.Headers, relay.Header(h))
 		}
 	}
 	return readProgramHeaders(ctx, r)
--- a/io/ingress/server.go
+++ b/io/ingress/server.go
@@ -22,6 +22,7 @@
 	"mimosarelay/app/relay"
 	coreingress "mimosarelay/core/ingress"
 	"mimosarelay/core/model"
+	"mimosarelay/io/rawhead"
 	"mimosarelay/io/target"
 )
 
@@ -212,13 +213,14 @@
 	if err != nil {
 		return nil, err
 	}
-	path := requestPath(ctx.RequestURI())
-	route, ok := view.RouteFor(string(ctx.Host()), path)
+	requestTarget, host := rawhead.Target(&ctx.Request), string(ctx.Request.Header.Host())
+	path := requestPath(requestTarget)
+	route, ok := view.RouteFor(host, path)
 	if !ok {
-		return nil, model.NewRefusal(model.ErrNotFound, model.RanNo, "no route for host %q and path %q", ctx.Host(), path)
+		return nil, model.NewRefusal(model.ErrNotFound, model.RanNo, "no route for host %q and path %q", host, path)
 	}
 	f := &relay.Forward{
-		ID: fields.ID, Route: route, Method: string(ctx.Method()), URI: string(ctx.RequestURI()),
+		ID: fields.ID, Route: route, Method: string(ctx.Method()), URI: string(requestTarget),
 		Headers: fields.Headers, Body: ctx.PostBody(), LastEvent: fields.LastEvent,
 		Prompt: fields.Prompt, Program: fields.Program, Previous: fields.Previous, Deadline: received.Add(route.Timeout),
 	}
