catalog, follow: evidence has a single age, and a watch ends when it is too old

An entry host relied on a keeper whose store was silent for 1.5 s and one more watch of 1 s, so that a change was in force later than config_ms although other keepers knew it. The type core/evidence.Stamp now holds when the store was asked, with the clock that measured it; decisions state the highest age that they accept (evidence.MaxAge). A watch request tells the keeper at which age to end it (until_age_us), only the first keeper is asked to wait, and a keeper with outdated data is asked after the others for 1 s.

The store of source_test.go dates a watch without a change at its end, as the platform's client does; keepers looked 1 s older than they are.

--- a/app/catalog/catalog.go
+++ b/app/catalog/catalog.go
@@ -15,6 +15,7 @@
 
 	"mimosarelay/app/wait"
 	"mimosarelay/core/discovery"
+	"mimosarelay/core/evidence"
 	"mimosarelay/core/ingress"
 	"mimosarelay/core/model"
 	"mimosarelay/core/store"
@@ -41,11 +42,11 @@
 	// Lifetime is how long a configuration may be used after the request by
 	// which the store last confirmed it. It is shorter than the time after
 	// which a withdrawn key must no longer work.
-	Lifetime time.Duration
+	Lifetime evidence.MaxAge
 	// FinalRefusalAge is how old the last confirmation may be when a request is
 	// refused in a way that callers do not retry; 0 means Lifetime. It is shorter
 	// than the time after which a changed configuration must be in force.
-	FinalRefusalAge time.Duration
+	FinalRefusalAge evidence.MaxAge
 	// Interval is the time between the starts of two reads of the targets; 0 means
 	// 800 ms.
 	Interval time.Duration
@@ -80,14 +81,14 @@
 	mu                 sync.Mutex // guards the fields below except loggedFaults and onChange
 	view               *ingress.View
 	document           *ingress.Document
-	value              []byte    // document as it is stored
-	documentRevision   uint64    // store revision at which document was last changed
-	storeRevision      uint64    // store revision up to which changes were checked
-	confirmedAsOf      time.Time // start of the latest request by which the store confirmed document
-	storeAway          bool      // whether the last request for the configuration failed
-	targetsUnavailable bool      // whether the last request for the targets failed
+	value              []byte         // document as it is stored
+	documentRevision   uint64         // store revision at which document was last changed
+	storeRevision      uint64         // store revision up to which changes were checked
+	confirmed          evidence.Stamp // of the latest request by which the store confirmed document
+	storeAway          bool           // whether the last request for the configuration failed
+	targetsUnavailable bool           // whether the last request for the targets failed
 	targets            discovery.Targets
-	targetsAsOf        time.Time             // as of when the store last listed the targets; zero before
+	listed             evidence.Stamp        // of the latest request by which the store listed the targets
 	changed            chan struct{}         // closed and replaced when the configuration changes
 	loggedFaults       []string              // faults of the last read of targets; used by readTargets only
 	onChange           []func(*ingress.View) // set before Run
@@ -146,7 +147,7 @@
 		s.mu.Lock()
 		after := s.storeRevision
 		s.mu.Unlock()
-		requestedAt := s.options.Clock.Now()
+		asked := evidence.Now(s.options.Clock)
 		result, err := s.options.Source.WatchConfiguration(ctx, after, s.options.Wait)
 		switch {
 		case err != nil:
@@ -158,19 +159,19 @@
 		}
 		s.mu.Lock()
 		s.storeRevision = max(s.storeRevision, result.StoreRevision)
-		s.recordConfirmation(requestedAt.Add(-result.Age))
+		s.recordConfirmation(asked.Before(result.Age))
 		s.mu.Unlock()
 	}
 	return true
 }
 
 // alwaysRead is a maxAge for which readConfiguration never skips the read.
-const alwaysRead time.Duration = -1
+const alwaysRead evidence.MaxAge = -1
 
 // readConfiguration reads the configuration, unless the store confirmed it within
 // maxAge. Concurrent calls wait for each other. It returns false if the read failed
 // or ctx ended.
-func (s *Service) readConfiguration(ctx context.Context, maxAge time.Duration) bool {
+func (s *Service) readConfiguration(ctx context.Context, maxAge evidence.MaxAge) bool {
 	ctx, cancel := clockwork.WithTimeout(ctx, s.options.Clock, s.options.Timeout)
 	defer cancel()
 	select {
@@ -179,13 +180,13 @@
 	case <-ctx.Done():
 		return false
 	}
-	if s.confirmedWithin(maxAge) {
+	if s.Confirmed().Within(maxAge) {
 		return true
 	}
 	s.mu.Lock()
 	known := s.documentRevision
 	s.mu.Unlock()
-	requestedAt := s.options.Clock.Now()
+	asked := evidence.Now(s.options.Clock)
 	stored, err := s.options.Source.ReadConfiguration(ctx, known)
 	if err != nil {
 		s.markStoreAway()
@@ -195,7 +196,7 @@
 	s.mu.Lock()
 	d := stored.Document
 	s.storeRevision = max(s.storeRevision, stored.StoreRevision)
-	s.recordConfirmation(requestedAt.Add(-stored.Age))
+	s.recordConfirmation(asked.Before(stored.Age))
 	older := d != nil && s.document != nil && d.Revision < s.document.Revision
 	if d == nil || older {
 		s.mu.Unlock()
@@ -214,13 +215,11 @@
 	return true
 }
 
-// recordConfirmation records that the store confirmed the configuration as of a
-// time. The caller must hold mu.
-func (s *Service) recordConfirmation(asOf time.Time) {
+// recordConfirmation records that the store confirmed the configuration. The caller
+// must hold mu.
+func (s *Service) recordConfirmation(confirmed evidence.Stamp) {
 	s.storeAway = false
-	if asOf.After(s.confirmedAsOf) {
-		s.confirmedAsOf = asOf
-	}
+	s.confirmed = evidence.Newer(s.confirmed, confirmed)
 }
 
 func (s *Service) markStoreAway() {
@@ -247,7 +246,7 @@
 func (s *Service) readTargets(ctx context.Context) bool {
 	ctx, cancel := clockwork.WithTimeout(ctx, s.options.Clock, s.options.Timeout+s.options.TargetWait)
 	defer cancel()
-	requestedAt := s.options.Clock.Now()
+	asked := evidence.Now(s.options.Clock)
 	list, err := s.options.Source.ReadTargets(ctx, s.options.TargetWait)
 	if err != nil {
 		s.mu.Lock()
@@ -260,8 +259,8 @@
 	s.logFaults(list.Faults)
 	s.mu.Lock()
 	changed := s.targets.Update(s.options.Clock.Now(), list.Targets)
-	first := s.targetsAsOf.IsZero()
-	s.targetsAsOf, s.targetsUnavailable = requestedAt.Add(-list.Age), false
+	first := !s.listed.Known()
+	s.listed, s.targetsUnavailable = asked.Before(list.Age), false
 	var view *ingress.View
 	if changed || first {
 		view = s.rebuildView()
@@ -304,7 +303,7 @@
 // rebuildView makes a view from the configuration and the targets. It returns nil
 // if either is not known yet. The caller must hold mu.
 func (s *Service) rebuildView() *ingress.View {
-	if s.document == nil || s.targetsAsOf.IsZero() {
+	if s.document == nil || !s.listed.Known() {
 		return nil
 	}
 	list := s.targets.List()
@@ -326,48 +325,39 @@
 	}
 }
 
-// Age returns the time since the request by which the store last confirmed the
-// configuration, or -1 if there was none.
-func (s *Service) Age() time.Duration {
+// Confirmed returns the evidence for the configuration: the Stamp of the request by
+// which the store last confirmed it.
+func (s *Service) Confirmed() evidence.Stamp {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.ageLocked()
+	return s.confirmed
 }
 
+// Age returns the age of the evidence for the configuration, or evidence.Unknown.
+func (s *Service) Age() time.Duration { return s.Confirmed().Age() }
+
 // Confirmation returns the revision of the newest configuration, or 0 if there is
 // none, and its Age.
 func (s *Service) Confirmation() (model.Revision, time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.document == nil {
-		return 0, s.ageLocked()
+		return 0, s.confirmed.Age()
 	}
-	return s.document.Revision, s.ageLocked()
-}
-
-func (s *Service) ageLocked() time.Duration {
-	if s.confirmedAsOf.IsZero() {
-		return -1
-	}
-	return s.options.Clock.Since(s.confirmedAsOf)
-}
-
-func (s *Service) confirmedWithin(maxAge time.Duration) bool {
-	age := s.Age()
-	return age >= 0 && age <= maxAge
+	return s.document.Revision, s.confirmed.Age()
 }
 
 // Confirm makes sure that the configuration may be the reason for a refusal that
 // callers do not retry: it reads the configuration if the store last confirmed it
 // more than FinalRefusalAge ago. It fails with a *model.Refusal if the read fails.
 func (s *Service) Confirm(ctx context.Context) error {
-	if s.confirmedWithin(s.options.FinalRefusalAge) {
+	if s.Confirmed().Within(s.options.FinalRefusalAge) {
 		return nil
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, s.options.Clock, confirmTimeout)
 	defer cancel()
 	s.readConfiguration(ctx, s.options.FinalRefusalAge)
-	if s.confirmedWithin(s.options.FinalRefusalAge) {
+	if s.Confirmed().Within(s.options.FinalRefusalAge) {
 		return nil
 	}
 	revision, age := s.Confirmation()
@@ -390,8 +380,8 @@
 	if s.view == nil {
 		return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "the configuration is not known yet").Retry(notReadyRetryAfter)
 	}
-	if age := s.ageLocked(); age > s.options.Lifetime {
-		return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "the store last confirmed configuration %d %v ago", s.view.Revision(), age).Retry(staleRetryAfter)
+	if !s.confirmed.Within(s.options.Lifetime) {
+		return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "the store last confirmed configuration %d %v ago", s.view.Revision(), s.confirmed.Age()).Retry(staleRetryAfter)
 	}
 	return s.view, nil
 }
--- a/app/catalog/catalog_test.go
+++ b/app/catalog/catalog_test.go
@@ -14,6 +14,7 @@
 	"mimosarelay/app/catalog"
 	"mimosarelay/core/config"
 	"mimosarelay/core/discovery"
+	"mimosarelay/core/evidence"
 	"mimosarelay/core/ingress"
 	"mimosarelay/core/model"
 	"mimosarelay/core/store"
@@ -135,7 +136,7 @@
 		src := &source{changed: make(chan struct{})}
 		src.set(1, "first")
 		s := catalog.New(catalog.Options{
-			Source: src, Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Lifetime: lifetime, FinalRefusalAge: finalRefusalAge,
+			Source: src, Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Lifetime: evidence.MaxAge(lifetime), FinalRefusalAge: evidence.MaxAge(finalRefusalAge),
 		})
 		ctx, stop := context.WithCancel(t.Context())
 		done := make(chan struct{})
--- a/app/catalog/peers.go
+++ b/app/catalog/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"mimosarelay/core/evidence"
 	"mimosarelay/core/ingress"
 	"mimosarelay/core/model"
 	"mimosarelay/io/peer/peerpb"
@@ -23,17 +24,17 @@
 		// wait here would end.
 		return nil, storeAwayRefusal()
 	}
-	arrivedAt := s.options.Clock.Now()
-	if maxAge := time.Duration(r.GetMaxAgeUs()) * time.Microsecond; maxAge > 0 && !s.readConfiguration(ctx, maxAge) {
+	arrived := evidence.Now(s.options.Clock)
+	if maxAge := maxAge(r.GetMaxAgeUs()); maxAge > 0 && !s.readConfiguration(ctx, maxAge) {
 		return nil, storeAwayRefusal()
 	}
-	s.waitForChange(ctx, r.GetKnownRevision(), min(maxLongPollWait, time.Duration(r.GetWaitMs())*time.Millisecond))
+	s.waitForChange(ctx, r.GetKnownRevision(), min(maxLongPollWait, time.Duration(r.GetWaitMs())*time.Millisecond), maxAge(r.GetUntilAgeUs()))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.document == nil {
 		return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "the configuration is not known yet")
 	}
-	res := &peerpb.ConfigurationResponse{Revision: s.documentRevision, StoreRevision: s.storeRevision, AgeUs: arrivedAt.Sub(s.confirmedAsOf).Microseconds()}
+	res := &peerpb.ConfigurationResponse{Revision: s.documentRevision, StoreRevision: s.storeRevision, AgeUs: s.confirmed.AgeAt(arrived).Microseconds()}
 	if s.documentRevision != r.GetKnownRevision() && !r.GetWithoutValue() {
 		res.Value = s.value
 	}
@@ -44,19 +45,32 @@
 	return model.NewRefusal(model.ErrUnavailable, model.RanNo, "the store does not answer this host")
 }
 
+// maxAge decodes the highest age that a requesting host accepts.
+func maxAge(us int64) evidence.MaxAge { return evidence.MaxAge(us) * evidence.MaxAge(time.Microsecond) }
+
 // waitForChange waits until the configuration has a store revision other than
-// known, ctx ends or wait has passed.
-func (s *Service) waitForChange(ctx context.Context, known uint64, wait time.Duration) {
-	s.mu.Lock()
-	current, changed := s.documentRevision, s.changed
-	s.mu.Unlock()
-	if current != known || wait <= 0 {
-		return
-	}
-	select {
-	case <-changed:
-	case <-s.options.Clock.After(wait):
-	case <-ctx.Done():
+// known, ctx ends or wait has passed. If until is not 0, it also ends when the store's
+// last confirmation is older: a host that goes on waiting would rely on a keeper that
+// may miss changes.
+func (s *Service) waitForChange(ctx context.Context, known uint64, wait time.Duration, until evidence.MaxAge) {
+	end := s.options.Clock.Now().Add(wait)
+	for {
+		s.mu.Lock()
+		current, changed, confirmed := s.documentRevision, s.changed, s.confirmed
+		s.mu.Unlock()
+		left := end.Sub(s.options.Clock.Now())
+		if until > 0 {
+			left = min(left, confirmed.Left(until))
+		}
+		if current != known || left <= 0 {
+			return
+		}
+		select {
+		case <-changed:
+		case <-s.options.Clock.After(left):
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
@@ -66,14 +80,14 @@
 // grace period is over and the targets were read again.
 func (s *Service) HandleTargets(_ context.Context, r *peerpb.TargetsRequest) (*peerpb.TargetsResponse, error) {
 	s.mu.Lock()
-	targetsAsOf, list := s.targetsAsOf, s.targets.List()
-	unavailable := s.targetsAsOf.IsZero() || s.targetsUnavailable || s.targets.KeepsUnlisted() || s.targets.InGracePeriod(s.options.Clock.Now())
+	listed, list := s.listed, s.targets.List()
+	unavailable := !listed.Known() || s.targetsUnavailable || s.targets.KeepsUnlisted() || s.targets.InGracePeriod(s.options.Clock.Now())
 	s.mu.Unlock()
 	if unavailable {
 		return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "the store has not listed the targets for this host")
 	}
 	sortTargets(list)
-	res := &peerpb.TargetsResponse{Version: contentHash(list), AgeUs: s.options.Clock.Since(targetsAsOf).Microseconds()}
+	res := &peerpb.TargetsResponse{Version: contentHash(list), AgeUs: listed.Age().Microseconds()}
 	if res.Version == r.GetKnownVersion() {
 		return res, nil
 	}
--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -20,6 +20,7 @@
 	"mimosarelay/app/conversations"
 	"mimosarelay/app/relay"
 	"mimosarelay/app/turns"
+	"mimosarelay/core/evidence"
 	coreingress "mimosarelay/core/ingress"
 	"mimosarelay/core/model"
 	"mimosarelay/core/store"
@@ -209,7 +210,8 @@
 // targetWait.
 func newCatalog(o Options, source catalog.Source, targetWait time.Duration) *catalog.Service {
 	return catalog.New(catalog.Options{
-		Source: source, Clock: o.Clock, Log: o.Log, Lifetime: o.Lifetime, FinalRefusalAge: o.FinalRefusalAge, Interval: targetListInterval,
+		Source: source, Clock: o.Clock, Log: o.Log, Interval: targetListInterval,
+		Lifetime: evidence.MaxAge(o.Lifetime), FinalRefusalAge: evidence.MaxAge(o.FinalRefusalAge),
 		TargetWait: targetWait,
 	})
 }
--- a/app/follow/source.go
+++ b/app/follow/source.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"mimosarelay/app/catalog"
+	"mimosarelay/core/evidence"
 	"mimosarelay/core/ingress"
 	"mimosarelay/core/model"
 	"mimosarelay/io/peer/peerpb"
@@ -53,18 +54,25 @@
 	knownRevision  uint64     // revision of the last configuration that was read
 	targetsVersion uint64
 	targets        []ingress.Target
+	// outdated holds when a keeper was last found to have outdated data.
+	outdated map[string]time.Time
 }
 
 var _ catalog.Source = (*Source)(nil)
 
 const (
 	// maxConfigurationAge is the highest age at which the configuration of a keeper is
-	// used. A keeper that reaches the store reads it every second.
-	maxConfigurationAge = 1500 * time.Millisecond
+	// used, and at which a keeper that is watched for a change ends the watch. It exceeds
+	// the 1.4 s that the evidence of a keeper reaches that watches another one, and
+	// leaves 0.5 s to ask the next keeper before a change must be in force after 2 s.
+	maxConfigurationAge = evidence.MaxAge(1500 * time.Millisecond)
 	// maxTargetsAge is the same for targets, which keepers read more often.
 	// Together with the time to the next request this stays below 2 s, after which a
 	// leaving target must not receive new requests.
-	maxTargetsAge = 1300 * time.Millisecond
+	maxTargetsAge = evidence.MaxAge(1300 * time.Millisecond)
+	// outdatedTime is how long a keeper that had outdated data is asked after the others.
+	// It is asked first again soon, because only keepers of other zones may be left.
+	outdatedTime = time.Second
 	// answerGrace is how long an answer may take in addition to the requested wait.
 	answerGrace = 300 * time.Millisecond
 )
@@ -75,34 +83,68 @@
 
 // askKeepers runs call with the address of each usable keeper, in order of
 // preference, until it succeeds for one. It goes on to the next keeper as soon as
-// one stops answering other requests too, because wait can be long.
-func (s *Source) askKeepers(ctx context.Context, wait time.Duration, call func(ctx context.Context, address string) error) error {
+// one stops answering other requests too, because wait can be long. Only the first
+// keeper is asked to wait: the evidence of this host is old when that fails.
+func (s *Source) askKeepers(ctx context.Context, wait time.Duration, call func(ctx context.Context, address string, wait time.Duration) error) error {
 	lastErr := errNoKeeper
-	for _, address := range s.Relays.UsableKeepers() {
+	for _, address := range s.askedLastIfOutdated(s.Relays.UsableKeepers()) {
 		keeperCtx, release := s.Relays.WhileResponsive(ctx, address)
 		callCtx, cancel := context.WithTimeout(keeperCtx, wait+answerGrace)
-		lastErr = call(callCtx, address)
+		lastErr = call(callCtx, address, wait)
 		cancel()
 		release()
 		if lastErr == nil || ctx.Err() != nil {
 			return lastErr
 		}
+		if errors.Is(lastErr, errStale) || errors.Is(lastErr, model.ErrUnavailable) {
+			s.markOutdated(address)
+		}
+		wait = 0
 	}
 	return lastErr
 }
 
+// askedLastIfOutdated moves the keepers that had outdated data within outdatedTime to the
+// end. Otherwise each request that follows would wait until they have asked the store.
+func (s *Source) askedLastIfOutdated(addresses []string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var recent, outdated []string
+	for _, a := range addresses {
+		if at, ok := s.outdated[a]; ok && s.Clock.Since(at) < outdatedTime {
+			outdated = append(outdated, a)
+			continue
+		}
+		delete(s.outdated, a)
+		recent = append(recent, a)
+	}
+	return append(recent, outdated...)
+}
+
+func (s *Source) markOutdated(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.outdated == nil {
+		s.outdated = map[string]time.Time{}
+	}
+	s.outdated[address] = s.Clock.Now()
+}
+
 // requestConfiguration sends r to the keepers until one answers with a recent
 // configuration.
 func (s *Source) requestConfiguration(ctx context.Context, wait time.Duration, r *peerpb.ConfigurationRequest) (*peerpb.ConfigurationResponse, error) {
 	var res *peerpb.ConfigurationResponse
-	r.WaitMs = wait.Milliseconds()
-	err := s.askKeepers(ctx, wait, func(ctx context.Context, address string) (err error) {
+	r.UntilAgeUs = time.Duration(maxConfigurationAge).Microseconds()
+	err := s.askKeepers(ctx, wait, func(ctx context.Context, address string, wait time.Duration) (err error) {
+		r.WaitMs = wait.Milliseconds()
+		sent := evidence.Now(s.Clock)
 		res, err = s.Peers.Configuration(ctx, address, r)
-		switch {
-		case err != nil:
+		if err != nil {
 			return err
-		case res.GetRevision() < r.GetKnownRevision() || microseconds(res.GetAgeUs()) > maxConfigurationAge:
-			return fmt.Errorf("%w: keeper %s has revision %d, age %v", errStale, address, res.GetRevision(), microseconds(res.GetAgeUs()))
+		}
+		confirmed := sent.Before(microseconds(res.GetAgeUs()))
+		if res.GetRevision() < r.GetKnownRevision() || !confirmed.Within(maxConfigurationAge) {
+			return fmt.Errorf("%w: keeper %s has revision %d, age %v", errStale, address, res.GetRevision(), confirmed.Age())
 		}
 		return nil
 	})
@@ -146,7 +188,7 @@
 }
 
 func (s *Source) readFromKeeper(ctx context.Context, known uint64) (ingress.StoredDocument, error) {
-	res, err := s.requestConfiguration(ctx, 0, &peerpb.ConfigurationRequest{KnownRevision: known, MaxAgeUs: maxConfigurationAge.Microseconds()})
+	res, err := s.requestConfiguration(ctx, 0, &peerpb.ConfigurationRequest{KnownRevision: known, MaxAgeUs: time.Duration(maxConfigurationAge).Microseconds()})
 	if err != nil {
 		return ingress.StoredDocument{}, err
 	}
@@ -184,12 +226,16 @@
 	known := s.targetsVersion
 	s.mu.Unlock()
 	var res *peerpb.TargetsResponse
-	err := s.askKeepers(ctx, 0, func(ctx context.Context, address string) (err error) {
+	err := s.askKeepers(ctx, 0, func(ctx context.Context, address string, _ time.Duration) (err error) {
+		sent := evidence.Now(s.Clock)
 		res, err = s.Peers.Targets(ctx, address, &peerpb.TargetsRequest{KnownVersion: known})
-		if err == nil && microseconds(res.GetAgeUs()) > maxTargetsAge {
-			return fmt.Errorf("%w: keeper %s has targets of age %v", errStale, address, microseconds(res.GetAgeUs()))
+		if err != nil {
+			return err
 		}
-		return err
+		if listed := sent.Before(microseconds(res.GetAgeUs())); !listed.Within(maxTargetsAge) {
+			return fmt.Errorf("%w: keeper %s has targets of age %v", errStale, address, listed.Age())
+		}
+		return nil
 	})
 	if s.readsStore(err) {
 		return s.Store.ReadTargets(ctx, wait)
--- a/app/follow/source_test.go
+++ b/app/follow/source_test.go
@@ -14,6 +14,7 @@
 
 	"mimosarelay/app/catalog"
 	"mimosarelay/app/follow"
+	"mimosarelay/core/evidence"
 	"mimosarelay/core/ingress"
 	"mimosarelay/core/model"
 	"mimosarelay/core/store"
@@ -68,7 +69,8 @@
 // WatchConfiguration implements catalog.Source. It checks for a change every 20 ms.
 func (fs *fakeSource) WatchConfiguration(ctx context.Context, after uint64, wait time.Duration) (ingress.WatchResult, error) {
 	revision, err := fs.recordCall()
-	for end := time.Now().Add(wait); err == nil && revision <= after && time.Now().Before(end) && ctx.Err() == nil; {
+	start := time.Now()
+	for end := start.Add(wait); err == nil && revision <= after && time.Now().Before(end) && ctx.Err() == nil; {
 		time.Sleep(20 * time.Millisecond)
 		fs.update(func() {
 			revision = fs.revision
@@ -77,7 +79,11 @@
 			}
 		})
 	}
-	return ingress.WatchResult{StoreRevision: revision, Changed: revision > after}, err
+	result := ingress.WatchResult{StoreRevision: revision, Changed: revision > after}
+	if time.Since(start) >= wait && !result.Changed {
+		result.Age = -wait // as the platform's client does
+	}
+	return result, err
 }
 
 // ReadTargets implements catalog.Source.
@@ -114,7 +120,7 @@
 const lifetime = 3 * time.Second
 
 func (tf *testFleet) startCatalog(source catalog.Source) *catalog.Service {
-	c := catalog.New(catalog.Options{Source: source, Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Lifetime: lifetime})
+	c := catalog.New(catalog.Options{Source: source, Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Lifetime: evidence.MaxAge(lifetime)})
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
