limits: no grant by a limit without evidence

A keeper that the store turns away and that acts by its own majority granted by the limit of before. A grant now needs evidence for the limit no older than the time for which hosts use a configuration; else the keeper decides nothing, and gives away no tokens. Entry hosts and peers tell the limit that they know in the messages that they send anyway (KnownLimit); the lower of both limits applies until the keeper has read the configuration itself, so that requests are served while the hosts are in touch.

--- a/app/catalog/catalog.go
+++ b/app/catalog/catalog.go
@@ -333,6 +333,14 @@
 	return s.confirmed
 }
 
+// Evidence returns the newest view, or nil, with the evidence that no newer
+// configuration was in force.
+func (s *Service) Evidence() (*ingress.View, evidence.Stamp) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view, s.confirmed
+}
+
 // Age returns the age of the evidence for the configuration, or evidence.Unknown.
 func (s *Service) Age() time.Duration { return s.Confirmed().Age() }
 
--- a/app/entry/adapters.go
+++ b/app/entry/adapters.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 
+	"mimosarelay/app/limits"
 	"mimosarelay/app/placement"
 	"mimosarelay/app/relay"
 	"mimosarelay/core/config"
+	"mimosarelay/core/limit"
 	"mimosarelay/core/model"
 	coreplacement "mimosarelay/core/placement"
 	"mimosarelay/io/peer"
@@ -23,6 +25,19 @@
 	return emptySnapshot
 }
 
+// knownLimit returns the limit of a workspace for the keepers that admit its requests.
+func (h *Host) knownLimit(id model.WorkspaceID) *peerpb.KnownLimit {
+	v, confirmed := h.catalog.Evidence()
+	if v == nil {
+		return nil
+	}
+	w, ok := v.Workspace(id)
+	if !ok {
+		return nil
+	}
+	return limits.EncodeKnown(limit.Known{Revision: v.Revision(), Rate: w.Rate, Burst: w.Burst, Confirmed: confirmed})
+}
+
 // limiter admits requests at the keepers if Options.Quotas is set.
 type limiter struct{ entry *entryHost }
 
--- a/app/entry/entryhost.go
+++ b/app/entry/entryhost.go
@@ -45,6 +45,7 @@
 	e.follow = follow.NewClient(follow.Options{
 		Self: presence.Host{Host: o.Host, CallerAddress: o.CallerAddress, PeerAddress: o.PeerAddress},
 		Zone: o.Zone, Store: control, RecordKey: fleet.RecordKey, Peers: h.peers,
+		KnownLimit:      h.knownLimit,
 		SuspectsChanged: func(entries []store.Entry) { e.suspects.EntriesChanged(entries) },
 		StoreAway:       func() bool { return h.catalog.StoreAway() }, SettleWait: settleWait, Clock: o.Clock, Log: o.Log,
 	})
--- a/app/entry/keeper.go
+++ b/app/entry/keeper.go
@@ -13,6 +13,7 @@
 	"mimosarelay/app/pacing"
 	"mimosarelay/app/turns"
 	"mimosarelay/core/conversation"
+	"mimosarelay/core/evidence"
 	coreingress "mimosarelay/core/ingress"
 	"mimosarelay/core/member"
 	"mimosarelay/core/model"
@@ -50,6 +51,7 @@
 	k.limits = limits.New(limits.Options{
 		Host: o.Host, Clock: o.Clock, Store: control, Peers: h.peers, MayAct: k.fleet.MayAct, LimitWait: limitWait,
 		SettleWait: settleWait, BurstSlack: burstSlack, Isolated: k.fleet.Isolated,
+		Confirmed: func() evidence.Stamp { return h.catalog.Confirmed() }, MaxAge: evidence.MaxAge(o.Lifetime),
 	})
 	k.turnOwner = turns.NewOwner(turns.OwnerOptions{
 		Host: o.Host, ShardOwnership: k.fleet, Store: o.Keyspace(budgetPrefix), Clock: o.Clock, Log: o.Log,
@@ -59,7 +61,7 @@
 		Relays: storeReaderRelays{k}, Peers: h.peers, Store: o.Source, Decode: o.Decode, Clock: o.Clock, StoreWithoutKeepers: true, MaxWait: relayedConfigWait,
 	}, targetWatchWait)
 	k.pacing = pacing.NewOwner(o.Clock)
-	k.followers = &follow.Keeper{Fleet: k.fleet, Limits: k.limits, Clock: o.Clock}
+	k.followers = &follow.Keeper{Fleet: k.fleet, Limits: k.limits, Learn: k.limits.LearnFrom, Clock: o.Clock}
 	k.openTurns(control)
 	k.fleet.Subscribe(suspectPrefix, k.followers.SuspectsChanged)
 	k.fleet.Subscribe(limits.EnterPrefix, k.limits.EntriesChanged)
--- a/app/follow/admit.go
+++ b/app/follow/admit.go
@@ -77,7 +77,11 @@
 func (c *Client) sendAdmit(ctx context.Context, address string, id model.WorkspaceID) (*peerpb.AdmitResponse, error) {
 	ctx, cancel := clockwork.WithTimeout(ctx, c.options.Clock, admitTimeout)
 	defer cancel()
-	return c.options.Peers.Admit(ctx, address, &peerpb.AdmitRequest{Workspace: string(id)})
+	r := &peerpb.AdmitRequest{Workspace: string(id)}
+	if c.options.KnownLimit != nil {
+		r.Known = c.options.KnownLimit(id)
+	}
+	return c.options.Peers.Admit(ctx, address, r)
 }
 
 // UsableKeepers returns the addresses of the usable keepers in order of preference.
--- a/app/follow/client.go
+++ b/app/follow/client.go
@@ -35,7 +35,7 @@
 	Admit(ctx context.Context, address string, r *peerpb.AdmitRequest) (*peerpb.AdmitResponse, error)
 }
 
-// Options configures a Client. All fields but SuspectsChanged and SettleWait are required.
+// Options configures a Client. All fields but SuspectsChanged, KnownLimit and SettleWait are required.
 type Options struct {
 	Self presence.Host
 	Zone model.Zone
@@ -47,6 +47,9 @@
 	StoreAway func() bool
 	// SuspectsChanged receives the stored requests that crash targets; nil for none.
 	SuspectsChanged func([]store.Entry)
+	// KnownLimit returns the limit of a workspace as this host knows it, which keepers
+	// may not have read yet; nil to tell them none.
+	KnownLimit func(model.WorkspaceID) *peerpb.KnownLimit
 	// SettleWait is how long a request waits for a keeper that may act. 0 means
 	// 1.2 s, in which a restarted fleet settles.
 	SettleWait time.Duration
--- a/app/follow/keeper.go
+++ b/app/follow/keeper.go
@@ -45,6 +45,8 @@
 type Keeper struct {
 	Fleet  Fleet
 	Limits Limiter
+	// Learn receives the limits that entry hosts know; nil to ignore them.
+	Learn func(model.WorkspaceID, *peerpb.KnownLimit)
 	// Turns keeps turns of conversations; nil if this keeper does not.
 	Turns Turns
 	Clock clockwork.Clock
@@ -173,7 +175,11 @@
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, k.Clock, admitDecisionTimeout)
 	defer cancel()
-	err := k.Limits.Admit(ctx, model.WorkspaceID(r.GetWorkspace()))
+	workspace := model.WorkspaceID(r.GetWorkspace())
+	if k.Learn != nil {
+		k.Learn(workspace, r.GetKnown())
+	}
+	err := k.Limits.Admit(ctx, workspace)
 	if err == nil {
 		return &peerpb.AdmitResponse{Outcome: peerpb.AdmitResponse_GRANTED}, nil
 	}
--- a/app/limits/limits.go
+++ b/app/limits/limits.go
@@ -16,6 +16,7 @@
 	"mimosarelay/app/wait"
 	"mimosarelay/core/config"
 	"mimosarelay/core/escrow"
+	"mimosarelay/core/evidence"
 	"mimosarelay/core/limit"
 	"mimosarelay/core/model"
 	"mimosarelay/core/store"
@@ -109,6 +110,12 @@
 	BurstSlack float64
 	// TransferTimeout bounds a transfer request to a peer; 0 means 150 ms.
 	TransferTimeout time.Duration
+	// Confirmed returns the evidence for the contracts that this host has; nil means
+	// that they need none. It is called without holding locks of this package.
+	Confirmed func() evidence.Stamp
+	// MaxAge is the highest age of the evidence for a contract at which requests are
+	// admitted and tokens transferred by it.
+	MaxAge evidence.MaxAge
 }
 
 // Service admits requests on one host. It is safe for concurrent use.
@@ -134,10 +141,13 @@
 	shares          escrow.Shares
 	reports         map[model.HostID]EntryReport
 	workspaces      map[model.WorkspaceID]*workspace
+	revision        model.Revision // of the document that holds the contracts
 }
 
 // workspace is the state of the contract of one workspace on this host.
 type workspace struct {
+	rate, burst         float64     // of the contract in the document
+	learned             limit.Known // newest limit that another host has told
 	bucket              *limit.Bucket
 	demand              limit.Demand
 	waiters             []*waiter // first come, first served
@@ -366,12 +376,16 @@
 // waiter finds no token, tryTake requests shares from peers and returns the time
 // until the refill provides a token, or 0 if it never does.
 func (s *Service) tryTake(id model.WorkspaceID, w *waiter) (taken bool, retry time.Duration, err error) {
+	confirmed := s.confirmed()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ws, ok := s.workspaces[id]
 	if !ok {
 		return false, 0, noContractRefusal(id)
 	}
+	if !s.accepts(ws, confirmed) {
+		return false, 0, noEvidenceRefusal(id)
+	}
 	if len(ws.waiters) == 0 || ws.waiters[0] != w {
 		return false, 0, nil
 	}
@@ -389,18 +403,18 @@
 func (s *Service) ContractsChanged(document *config.Document) {
 	s.mu.Lock()
 	now := s.options.Clock.Now()
+	s.revision = document.Revision
 	present := map[model.WorkspaceID]bool{}
 	for _, c := range document.Workspaces {
 		present[c.Name] = true
-		burst := max(c.Burst, min(c.Burst+s.options.BurstSlack, limit.SmallestBurst(c.Rate)))
-		contract := limit.NewContract(c.Rate, burst)
 		if ws, ok := s.workspaces[c.Name]; ok {
-			ws.bucket.SetContract(now, contract)
-			ws.wakeFirst()
+			ws.rate, ws.burst = c.Rate, c.Burst
+			s.applyContract(now, ws)
 			continue
 		}
 		s.workspaces[c.Name] = &workspace{
-			bucket: limit.NewBucket(now, contract, s.ledger.Held(c.Name), s.ledger.Held(escrow.BurstAccount(c.Name))),
+			rate: c.Rate, burst: c.Burst,
+			bucket: limit.NewBucket(now, s.contract(c.Rate, c.Burst), s.ledger.Held(c.Name), s.ledger.Held(escrow.BurstAccount(c.Name))),
 			peers:  map[model.HostID]*peerState{},
 		}
 	}
--- a/app/limits/transfer.go
+++ b/app/limits/transfer.go
@@ -14,6 +14,7 @@
 
 	"mimosarelay/app/wait"
 	"mimosarelay/core/escrow"
+	"mimosarelay/core/evidence"
 	"mimosarelay/core/limit"
 	"mimosarelay/core/model"
 	"mimosarelay/io/peer/peerpb"
@@ -97,6 +98,7 @@
 // nextTransfer returns the next transfer request, or the time until it is due. If
 // it returns neither, no request is left to send and the loop ends.
 func (s *Service) nextTransfer(id model.WorkspaceID, ws *workspace) (*outgoingTransfer, time.Duration) {
+	confirmed := s.confirmed()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.options.Clock.Now()
@@ -133,6 +135,7 @@
 		WantMicroTokens: max(0, want),
 		TransferId:      transfer.id,
 		RoomMicroTokens: state.reserved,
+		Known:           s.known(ws, confirmed),
 	}
 	if len(ws.waiters) > 0 {
 		transfer.request.WantCapacityMicroTokens = max(0, limit.Token-ws.bucket.Capacity())
@@ -281,6 +284,8 @@
 	if r.GetWantMicroTokens() < 0 || r.GetRoomMicroTokens() < 0 || r.GetWantCapacityMicroTokens() < 0 {
 		return nil, fmt.Errorf("%w: negative amount: want %d, room %d, capacity %d", errMalformedRequest, r.GetWantMicroTokens(), r.GetRoomMicroTokens(), r.GetWantCapacityMicroTokens())
 	}
+	s.LearnFrom(model.WorkspaceID(r.GetWorkspace()), r.GetKnown())
+	confirmed := s.confirmed()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	epoch := model.Epoch(r.GetSender().GetEpoch())
@@ -294,7 +299,7 @@
 	transfer, ok := s.ledger.DebitedTransfer(epoch, r.GetTransferId())
 	if !ok {
 		var err error
-		if transfer, err = s.debitTransfer(epoch, host, r); err != nil {
+		if transfer, err = s.debitTransfer(epoch, host, r, confirmed); err != nil {
 			return nil, err
 		}
 	}
@@ -313,13 +318,17 @@
 
 // debitTransfer plans a new transfer and debits it from this host's share. The
 // caller holds mu.
-func (s *Service) debitTransfer(epoch model.Epoch, host model.HostID, r *peerpb.MoveShareRequest) (escrow.Transfer, error) {
+func (s *Service) debitTransfer(epoch model.Epoch, host model.HostID, r *peerpb.MoveShareRequest, confirmed evidence.Stamp) (escrow.Transfer, error) {
 	id := model.WorkspaceID(r.GetWorkspace())
 	transfer := escrow.Transfer{ID: r.GetTransferId(), Workspace: id}
 	ws, ok := s.workspaces[id]
 	now := s.options.Clock.Now()
 	if ok {
-		amounts := limit.PlanTransfer(s.donor(ws, now, host, r), limit.TransferRequest{
+		donor := s.donor(ws, now, host, r)
+		if !s.accepts(ws, confirmed) {
+			donor.Level = 0 // the tokens may exceed the present limit
+		}
+		amounts := limit.PlanTransfer(donor, limit.TransferRequest{
 			Want:         r.GetWantMicroTokens(),
 			Room:         r.GetRoomMicroTokens(),
 			WantCapacity: r.GetWantCapacityMicroTokens(),
