--- a/app/follow/admit.go
+++ b/app/follow/admit.go
@@ -88,10 +88,9 @@
 func (c *Client) UsableKeepers() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.options.Clock.Now()
 	var list []string
 	for _, m := range c.keepers {
-		if c.usableLocked(m.PeerAddress, now) {
+		if c.usableLocked(m.PeerAddress) {
 			list = append(list, m.PeerAddress)
 		}
 	}
--- a/app/follow/client.go
+++ b/app/follow/client.go
@@ -22,6 +22,7 @@
 
 	"mimosarelay/app/wait"
 	"mimosarelay/core/conversation"
+	"mimosarelay/core/evidence"
 	"mimosarelay/core/member"
 	"mimosarelay/core/model"
 	"mimosarelay/core/presence"
@@ -59,9 +60,9 @@
 
 const (
 	defaultSettleWait = 1200 * time.Millisecond
-	// contactTTL is how long the answer of a keeper is valid, from when the request
-	// was sent.
-	contactTTL = presence.Lifetime
+	// contactTTL is how old the answer of a keeper may be, from when the request was
+	// sent, for the decisions of this host that rely on it.
+	contactTTL = evidence.MaxAge(presence.Lifetime)
 	// followTimeout bounds one Follow request.
 	followTimeout = presence.Interval
 	// recordReadInterval is the time between two reads of the membership record
@@ -76,10 +77,10 @@
 
 // contact is the state of one keeper as this host knows it.
 type contact struct {
-	inFlight     bool      // a request is in flight
-	unresponsive bool      // the last request was not answered
-	answeredAt   time.Time // when the last request with an answer was sent
-	acting       bool      // the keeper may act
+	inFlight     bool           // a request is in flight
+	unresponsive bool           // the last request was not answered
+	answered     evidence.Stamp // of the last request with an answer
+	acting       bool           // the keeper may act
 	hostsVersion uint64
 	hosts        []presence.Host
 	disksVersion uint64
@@ -121,7 +122,8 @@
 	record   member.Record
 	keepers  []member.Member // of record, in order of preference
 	contacts map[string]*contact
-	hosts    []presence.Host // merged from the lists of all keepers that may act
+	hosts    []presence.Host // merged from the lists of the keepers that acted recently
+	merged   []string        // addresses of these keepers
 }
 
 // NewClient returns a Client that Run starts.
@@ -164,7 +166,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, k := range c.contacts {
-		if !k.unresponsive && !k.answeredAt.IsZero() {
+		if !k.unresponsive && k.answered.Known() {
 			return false
 		}
 	}
@@ -175,9 +177,8 @@
 func (c *Client) noRecentAnswer() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.options.Clock.Now()
 	for _, k := range c.contacts {
-		if now.Sub(k.answeredAt) < contactTTL {
+		if k.answered.Within(contactTTL) {
 			return false
 		}
 	}
@@ -292,12 +293,13 @@
 	self.Leaving = c.leaving
 	r := &peerpb.FollowRequest{Self: encodeHost(self), KnownEpoch: uint64(c.record.Epoch), KnownHosts: k.hostsVersion, KnownDisks: k.disksVersion, KnownSuspects: k.suspectsVersion}
 	c.mu.Unlock()
-	sent := c.options.Clock.Now()
+	sent := evidence.Now(c.options.Clock)
 	res, err := c.options.Peers.Follow(ctx, address, r)
 	c.mu.Lock()
 	k.inFlight = false
 	k.setUnresponsive(err != nil)
 	if err != nil {
+		c.mergeHostsLocked(false)
 		c.mu.Unlock()
 		c.options.Log.Debug("keeper did not answer", "keeper", address, "error", err)
 		if c.noKeeperResponsive() {
@@ -305,17 +307,15 @@
 		}
 		return
 	}
-	changed := k.acting != res.GetActing()
-	k.answeredAt, k.acting = sent, res.GetActing()
+	changed := false
+	k.answered, k.acting = sent, res.GetActing()
 	if res.GetHostsVersion() != k.hostsVersion {
 		k.hostsVersion, k.hosts, changed = res.GetHostsVersion(), k.hosts[:0:0], true
 		for _, h := range res.GetHosts() {
 			k.hosts = append(k.hosts, decodeHost(h))
 		}
 	}
-	if changed {
-		c.mergeHostsLocked()
-	}
+	c.mergeHostsLocked(changed)
 	k.applyDisks(res)
 	newSuspects := res.GetSuspectsVersion() != k.suspectsVersion
 	k.suspectsVersion = res.GetSuspectsVersion()
@@ -334,17 +334,23 @@
 	return entries
 }
 
-// mergeHostsLocked merges the host lists of the keepers that may act. If there are
-// none, the previous list stays. mu is held.
-func (c *Client) mergeHostsLocked() {
-	var lists [][]presence.Host
+// mergeHostsLocked merges the host lists of the keepers that acted recently, if a list
+// has changed or other keepers than before acted. If there are none, the previous list
+// stays. mu is held.
+func (c *Client) mergeHostsLocked(changed bool) {
+	var lists []presence.List
+	var merged []string
 	for _, m := range c.keepers {
-		if k := c.contacts[m.PeerAddress]; k.acting {
-			lists = append(lists, k.hosts)
+		if k := c.contacts[m.PeerAddress]; c.actedRecentlyLocked(m.PeerAddress) {
+			lists = append(lists, presence.List{Hosts: k.hosts, Told: k.answered})
+			merged = append(merged, m.PeerAddress)
 		}
 	}
-	if len(lists) > 0 {
-		c.hosts = presence.Merge(lists...)
+	if !changed && slices.Equal(merged, c.merged) {
+		return
+	}
+	if hosts, ok := presence.Merge(contactTTL, lists...); ok {
+		c.hosts, c.merged = hosts, merged
 	}
 }
 
@@ -364,15 +370,15 @@
 
 // actedRecentlyLocked reports whether a keeper has said in an answer within
 // contactTTL that it may act. mu is held.
-func (c *Client) actedRecentlyLocked(address string, now time.Time) bool {
+func (c *Client) actedRecentlyLocked(address string) bool {
 	k := c.contacts[address]
-	return k != nil && k.acting && now.Sub(k.answeredAt) < contactTTL
+	return k != nil && k.acting && k.answered.Within(contactTTL)
 }
 
 // usableLocked reports whether a keeper should get a request: it acted recently and
 // answered its last request. mu is held.
-func (c *Client) usableLocked(address string, now time.Time) bool {
-	return c.actedRecentlyLocked(address, now) && !c.contacts[address].unresponsive
+func (c *Client) usableLocked(address string) bool {
+	return c.actedRecentlyLocked(address) && !c.contacts[address].unresponsive
 }
 
 // WhileResponsive returns a context that also ends when the keeper at address does
@@ -395,15 +401,14 @@
 func (c *Client) MayAct() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.options.Clock.Now()
-	return slices.ContainsFunc(c.keepers, func(m member.Member) bool { return c.actedRecentlyLocked(m.PeerAddress, now) })
+	return slices.ContainsFunc(c.keepers, func(m member.Member) bool { return c.actedRecentlyLocked(m.PeerAddress) })
 }
 
 // Isolated reports whether no keeper has answered this host for contactTTL. In that
 // case another host can serve its callers better. It is false in the first
 // contactTTL after the start.
 func (c *Client) Isolated() bool {
-	return c.options.Clock.Since(c.started) > contactTTL && c.noRecentAnswer()
+	return c.options.Clock.Since(c.started) > time.Duration(contactTTL) && c.noRecentAnswer()
 }
 
 // Owner returns the peer address of the keeper that owns a shard.
@@ -445,7 +450,7 @@
 type KeeperState struct {
 	Host   model.HostID
 	Acting bool
-	Age    time.Duration // since the last request with an answer was sent
+	Age    time.Duration // since the last request with an answer was sent, or evidence.Unknown
 }
 
 // Dump returns a State.
@@ -456,7 +461,7 @@
 	s := State{Epoch: c.record.Epoch, Hosts: c.hosts, Isolated: isolated}
 	for _, m := range c.keepers {
 		k := c.contacts[m.PeerAddress]
-		s.Keepers = append(s.Keepers, KeeperState{Host: m.Host, Acting: k.acting, Age: c.options.Clock.Since(k.answeredAt)})
+		s.Keepers = append(s.Keepers, KeeperState{Host: m.Host, Acting: k.acting, Age: k.answered.Age()})
 	}
 	return s
 }
@@ -469,10 +474,9 @@
 func (c *Client) describeKeepers() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.options.Clock.Now()
 	usable := 0
 	for _, m := range c.keepers {
-		if c.usableLocked(m.PeerAddress, now) {
+		if c.usableLocked(m.PeerAddress) {
 			usable++
 		}
 	}
--- a/app/follow/disks.go
+++ b/app/follow/disks.go
@@ -26,7 +26,6 @@
 func (c *Client) TurnKeepers() conversations.Keepers {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.options.Clock.Now()
 	var result conversations.Keepers
 	for _, m := range c.keepers {
 		k := c.contacts[m.PeerAddress]
@@ -38,7 +37,7 @@
 		if m.Leaving {
 			continue
 		}
-		answers := !k.unresponsive && now.Sub(k.answeredAt) < contactTTL
+		answers := !k.unresponsive && k.answered.Within(contactTTL)
 		result.Members = append(result.Members, conversations.KeeperDisk{
 			Disk:    conversation.Disk{Host: m.Host, Zone: m.Zone, PeerAddress: m.PeerAddress},
 			Accepts: answers && k.acceptsTurns, AcceptsFirst: answers && k.acceptsConversations,
--- a/core/presence/presence.go
+++ b/core/presence/presence.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"mimosarelay/core/evidence"
 	"mimosarelay/core/model"
 )
 
@@ -77,23 +78,35 @@
 	return max(1, xxhash.Sum64(data))
 }
 
-// Merge returns the hosts of all lists, sorted by id. The last list that
-// holds a host decides on its fields, but the host is leaving if an earlier list
-// says so with the same peer address, because a host that has started to leave
-// never stops leaving.
-func Merge(lists ...[]Host) []Host {
+// List is a list of hosts, as a keeper has told it.
+type List struct {
+	Hosts []Host
+	// Told is the evidence for the list: when the keeper was asked.
+	Told evidence.Stamp
+}
+
+// Merge returns the hosts of all lists that are not older than accepted, sorted by id,
+// and reports whether there is such a list. A keeper that is cut off from the host that
+// merges would name lost hosts otherwise. The last list that holds a host decides on
+// its fields, but the host is leaving if an earlier list says so with the same peer
+// address, because a host that has started to leave never stops leaving.
+func Merge(accepted evidence.MaxAge, lists ...List) (hosts []Host, ok bool) {
 	byID := map[model.HostID]Host{}
 	for _, list := range lists {
-		for _, h := range list {
+		if !list.Told.Within(accepted) {
+			continue
+		}
+		ok = true
+		for _, h := range list.Hosts {
 			previous := byID[h.Host]
 			h.Leaving = h.Leaving || previous.Leaving && previous.PeerAddress == h.PeerAddress
 			byID[h.Host] = h
 		}
 	}
-	out := make([]Host, 0, len(byID))
+	hosts = make([]Host, 0, len(byID))
 	for _, h := range byID {
-		out = append(out, h)
+		hosts = append(hosts, h)
 	}
-	slices.SortFunc(out, func(a, b Host) int { return cmp.Compare(a.Host, b.Host) })
-	return out
+	slices.SortFunc(hosts, func(a, b Host) int { return cmp.Compare(a.Host, b.Host) })
+	return hosts, ok
 }
--- a/core/presence/presence_test.go
+++ b/core/presence/presence_test.go
@@ -4,8 +4,10 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
+	"mimosarelay/core/evidence"
 	"mimosarelay/core/presence"
 )
 
@@ -46,6 +48,25 @@
 		"leaving in the first list": {{leaving}, {staying}},
 		"leaving in the last list":  {{staying, {Host: "b"}}, {leaving}},
 	} {
-		assert.Assert(t, presence.Merge(lists...)[0].Leaving, name)
+		var told []presence.List
+		for _, l := range lists {
+			told = append(told, presence.List{Hosts: l, Told: evidence.Now(clockwork.NewFakeClock())})
+		}
+		hosts, ok := presence.Merge(0, told...)
+		assert.Assert(t, ok && hosts[0].Leaving, name)
 	}
 }
+
+// Guards against hosts that are named for as long as the keeper that lists them is cut
+// off, and against an empty list that replaces the last one when all keepers are.
+func TestMergeIgnoresOldLists(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	old := presence.List{Hosts: []presence.Host{{Host: "lost"}}, Told: evidence.Now(clock)}
+	clock.Advance(presence.Lifetime + 1)
+	recent := presence.List{Hosts: []presence.Host{{Host: "a"}}, Told: evidence.Now(clock)}
+	hosts, ok := presence.Merge(evidence.MaxAge(presence.Lifetime), old, recent, presence.List{Hosts: []presence.Host{{Host: "never told"}}})
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, hosts, recent.Hosts)
+	_, ok = presence.Merge(evidence.MaxAge(presence.Lifetime), old)
+	assert.Assert(t, !ok)
+}
