turns: first turns are noted on the disk of the owner

A first turn runs before its record is written. When all keepers were killed twice, each time just after a turn of a program that paused for longer than InheritPeriod, the program had such a turn at both owners and got 400 tokens of 300, where 350 are allowed. The owner now notes a first turn on its disk before it grants it, with no store call and no message. The next owner reads the notes like records. Without a disk first turns wait for their record.

--- a/app/turns/owner.go
+++ b/app/turns/owner.go
@@ -9,13 +9,10 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"google.golang.org/protobuf/proto"
 
 	"mimosarelay/core/model"
 	"mimosarelay/core/program"
@@ -56,8 +53,8 @@
 	// programs. CopyClient sends requests to them.
 	Keepers    func() []string
 	CopyClient CopyClient
-	// Disk keeps the copies that this host holds; nil on machines without a
-	// disk.
+	// Disk keeps the copies that this host holds, and its notes of first turns; nil
+	// on machines without a disk, where first turns wait for a record.
 	Disk  Disk
 	Clock clockwork.Clock
 	Log   *slog.Logger
@@ -90,8 +87,8 @@
 // Owner counts the turns of the programs that this host owns. It is safe for
 // concurrent use.
 //
-// Lock order: copyMu, mu. Of the interfaces in OwnerOptions except Clock and Log,
-// only ShardOwnership is called with mu held and only Disk with copyMu held.
+// Lock order: copyMu, firstTurns.writing, mu. Of the interfaces in OwnerOptions except Clock and Log,
+// only ShardOwnership is called with mu held and only Disk with the others held.
 type Owner struct {
 	options              OwnerOptions
 	flushRequested       chan struct{} // a record is to be written
@@ -115,8 +112,9 @@
 	// copies holds the newest pages received from other hosts and those restored
 	// from the disk, by host. ownCopy is the newest page of this host that a peer
 	// has copied.
-	copies  map[model.HostID]*peerpb.BudgetPage
-	ownCopy *peerpb.BudgetPage
+	copies     map[model.HostID]*peerpb.BudgetPage
+	ownCopy    *peerpb.BudgetPage
+	firstTurns firstTurns
 	// sequence is the sequence number of the newest page of this host. It never
 	// decreases, also across restarts.
 	sequence int64
@@ -139,43 +137,10 @@
 	}
 	owner := &Owner{options: options, ledger: turn.NewLedger(), flushRequested: make(chan struct{}, 1), urgentFlushRequested: make(chan struct{}, 1), recordsUpdated: make(chan struct{}), copies: map[model.HostID]*peerpb.BudgetPage{}}
 	owner.restoreCopies()
+	owner.restoreFirstTurns()
 	return owner
 }
 
-// restoreCopies reads the copies that a previous process of this host saved to the
-// disk.
-func (o *Owner) restoreCopies() {
-	if o.options.Disk == nil {
-		return
-	}
-	err := o.options.Disk.Load(func(data []byte) error {
-		m := &peerpb.BudgetPage{}
-		if err := proto.Unmarshal(data, m); err != nil {
-			return err
-		}
-		o.copies[model.HostID(m.GetHost())] = m
-		return nil
-	})
-	if err != nil {
-		o.options.Log.Error("failed to read the copies of budget records from the disk", "error", err)
-	}
-	o.sequence = o.copies[o.options.Host].GetSequence()
-	o.options.Log.Info("restored the copies of budget records from the disk", "pages", len(o.copies))
-}
-
-// saveToDisk writes a page to the disk of this host, if it has one, and returns once
-// the page is on the disk.
-func (o *Owner) saveToDisk(m *peerpb.BudgetPage) error {
-	if o.options.Disk == nil {
-		return nil
-	}
-	data, err := proto.Marshal(m)
-	if err != nil {
-		return err
-	}
-	return o.options.Disk.Save(model.HostID(m.GetHost()), data)
-}
-
 // pageEntry is the record of one program in a page.
 type pageEntry struct {
 	Workspace model.WorkspaceID
@@ -184,6 +149,14 @@
 	UsedUnix  int64 // seconds
 }
 
+func newPageEntry(r turn.Record) pageEntry {
+	return pageEntry{r.Program.Workspace, r.Program.Program, r.Allowed, r.Used.Unix()}
+}
+
+func (e pageEntry) record() turn.Record {
+	return turn.Record{Program: model.ProgramKey{Workspace: e.Workspace, Program: e.Program}, Allowed: e.Allowed, Used: time.Unix(e.UsedUnix, 0)}
+}
+
 // page holds the records of one host. It is the JSON value of the host's key.
 type page struct {
 	// Sequence increases with each page of the host, also across restarts.
@@ -276,9 +249,7 @@
 	for host, hostPage := range pages {
 		own := host == o.options.Host && !o.ownPageLoaded
 		for _, entry := range hostPage.Programs {
-			r := turn.Record{
-				Program: model.ProgramKey{Workspace: entry.Workspace, Program: entry.Program}, Allowed: entry.Allowed, Used: time.Unix(entry.UsedUnix, 0),
-			}
+			r := entry.record()
 			// The first write of this process replaces the page of the previous
 			// one, so all records of that page are loaded.
 			if newShards[program.ShardOf(r.Program)] || own {
@@ -378,21 +349,6 @@
 	return nil
 }
 
-// fetchCopies returns the copies that this host and the other keepers hold.
-func (o *Owner) fetchCopies(ctx context.Context) ([]*peerpb.BudgetPage, error) {
-	o.mu.Lock()
-	pages := slices.Collect(maps.Values(o.copies))
-	o.mu.Unlock()
-	for _, address := range o.options.Keepers() {
-		res, err := o.options.CopyClient.FetchBudgets(ctx, address, &peerpb.FetchBudgetsRequest{})
-		if err != nil {
-			return nil, fmt.Errorf("fetch copies of budget records from peer %s: %w", address, err)
-		}
-		pages = append(pages, res.GetPages()...)
-	}
-	return pages, nil
-}
-
 // notifyWaiters wakes the reservations that wait for records. The caller holds mu.
 func (o *Owner) notifyWaiters() {
 	close(o.recordsUpdated)
@@ -413,7 +369,7 @@
 	p := page{Sequence: o.nextSequence(), Programs: make([]pageEntry, 0, len(records))}
 	o.mu.Unlock()
 	for _, r := range records {
-		p.Programs = append(p.Programs, pageEntry{r.Program.Workspace, r.Program.Program, r.Allowed, r.Used.Unix()})
+		p.Programs = append(p.Programs, newPageEntry(r))
 	}
 	value, err := json.Marshal(p)
 	if err != nil {
@@ -455,74 +411,6 @@
 	return o.version
 }
 
-// copyDelay is how long a write to the store may take before the records are also
-// copied to another keeper. The store normally responds within milliseconds.
-const copyDelay = 60 * time.Millisecond
-
-// copyIfStoreSlow copies the records to another keeper unless ctx ends within
-// copyDelay, so that programs continue during an outage of the store. Both hosts save
-// them to their disks, so that the records survive a restart of all processes. They
-// are lost only if both disks are lost before the store responds again.
-func (o *Owner) copyIfStoreSlow(ctx context.Context, sequence int64, value []byte, records []turn.Record) {
-	select {
-	case <-ctx.Done():
-		return
-	case <-o.options.Clock.After(copyDelay):
-	}
-	m := &peerpb.BudgetPage{Host: string(o.options.Host), Sequence: sequence, Value: value}
-	if err := o.saveToDisk(m); err != nil {
-		o.options.Log.Error("failed to write the budget records to the disk", "error", err)
-		return
-	}
-	for _, address := range o.options.Keepers() {
-		if _, err := o.options.CopyClient.KeepBudgets(ctx, address, m); err != nil {
-			o.options.Log.Warn("failed to copy the budget records to a peer", "peer", address, "error", err)
-			continue
-		}
-		o.mu.Lock()
-		o.ownCopy = m
-		o.ledger.MarkSaved(records)
-		o.notifyWaiters()
-		o.mu.Unlock()
-		o.options.Log.Info("copied the budget records to a peer", "peer", address, "sequence", sequence, "programs", len(records))
-		return
-	}
-}
-
-// HandleKeepBudgets serves the RPC KeepBudgets: it stores a copy of the page of
-// another host.
-func (o *Owner) HandleKeepBudgets(_ context.Context, m *peerpb.BudgetPage) (*peerpb.KeepBudgetsResponse, error) {
-	o.copyMu.Lock()
-	defer o.copyMu.Unlock()
-	host := model.HostID(m.GetHost())
-	o.mu.Lock()
-	known := o.copies[host].GetSequence()
-	o.mu.Unlock()
-	if known >= m.GetSequence() {
-		return &peerpb.KeepBudgetsResponse{}, nil // this or a newer page is stored already
-	}
-	if err := o.saveToDisk(m); err != nil {
-		o.options.Log.Error("failed to write a copy of budget records to the disk", "peer", host, "error", err)
-		return nil, err
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.copies[host] = m
-	return &peerpb.KeepBudgetsResponse{}, nil
-}
-
-// HandleFetchBudgets serves the RPC FetchBudgets: it returns the copies that this
-// host holds and its own page, if a peer has a copy of that.
-func (o *Owner) HandleFetchBudgets(context.Context, *peerpb.FetchBudgetsRequest) (*peerpb.FetchBudgetsResponse, error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	res := &peerpb.FetchBudgetsResponse{Pages: slices.Collect(maps.Values(o.copies))}
-	if o.ownCopy != nil {
-		res.Pages = append(res.Pages, o.ownCopy)
-	}
-	return res, nil
-}
-
 // OwnershipChanged releases the programs of shards that this host no longer owns.
 // owns reports whether this host owns a shard in the new epoch, and sameMember
 // whether it is a member of the new epoch with the same incarnation as before.
@@ -558,7 +446,7 @@
 		decision, updated := o.reserve(shard, r)
 		switch decision.(type) {
 		case turn.Granted:
-			return nil
+			return o.noteFirstTurn(r)
 		case turn.Exhausted:
 			return model.ErrBudget
 		}
@@ -589,7 +477,7 @@
 		return nil, o.recordsUpdated
 	}
 	now := o.options.Clock.Now()
-	r.Inherited = now.Sub(o.loadedAt[shard]) < o.options.InheritPeriod
+	r.Inherited = o.options.Disk == nil || now.Sub(o.loadedAt[shard]) < o.options.InheritPeriod
 	d := o.ledger.Reserve(now, r)
 	if _, ok := d.(turn.Unrecorded); ok {
 		return nil, o.recordsUpdated
--- a/app/turns/owner_test.go
+++ b/app/turns/owner_test.go
@@ -123,10 +123,14 @@
 	p.t.Cleanup(stop)
 	p.stop[host] = stop
 	peer := map[model.HostID]string{"a": "b", "b": "a"}[host]
+	var disk turns.Disk // nil without one
+	if d := p.disks[host]; d != nil {
+		disk = d
+	}
 	o := turns.NewOwner(turns.OwnerOptions{
 		Host: host, ShardOwnership: fakeOwnership{p, host}, Store: faultyStore{p.store.NewClient(string(host)), p}, Clock: clockwork.NewRealClock(),
 		Log: slog.New(slog.DiscardHandler), Keepers: func() []string { return []string{peer} }, CopyClient: p,
-		Disk: p.disks[host], FlushInterval: 10 * time.Millisecond, InheritPeriod: p.inheritPeriod,
+		Disk: disk, FlushInterval: 10 * time.Millisecond, InheritPeriod: p.inheritPeriod,
 	})
 	p.owners[host] = o
 	go func() { _ = o.Run(ctx) }()
--- a/core/turn/ledger.go
+++ b/core/turn/ledger.go
@@ -9,9 +9,11 @@
 // all tokens that the record allows count as spent.
 //
 // The first turn of a program needs no record: the guarantee is the budget plus
-// one turn, and no other turn runs unrecorded. The first turn after a change of
-// the owner does need one, because the previous owner may have been lost with an
-// unrecorded turn.
+// one turn, and no other turn runs unrecorded. The process notes it on its own disk
+// instead (Uncovered), because a program that pauses can have a first turn at each of
+// several processes that are lost one after the other. The first turn after a change
+// of the owner does need a record, because the disk of the previous owner may not be
+// reachable yet.
 package turn
 
 import (
@@ -178,6 +180,17 @@
 	delete(a.open, id)
 }
 
+// Uncovered returns the tokens that a program may have spent, as a Record, if its last
+// written record does not cover them, as after its first turn.
+func (l *Ledger) Uncovered(key model.ProgramKey) (Record, bool) {
+	a := l.accounts[key]
+	if a == nil {
+		return Record{}, false
+	}
+	committed := a.committed()
+	return Record{Program: key, Allowed: committed, Used: a.lastUsed}, committed > a.guaranteedAllowance
+}
+
 // Unsaved reports whether a program needs a larger allowance than its record
 // has.
 func (l *Ledger) Unsaved() bool { return l.unsaved }
