health: targets are judged by the outcomes of requests

Until now a target was taken out of use only if it refused connections, so targets that fail a part of their requests, go up and down or fail for one zone kept their load, and errors that come at once even attracted more.

core/health judges each target by the outcomes of this host's requests and by the sums that keepers add up for the zone and return in the Follow message. A target gets a quarter of its load, then only probes, and returns in steps. At most half of a service is out of use, the median of the service is the usual fraction of failures, and one host alone is no evidence at others. The contract "health" of the settings switches it on.

TestCallersGetFewerFailuresOfFaultyTargets plays 64 hosts and 24 targets in virtual time.

--- a/app/entry/adapters.go
+++ b/app/entry/adapters.go
@@ -7,6 +7,7 @@
 	"mimosarelay/app/placement"
 	"mimosarelay/app/relay"
 	"mimosarelay/core/config"
+	"mimosarelay/core/health"
 	"mimosarelay/core/model"
 	coreplacement "mimosarelay/core/placement"
 	"mimosarelay/io/peer"
@@ -46,6 +47,16 @@
 	return place, nil
 }
 
+// placementOutcomes adapts placement.Service to follow.Outcomes. The service is made
+// after the follow client.
+type placementOutcomes struct{ entry *entryHost }
+
+// HealthReports implements follow.Outcomes.
+func (o placementOutcomes) HealthReports() []health.Report { return o.entry.placement.HealthReports() }
+
+// SetHealthHints implements follow.Outcomes.
+func (o placementOutcomes) SetHealthHints(h health.Hints) { o.entry.placement.SetHealthHints(h) }
+
 // suspectPeers adapts the peer client to suspects.Peers.
 type suspectPeers struct {
 	*peer.Client
--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -73,6 +73,8 @@
 	// program.
 	Quotas  bool
 	Budgets bool
+	// Health judges targets by the outcomes of requests.
+	Health bool
 	// Lifetime is how long a configuration may be used after the request to the
 	// store that last confirmed it.
 	Lifetime time.Duration
--- a/app/entry/entryhost.go
+++ b/app/entry/entryhost.go
@@ -42,10 +42,16 @@
 	o := h.options
 	control := o.Keyspace(controlPrefix)
 	e.targets = target.NewClient(target.Options{DialTimeout: dialTimeout})
+	var targetOutcomes follow.Outcomes
+	var health *placement.HealthOptions
+	if o.Health {
+		targetOutcomes, health = placementOutcomes{e}, &placement.HealthOptions{Scope: h.metrics.Scope}
+	}
 	e.follow = follow.NewClient(follow.Options{
 		Self: presence.Host{Host: o.Host, CallerAddress: o.CallerAddress, PeerAddress: o.PeerAddress},
 		Zone: o.Zone, Store: control, RecordKey: fleet.RecordKey, Peers: h.peers,
 		SuspectsChanged: func(entries []store.Entry) { e.suspects.EntriesChanged(entries) },
+		Outcomes:        targetOutcomes,
 		StoreAway:       func() bool { return h.catalog.StoreAway() }, SettleWait: settleWait, Clock: o.Clock, Log: o.Log,
 	})
 	h.catalog = newCatalog(o, &follow.Source{Relays: e.follow, Peers: h.peers, Store: o.Source, Decode: o.Decode, Clock: o.Clock}, 0)
@@ -62,6 +68,7 @@
 			Choice:    coreplacement.CacheAware{CallCost: requestCostTokens, Slack: requestCostTokens},
 			Retention: coreplacement.HoldThroughPause{TokenTime: prefillTokenTime},
 		},
+		Health:       health,
 		MinHostLimit: minHostLimit, QueueWait: queueWait, ChangeDelay: limitRaiseDelay, Clock: o.Clock, Log: o.Log,
 	})
 	var turnClient relay.Turns
--- a/app/follow/client.go
+++ b/app/follow/client.go
@@ -35,7 +35,8 @@
 	Admit(ctx context.Context, address string, r *peerpb.AdmitRequest) (*peerpb.AdmitResponse, error)
 }
 
-// Options configures a Client. All fields but SuspectsChanged and SettleWait are required.
+// Options configures a Client. All fields but SuspectsChanged, Outcomes and SettleWait are
+// required.
 type Options struct {
 	Self presence.Host
 	Zone model.Zone
@@ -47,6 +48,8 @@
 	StoreAway func() bool
 	// SuspectsChanged receives the stored requests that crash targets; nil for none.
 	SuspectsChanged func([]store.Entry)
+	// Outcomes judges targets by the outcomes of requests; nil for none.
+	Outcomes Outcomes
 	// SettleWait is how long a request waits for a keeper that may act. 0 means
 	// 1.2 s, in which a restarted fleet settles.
 	SettleWait time.Duration
@@ -289,6 +292,7 @@
 	self.Leaving = c.leaving
 	r := &peerpb.FollowRequest{Self: encodeHost(self), KnownEpoch: uint64(c.record.Epoch), KnownHosts: k.hostsVersion, KnownDisks: k.disksVersion, KnownSuspects: k.suspectsVersion}
 	c.mu.Unlock()
+	c.addOutcomes(r)
 	sent := c.options.Clock.Now()
 	res, err := c.options.Peers.Follow(ctx, address, r)
 	c.mu.Lock()
@@ -320,6 +324,7 @@
 	if newSuspects && c.options.SuspectsChanged != nil {
 		c.options.SuspectsChanged(decodeEntries(res.GetSuspects()))
 	}
+	c.applyOutcomes(res)
 	c.applyEncodedRecord(res.GetRecord())
 }
 
--- a/app/follow/keeper.go
+++ b/app/follow/keeper.go
@@ -13,6 +13,7 @@
 
 	"mimosarelay/app/conversations"
 	"mimosarelay/core/conversation"
+	"mimosarelay/core/health"
 	"mimosarelay/core/member"
 	"mimosarelay/core/model"
 	"mimosarelay/core/presence"
@@ -57,6 +58,7 @@
 	suspects     []*peerpb.StoredEntry // requests that crash targets
 	// suspectsVersion is a hash of suspects.
 	suspectsVersion uint64
+	outcomes        *health.Aggregator // nil until a host reports outcomes
 }
 
 // SuspectsChanged applies the stored requests that crash targets, which entry hosts
@@ -111,6 +113,7 @@
 	}
 	k.addDisks(res, r.GetKnownDisks())
 	k.addSuspects(res, r.GetKnownSuspects())
+	k.addOutcomes(k.Clock.Now(), r, res)
 	return res, nil
 }
 
--- a/app/placement/loop.go
+++ b/app/placement/loop.go
@@ -47,7 +47,7 @@
 	if s.options.Prober == nil {
 		h.increaseBackoff(now)
 	}
-	s.deliverGrants(now, s.scheduler.SetSkip(now, id, true))
+	s.setSkip(now, id, true)
 	select {
 	case s.wake <- struct{}{}:
 	default:
@@ -91,6 +91,7 @@
 	defer s.mu.Unlock()
 	now := s.options.Clock.Now()
 	s.refresh(now)
+	s.tickHealth(now)
 	s.deliverGrants(now, s.scheduler.Tick(now))
 }
 
@@ -135,7 +136,7 @@
 		return
 	}
 	h.skip = false
-	s.deliverGrants(now, s.scheduler.SetSkip(now, t.Name, s.skipped(t.Name)))
+	s.setSkip(now, t.Name, s.skipped(t.Name))
 }
 
 // clearFailures resets the backoff of a target unless it is out of use. The caller
--- a/app/placement/service.go
+++ b/app/placement/service.go
@@ -34,6 +34,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"mimosarelay/core/config"
+	"mimosarelay/core/health"
 	"mimosarelay/core/model"
 	"mimosarelay/core/placement"
 )
@@ -87,6 +88,9 @@
 	// leaving. A value above 0 may exceed MaxInFlight across the fleet, so it is
 	// only for targets that reject calls beyond their queue without running them.
 	MinHostLimit int
+	// Health judges targets by the outcomes of requests; nil if only targets that refuse
+	// connections are taken out of use.
+	Health *HealthOptions
 	// QueueWait is how long a call waits for a target; 0 means 30 s.
 	QueueWait time.Duration
 	// PollInterval is the time between two load reports of a target; 0 means
@@ -135,13 +139,15 @@
 	health     map[model.TargetID]*targetHealth
 	pauses     map[model.TargetID]time.Time // ends of the pauses
 	targets    []placement.Target           // of the snapshot; Limit is without loans
+	skipping   map[model.TargetID]bool      // targets that the scheduler skips
+	outcomes   *targetOutcomes              // nil without Options.Health
 	loans      loans
 }
 
 // New returns a Service. Run must be running for load reports, probes and loans.
 func New(o Options) *Service {
 	o = o.withDefaults()
-	return &Service{
+	s := &Service{
 		options:    o,
 		wake:       make(chan struct{}, 1),
 		scheduler:  placement.NewScheduler(o.Policy),
@@ -149,15 +155,20 @@
 		membership: membership{delay: o.ChangeDelay},
 		health:     map[model.TargetID]*targetHealth{},
 		pauses:     map[model.TargetID]time.Time{},
+		skipping:   map[model.TargetID]bool{},
 		loans:      newLoans(),
 	}
+	if o.Health != nil {
+		s.outcomes = newTargetOutcomes(*o.Health)
+	}
+	return s
 }
 
 // Acquire waits until the call may run at a target. It fails with a
 // *model.Refusal with RanNo: immediately if no target can run the call, after
 // QueueWait, or when ctx ends.
 func (s *Service) Acquire(ctx context.Context, r placement.Request) (Place, error) {
-	id, granted, err := s.enqueue(r)
+	id, granted, probe, err := s.enqueueCall(r)
 	if err != nil {
 		return nil, err
 	}
@@ -166,14 +177,14 @@
 	var reason string
 	select {
 	case t := <-granted:
-		return &place{service: s, id: id, target: t}, nil
+		return &place{service: s, id: id, target: t, probe: probe}, nil
 	case <-timer.Chan():
 		reason = "no target became free in time"
 	case <-ctx.Done():
 		reason = "the caller stopped waiting for a target"
 	}
 	if t, ok := s.cancelWait(id, granted); ok {
-		p := &place{service: s, id: id, target: t}
+		p := &place{service: s, id: id, target: t, probe: probe}
 		if ctx.Err() == nil {
 			return p, nil
 		}
@@ -200,24 +211,30 @@
 }
 
 func (s *Service) enqueue(r placement.Request) (placement.CallID, chan config.Target, error) {
+	id, granted, _, err := s.enqueueCall(r)
+	return id, granted, err
+}
+
+// enqueueCall queues a call. probe is set if the call was granted a target as a probe.
+func (s *Service) enqueueCall(r placement.Request) (id placement.CallID, granted chan config.Target, probe bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.options.Clock.Now()
 	s.refresh(now)
 	s.lastCallID++
-	id := s.lastCallID
-	granted := make(chan config.Target, 1)
+	id = s.lastCallID
+	granted = make(chan config.Target, 1)
 	s.waiters[id] = granted
-	grants, err := s.scheduler.Add(now, id, r)
+	grants, probe, err := s.addCall(now, id, r)
+	s.deliverGrants(now, grants)
 	if err != nil {
 		delete(s.waiters, id)
 		if errors.Is(err, placement.ErrNoTarget) {
-			return 0, nil, unavailable("no target can run the call")
+			return 0, nil, false, unavailable("no target can run the call")
 		}
-		return 0, nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "schedule the call: %v", err)
+		return 0, nil, false, model.NewRefusal(model.ErrUnavailable, model.RanNo, "schedule the call: %v", err)
 	}
-	s.deliverGrants(now, grants)
-	return id, granted, nil
+	return id, granted, probe, nil
 }
 
 // cancelWait removes a waiting call from the queue. If the call has been granted
@@ -264,6 +281,10 @@
 		s.scheduler.SetWeight(w.Name, w.FairWeight())
 	}
 	s.loans.dropAbsentHosts(s.membership.recentMember)
+	if s.outcomes != nil {
+		s.outcomes.setTargets(document.Targets)
+	}
+	clear(s.skipping)
 	s.targets = s.targets[:0]
 	targets := make([]placement.Target, 0, len(document.Targets))
 	for _, t := range document.Targets {
@@ -282,12 +303,22 @@
 		target.Limit = max(s.membership.hostLimit(s.options.Host, t.Name, t.MaxInFlight), s.options.MinHostLimit)
 	}
 	target.Skip = s.skipped(t.Name)
+	s.skipping[t.Name] = target.Skip
 	return target
 }
 
 // exclusion returns why a target gets no new call of this host, apart from its
 // places. The caller holds mu.
 func (s *Service) exclusion(id model.TargetID) placement.Exclusion {
+	if e := s.otherExclusion(id); e != placement.NotExcluded {
+		return e
+	}
+	return s.outcomes.exclusion(id)
+}
+
+// otherExclusion returns why a target gets no new call for another reason than the
+// outcomes of requests. The caller holds mu.
+func (s *Service) otherExclusion(id model.TargetID) placement.Exclusion {
 	if t, ok := s.snapshot.Target(id); ok && t.Leaving {
 		return placement.ExcludedLeaving
 	}
@@ -320,7 +351,7 @@
 		return
 	}
 	s.pauses[id] = end
-	s.deliverGrants(now, s.scheduler.SetSkip(now, id, true))
+	s.setSkip(now, id, true)
 	s.options.Clock.AfterFunc(d, func() { s.endPause(id) })
 }
 
@@ -332,7 +363,13 @@
 		return // a longer pause ends later
 	}
 	delete(s.pauses, id)
-	s.deliverGrants(now, s.scheduler.SetSkip(now, id, s.skipped(id)))
+	s.setSkip(now, id, s.skipped(id))
+}
+
+// setSkip takes a target out of use or puts it back into use. The caller holds mu.
+func (s *Service) setSkip(now time.Time, id model.TargetID, skip bool) {
+	s.skipping[id] = skip
+	s.deliverGrants(now, s.scheduler.SetSkip(now, id, skip))
 }
 
 // limitWithLoans returns the number of calls that this host may have in flight at
@@ -349,6 +386,7 @@
 	service *Service
 	id      placement.CallID
 	target  config.Target
+	probe   bool // granted for a probe that has no outcome yet; guarded by Service.mu
 	once    sync.Once
 }
 
@@ -357,20 +395,22 @@
 
 // Release implements Place.
 func (p *place) Release(u placement.Usage) {
-	p.once.Do(func() { p.service.release(p.id, p.target, u) })
+	p.once.Do(func() { p.service.release(p, u) })
 }
 
-func (s *Service) release(id placement.CallID, t config.Target, u placement.Usage) {
+func (s *Service) release(p *place, u placement.Usage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.options.Clock.Now()
 	s.refresh(now)
+	p.endProbe(now, health.Unknown)
+	t := p.target
 	if u.Failed {
 		s.markFailed(now, t.Name)
 	} else if u.Prompt > 0 {
 		s.clearFailures(t.Name)
 	}
-	s.deliverGrants(now, s.scheduler.Release(now, id, u))
+	s.deliverGrants(now, s.scheduler.Release(now, p.id, u))
 }
 
 // Report records the load that a target reported in a response, as of now.
@@ -397,8 +437,10 @@
 		Hosts   []model.HostID
 		Skipped []model.TargetID
 		Paused  []model.TargetID
-		Lent    int
-		Loans   int
+		// Excluded holds the reason for each target that gets no new call.
+		Excluded map[model.TargetID]placement.Exclusion `json:",omitempty"`
+		Lent     int
+		Loans    int
 	}
 	d := dump{Dump: s.scheduler.Dump(), Hosts: slices.Clone(s.membership.current)}
 	d.Lent, d.Loans = s.loans.counts()
@@ -409,5 +451,11 @@
 	}
 	slices.Sort(d.Skipped)
 	d.Paused = slices.Sorted(maps.Keys(s.pauses))
+	d.Excluded = map[model.TargetID]placement.Exclusion{}
+	for _, t := range s.targets {
+		if e := s.exclusion(t.ID); e != placement.NotExcluded {
+			d.Excluded[t.ID] = e
+		}
+	}
 	return d
 }
--- a/app/relay/forward.go
+++ b/app/relay/forward.go
@@ -231,7 +231,7 @@
 		Workspace: c.Workspace, Program: c.Program, Exclude: c.attempts.Exclude,
 		Prompt: c.Prompt.Tokens, MaxTokens: c.Prompt.MaxTokens,
 		Prefixes: c.Prompt.Prefixes, PrefixTokens: c.Prompt.PrefixTokens, Fingerprint: c.fingerprint,
-		Model: model.ModelID(c.Service.ID),
+		Model: model.ModelID(c.Service.ID), Repeatable: c.Route.Repeatable(),
 	}
 	if c.Object != "" {
 		r.Object = max(1, xxhash.Sum64String(c.Object))
@@ -266,6 +266,7 @@
 		next := s.handleFailedAttempt(ctx, c, err)
 		return nil, next, err
 	}
+	recordOutcome(place, answerOutcome(status))
 	place.Release(placement.Usage{Prompt: c.Prompt.Tokens})
 	c.endTurn(0)
 	s.logRequestEnded(c, status, true, 0)
@@ -368,6 +369,7 @@
 // returns the next step.
 func (s *Service) handleFailedAttempt(ctx context.Context, c *forwardCall, cause error) dispatch.Next {
 	t := c.place.Target()
+	recordOutcome(c.place, failureOutcome(ctx, cause))
 	var outcome dispatch.Outcome
 	failed := false
 	var refusal *model.Refusal
--- a/app/relay/forward_stream.go
+++ b/app/relay/forward_stream.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"mimosarelay/core/dispatch"
+	"mimosarelay/core/health"
 	"mimosarelay/core/model"
 	"mimosarelay/core/placement"
 	"mimosarelay/io/target"
@@ -39,6 +40,7 @@
 		b.lastEventID = id
 	}
 	headers := endToEndHeaders(resp.Message())
+	recordOutcome(c.place, health.Answered)
 	b.setResponse(resp)
 	return &Answer{Status: resp.Status(), Headers: headers, Body: b, Length: -1}
 }
@@ -99,7 +101,7 @@
 	}
 	s, c := b.service, b.call
 	b.closeResponse()
-	next := s.handleFailedAttempt(b.ctx, c, err)
+	next := s.handleFailedAttempt(b.ctx, c, fmt.Errorf("%w: %w", errStreamBroken, err))
 	for c.Route.Repeatable() && b.resumable() && c.prepareNext(b.ctx, next) {
 		if next, err = b.resume(); err == nil {
 			return
@@ -142,6 +144,7 @@
 	if err == nil && (resp.Status() != fasthttp.StatusOK || !isEventStream(resp.ContentType())) {
 		status := resp.Status()
 		_ = resp.Close()
+		recordOutcome(place, answerOutcome(status))
 		err = fmt.Errorf("%w: target %q answered %d", errNotResumed, place.Target().Name, status)
 		place.Release(placement.Usage{})
 		return dispatch.GiveUp{}, err
@@ -149,6 +152,7 @@
 	if err != nil {
 		return s.handleFailedAttempt(b.ctx, c, err), err
 	}
+	recordOutcome(place, health.Answered)
 	s.metrics.resumes.Inc(1)
 	s.Log.Info("stream resumed", "request", c.ID, "target", place.Target().Name, "after", lastEvent, "events", b.eventCount)
 	b.setResponse(resp)
--- a/app/relay/interfaces.go
+++ b/app/relay/interfaces.go
@@ -10,6 +10,7 @@
 	"mimosarelay/app/suspects"
 	"mimosarelay/core/config"
 	"mimosarelay/core/conversation"
+	"mimosarelay/core/health"
 	"mimosarelay/core/model"
 	"mimosarelay/core/pacing"
 	"mimosarelay/core/placement"
@@ -69,6 +70,14 @@
 	Release(u placement.Usage)
 }
 
+// OutcomeRecorder is implemented by places that judge their target by the outcomes of
+// requests.
+type OutcomeRecorder interface {
+	// Record counts how an attempt ended, or that a stream has started. It is called
+	// before Release.
+	Record(o health.Outcome)
+}
+
 // Placer chooses targets and limits the calls in flight at each.
 type Placer interface {
 	// Acquire waits for a place. Errors are *model.Refusal.
--- a/cmd/managed.go
+++ b/cmd/managed.go
@@ -63,6 +63,7 @@
 		Evacuations:     client,
 		Quotas:          boot.Quotas,
 		Budgets:         boot.Programs,
+		Health:          boot.Health,
 		Keeper:          boot.CallerAddress == "",
 		Lifetime:        boot.Bounds.Revoke - revokeMargin,
 		FinalRefusalAge: boot.Bounds.Config - configMargin,
--- a/core/placement/exclusion.go
+++ b/core/placement/exclusion.go
@@ -10,4 +10,8 @@
 	ExcludedUnreachable Exclusion = "refuses connections"
 	ExcludedPaused      Exclusion = "paused"
 	ExcludedNoPlaces    Exclusion = "no places"
+	// ExcludedEjected is a target that gets probes only because its requests fail, and
+	// ExcludedReduced one that gets a part of its load and none at the moment.
+	ExcludedEjected Exclusion = "ejected for failed requests"
+	ExcludedReduced Exclusion = "reduced for failed requests"
 )
--- a/core/placement/request.go
+++ b/core/placement/request.go
@@ -28,6 +28,9 @@
 	// Object is a hash of the object that the call concerns, or 0. Calls for the same
 	// object go to the same target, which handles them faster.
 	Object uint64
+	// Repeatable calls may probe targets whose requests failed. The others avoid such
+	// targets.
+	Repeatable bool
 	// Fingerprint identifies the content of the call.
 	Fingerprint model.Fingerprint
 }
