--- a/app/follow/follow_test.go
+++ b/app/follow/follow_test.go
@@ -203,10 +203,15 @@
 
 // startClient starts an entry host in the zone of the first keeper.
 func (tf *testFleet) startClient(name string, storeAway *atomic.Bool) *follow.Client {
+	return tf.startClientWith(name, storeAway, func(*follow.Options) {})
+}
+
+// startClientWith starts an entry host with changed options.
+func (tf *testFleet) startClientWith(name string, storeAway *atomic.Bool, change func(*follow.Options)) *follow.Client {
 	if storeAway == nil {
 		storeAway = &atomic.Bool{}
 	}
-	c := follow.NewClient(follow.Options{
+	o := follow.Options{
 		SuspectsChanged: func(entries []store.Entry) {
 			tf.mu.Lock()
 			defer tf.mu.Unlock()
@@ -215,7 +220,9 @@
 		Self: presence.Host{Host: model.HostID(name), CallerAddress: name + ":1", PeerAddress: name + ":2"}, Zone: "zone-0",
 		Store: tf.newStoreClient(name), RecordKey: recordKey, Peers: tf, StoreAway: storeAway.Load,
 		SettleWait: 200 * time.Millisecond, Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler),
-	})
+	}
+	change(&o)
+	c := follow.NewClient(o)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
