placement: targets are chosen by expected completion time

Engines of one deployment differ in speed and machines become slow for a while, but the cost of a call at a target was the same for all targets, and a queue beyond the slots counted like running calls.

The cost is now multiplied by the learned class of speed and by the slowness that the target stated last, and a queue costs the wait for a slot. Speeds come from the time between events or of plain answers, as medians in classes, and programs whose prompt is kept tolerate a factor of 1.5, so that noise doesn't move them.

--- a/app/relay/forward.go
+++ b/app/relay/forward.go
@@ -121,6 +121,7 @@
 	place        Place
 	lease        TurnLease // nil without a program budget
 	started      time.Time
+	sentAt       time.Time // when the present attempt was sent
 	// chain is the conversation of a turn that is kept.
 	chain conversation.ChainID
 	// targetBody is the body for targets. It differs from Body for a turn that
@@ -266,7 +267,11 @@
 		next := s.handleFailedAttempt(ctx, c, err)
 		return nil, next, err
 	}
-	place.Release(placement.Usage{Prompt: c.Prompt.Tokens})
+	usage := placement.Usage{Prompt: c.Prompt.Tokens}
+	if status < fasthttp.StatusBadRequest { // an error takes another time than an answer
+		usage.Work, usage.Kind = s.Clock.Since(c.sentAt), c.workKind("")
+	}
+	place.Release(usage)
 	c.endTurn(0)
 	s.logRequestEnded(c, status, true, 0)
 	return &Answer{Status: status, Headers: headers, Body: newBytesBody(body), Length: len(body)}, nil, nil
@@ -292,13 +297,12 @@
 	req.SetBodyRaw(c.targetBody)
 	s.Dialect.Encode(req, c.Forward, Dispatch{Target: t, TimeLeft: left, LastEvent: lastEvent})
 	var reply Reply // of the response that belongs to the request
-	var sentAt time.Time
 	resp, err := s.Targets.Do(ctx, t.Address, req, target.CallOptions{
 		Fresh:           c.attempts.Count() > 0,
 		MaxConnIdleTime: c.maxConnIdle(),
 		IdleTimeout:     left,
 		BeforeSend: func() error {
-			sentAt = s.Clock.Now()
+			c.sentAt = s.Clock.Now()
 			return s.checkBeforeForward(ctx)
 		},
 		Match: func(m *fasthttp.Response) bool {
@@ -317,7 +321,7 @@
 		s.Departures.MarkLeaving(t.Name)
 	}
 	if s.Pacer != nil {
-		s.Pacer.Observe(t.Name, reply.StatedRate, reply.StatesRate, sentAt)
+		s.Pacer.Observe(t.Name, reply.StatedRate, reply.StatesRate, c.sentAt)
 	}
 	if reply.NotRun {
 		status := resp.Status()
@@ -341,6 +345,11 @@
 	}
 }
 
+// workKind identifies the requests whose answers take comparable times.
+func (c *forwardCall) workKind(suffix string) placement.WorkKind {
+	return placement.WorkKind(xxhash.Sum64String(string(c.Service.ID) + "\n" + c.Route.Name + suffix))
+}
+
 // errNotRun reports that the target rejected a request without running it.
 var errNotRun = errors.New("request was rejected without being run")
 
--- a/app/relay/forward_stream.go
+++ b/app/relay/forward_stream.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -30,6 +31,33 @@
 	eventCount  int    // number of forwarded events
 	output      []byte // data of the forwarded events, for a turn that is kept
 	finished    bool   // the target ended the stream regularly
+	pace        eventPace
+}
+
+// eventPace measures the time between the events of one response.
+type eventPace struct {
+	first, last time.Time
+	count       int
+}
+
+// minPaceEvents is the number of events below which the time between them is not
+// measured, because events that arrive together have no time between them.
+const minPaceEvents = 4
+
+func (p *eventPace) add(now time.Time) {
+	if p.count == 0 {
+		p.first = now
+	}
+	p.last = now
+	p.count++
+}
+
+// gap returns the mean time between two events; 0 if it is not measured.
+func (p *eventPace) gap() time.Duration {
+	if p.count < minPaceEvents {
+		return 0
+	}
+	return p.last.Sub(p.first) / time.Duration(p.count-1)
 }
 
 // forwardStream returns an answer whose body forwards the events of resp.
@@ -45,6 +73,7 @@
 
 func (b *forwardStreamBody) setResponse(resp *target.Response) {
 	b.resp = resp
+	b.pace = eventPace{}
 	b.events = target.NewEventReader(resp)
 }
 
@@ -75,6 +104,7 @@
 		if ok {
 			b.lastEventID = id
 			b.eventCount++
+			b.pace.add(b.service.Clock.Now())
 			if b.call.keeps() {
 				b.output = target.AppendData(b.output, event)
 			}
@@ -171,7 +201,9 @@
 func (b *forwardStreamBody) release(failed bool) {
 	b.closeResponse()
 	tokens := b.tokens()
-	b.call.place.Release(placement.Usage{Prompt: b.call.Prompt.Tokens, Completion: tokens, Failed: failed})
+	b.call.place.Release(placement.Usage{
+		Prompt: b.call.Prompt.Tokens, Completion: tokens, Failed: failed, Work: b.pace.gap(), Kind: b.call.workKind("\nstream"),
+	})
 }
 
 func (b *forwardStreamBody) tokens() model.Tokens {
--- a/core/placement/bench_test.go
+++ b/core/placement/bench_test.go
@@ -146,3 +146,56 @@
 		hostLimit("target-001")
 	}
 }
+
+// BenchmarkChoose measures the choice of a target for one of 1,000 waiting calls of 190
+// workspaces, by the host limits of a fleet of 300 hosts and 132 targets. It must take at
+// most 20 µs and allocate nothing.
+func BenchmarkChoose(b *testing.B) {
+	s := newChooseScheduler()
+	c := s.classes[classKey{model: "model-0"}]
+	now := start.Add(time.Second)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		s.chooseTarget(c, s.waiting[CallID(i%1000+1)], now)
+	}
+}
+
+func newChooseScheduler() *Scheduler {
+	s := NewScheduler(Options{Zone: "zone-0"})
+	var list []Target
+	for i := range 132 {
+		list = append(list, Target{ID: model.TargetID(fmt.Sprint("target-", i)), Models: []model.ModelID{"model-0"}, Zone: model.Zone(fmt.Sprint("zone-", i%4)), Slots: 16})
+	}
+	s.SetTargets(start, list)
+	calls := newBenchCalls()
+	for i := range 1000 {
+		r := calls[i].request
+		r.Workspace, r.Model = model.WorkspaceID(fmt.Sprint("workspace-", i%190)), "model-0"
+		if _, err := s.Add(start, CallID(i+1), r); err != nil {
+			panic(err)
+		}
+	}
+	for i := range list { // without grants, so that the calls go on waiting
+		t := s.targets[list[i].ID]
+		t.Limit = 2
+		t.refresh()
+		s.Report(t.ID, Load{At: start, Running: i % 16, Waiting: i % 3, Slots: 16, Slowness: 1 + float64(i%2)})
+	}
+	return s
+}
+
+// Guards against a decision that allocates, which would cost a small host much of its
+// processor time under load.
+func TestChoiceAllocatesNothing(t *testing.T) {
+	s := newChooseScheduler()
+	c := s.classes[classKey{model: "model-0"}]
+	i := CallID(0)
+	n := testing.AllocsPerRun(1000, func() {
+		i = i%1000 + 1
+		s.chooseTarget(c, s.waiting[i], start.Add(time.Second))
+	})
+	if n != 0 {
+		t.Fatalf("%v allocations for each choice", n)
+	}
+}
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -52,6 +52,7 @@
 	hitTokens    model.Tokens
 	heldPrograms int       // programs held here during a pause
 	cacheLostAt  time.Time // when the target last lost its cache
+	speed        speed
 }
 
 func (t *target) hasCapacity() bool { return !t.Skip && len(t.inFlight) < t.Limit }
@@ -133,32 +134,110 @@
 // scoredTarget is an available target with its cost in prompt tokens.
 type scoredTarget struct {
 	target *target
-	calls  float64
+	calls  float64 // weighted by the time that they take
 	cost   float64
 }
 
+const (
+	// maxCallWork bounds the work of a call after its prompt, in calls of load. With
+	// more, a difference in speed would outweigh any kept prefix.
+	maxCallWork = 8
+	// defaultQueueWork is the cost of a call beyond the slots of a target, in calls of
+	// load, while the time that calls take is not known. A call that runs slows down the
+	// others; one that waits for a slot waits for the end of another.
+	defaultQueueWork = 4
+	// keptTolerance is the factor up to which a slow target costs nothing for a program
+	// whose prompt it keeps. Moving the program for less would compute the prompt again
+	// for each change of the speeds.
+	keptTolerance = 1.5
+)
+
+// callWork holds the parts of the cost that are the same for all targets of a decision.
+type callWork struct {
+	prompt   model.Tokens
+	callCost float64
+	// own is the work of the call after its prompt, in prompt tokens.
+	own float64
+	// meanCall is the mean time of a call in prompt tokens; 0 if it is not known.
+	meanCall float64
+	begun    bool // a target keeps at least half of the prompt
+}
+
+// workOf returns the work of a call of a pool.
+func (s *Scheduler) workOf(p *pool, prompt model.Tokens, callCost float64) callWork {
+	w := callWork{prompt: prompt, callCost: callCost}
+	if p != nil {
+		w.meanCall = float64(p.meanCall) / float64(s.tokenTime())
+		w.own = min(w.meanCall, maxCallWork*callCost)
+	}
+	return w
+}
+
+// tokenTime returns the time to compute one prompt token.
+func (s *Scheduler) tokenTime() time.Duration {
+	if h, ok := s.options.Retention.(HoldThroughPause); ok {
+		return h.TokenTime
+	}
+	return defaultTokenTime
+}
+
+// cost returns the expected time until the call is complete at a target, in prompt
+// tokens: the work of the call and of the calls that are there, and the wait for a
+// slot, at the speed of the target.
+func (w *callWork) cost(cached model.Tokens, load float64, slots int, factor float64) float64 {
+	cached = min(cached, w.prompt)
+	if w.begun {
+		if 2*cached >= w.prompt {
+			factor /= keptTolerance
+		}
+		factor = max(factor, 1)
+	}
+	work := float64(w.prompt-cached) + w.own + load*w.callCost
+	if queue := load + 1 - float64(slots); slots > 0 && queue > 0 {
+		work += queue * w.queueCost(slots)
+	}
+	return factor * work
+}
+
+// queueCost returns the cost of a call that waits for one of the slots of a target.
+func (w *callWork) queueCost(slots int) float64 {
+	if w.meanCall == 0 {
+		return defaultQueueWork * w.callCost
+	}
+	return min(max(w.meanCall/float64(slots), w.callCost), maxCallWork*w.callCost)
+}
+
+// slots returns the number of calls that the target runs at a time; 0 if it is not
+// known.
+func (t *target) slots() int {
+	if t.load.Slots > 0 {
+		return t.load.Slots
+	}
+	return t.Slots
+}
+
 // chooseByCost draws two of the targets whose cost is within Slack of the
 // lowest and returns the one with fewer calls, or the lower cost if equal.
 func (s *Scheduler) chooseByCost(c *class, k *call, p CacheAware, now time.Time) *target {
 	s.findCached(k, now)
-	prompt := s.expectedPrompt(&k.request)
 	home := s.creditHomes(c, k)
+	work := s.workOf(c.pool, s.expectedPrompt(&k.request), p.CallCost)
+	work.begun = work.prompt > 0 && s.keptBy(c, work.prompt)
 	s.scored = s.scored[:0]
 	lowest := 0.0
 	for _, t := range c.targets {
 		if !t.available {
 			continue
 		}
-		calls := t.estimatedCalls(now)
-		load := calls + s.heldLoad(t)
-		cost := float64(prompt-min(s.cachedTokens(t), prompt)) + load*p.CallCost
+		calls, factor := t.estimatedCalls(now), t.timeFactor(now)
+		cost := work.cost(s.cachedTokens(t), calls+s.heldLoad(t), t.slots(), factor)
 		if t == home {
 			cost -= homeBonusCalls * p.CallCost
 		}
 		if len(s.scored) == 0 || cost < lowest {
 			lowest = cost
 		}
-		s.scored = append(s.scored, scoredTarget{target: t, calls: calls, cost: cost})
+		s.scored = append(s.scored, scoredTarget{target: t, calls: calls * factor, cost: cost})
 	}
 	cheapest := s.scored[:0]
 	for _, st := range s.scored {
@@ -173,3 +252,13 @@
 	}
 	return a.target
 }
+
+// keptBy reports whether a target of the class keeps at least half of the prompt.
+func (s *Scheduler) keptBy(c *class, prompt model.Tokens) bool {
+	for _, t := range c.targets {
+		if 2*s.cachedTokens(t) >= prompt {
+			return true
+		}
+	}
+	return false
+}
--- a/core/placement/class.go
+++ b/core/placement/class.go
@@ -26,6 +26,7 @@
 	target          *target
 	started         time.Time
 	charged         float64 // service counted at the grant, corrected on release
+	pool            *pool   // of the class in which it was granted
 }
 
 func (r *Request) programKey() model.ProgramKey {
@@ -68,6 +69,7 @@
 	nextTarget       int // index in targets at which RoundRobin continues
 	queues           []*callQueue
 	queueByWorkspace map[model.WorkspaceID]*callQueue
+	pool             *pool // nil: the class leaves no choice
 }
 
 func (c *class) mayUse(t *target) bool {
--- a/core/placement/dump.go
+++ b/core/placement/dump.go
@@ -25,7 +25,9 @@
 	Skip       bool
 	Load       float64 // calls of all hosts: the last report and this host's changes since
 	ReportedAt time.Time
-	Held       int // programs held here during a pause
+	Held       int     // programs held here during a pause
+	Speed      float64 // learned time of work, relative to the other targets
+	Slowness   float64 // as last stated by the target; 0: not stated
 }
 
 // ShareDump is the fair-share state of a workspace that has calls.
@@ -47,6 +49,7 @@
 		d.Targets = append(d.Targets, TargetDump{
 			Target: t.ID, Limit: t.Limit, InFlight: len(t.inFlight), Skip: t.Skip,
 			Load: t.estimatedCalls(t.load.At), ReportedAt: t.load.At, Held: t.heldPrograms,
+			Speed: t.speedFactor(), Slowness: t.load.Slowness,
 		})
 	}
 	for _, sh := range s.shares {
--- a/core/placement/homes.go
+++ b/core/placement/homes.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -80,19 +81,26 @@
 	return list
 }
 
-// homeOf returns the home with the highest rendezvous score for the hash of a
-// program, or nil if there are no homes.
+// homeOf returns the home with the highest weighted rendezvous score for the hash of a
+// program, or nil if there are no homes. The weight is the learned speed, so that a
+// slow target is the home of fewer programs. Hosts that judge one target differently
+// disagree only on programs of that target.
 func homeOf(homes []scoredHome, program uint64) *target {
 	var found *target
-	var highest uint64
+	var highest float64
 	for _, h := range homes {
-		if x := rendezvous(program, h.target); found == nil || x > highest {
+		// -1/ln(u) grows with u, so that equal weights give the order of the hashes.
+		u := (float64(rendezvous(program, h.target)>>hashDropBits) + 0.5) / (1 << (64 - hashDropBits))
+		if x := -1 / (math.Log(u) * h.target.speedFactor()); found == nil || x > highest {
 			found, highest = h.target, x
 		}
 	}
 	return found
 }
 
+// hashDropBits is the number of bits of a hash that exceed the precision of a float64.
+const hashDropBits = 12
+
 func rendezvous(key uint64, t *target) uint64 {
 	var b [16]byte
 	binary.LittleEndian.PutUint64(b[:8], key)
--- a/core/placement/object.go
+++ b/core/placement/object.go
@@ -16,15 +16,15 @@
 	sum, available := 0.0, 0
 	for _, t := range c.targets {
 		if t.available {
-			sum += t.estimatedCalls(now)
+			sum += t.busyness(now)
 			available++
 		}
 	}
-	bound := objectLoadFactor * (sum/float64(available) + 1)
+	bound := objectLoadFactor * sum / float64(available)
 	var found *target
 	var highest uint64
 	for _, t := range c.targets {
-		if !t.available || t.estimatedCalls(now)+1 > bound {
+		if !t.available || t.busyness(now) > bound {
 			continue
 		}
 		if score := rendezvous(object, t); found == nil || score > highest {
@@ -33,3 +33,9 @@
 	}
 	return found
 }
+
+// busyness returns the load of the target with one more call, weighted by the time that
+// calls take there.
+func (t *target) busyness(now time.Time) float64 {
+	return (t.estimatedCalls(now) + 1) * t.timeFactor(now)
+}
--- a/core/placement/request.go
+++ b/core/placement/request.go
@@ -1,7 +1,11 @@
 // Package placement decides which waiting call runs next and at which target.
 package placement
 
-import "mimosarelay/core/model"
+import (
+	"time"
+
+	"mimosarelay/core/model"
+)
 
 // Request describes a call that needs a place at a target.
 type Request struct {
@@ -39,4 +43,9 @@
 	Completion model.Tokens
 	// Failed calls count for at least the service that was charged at the grant.
 	Failed bool
+	// Work is the time that the target took for a unit of work: between two events of a
+	// stream, or for a whole answer; 0 if it was not measured. It is compared only with
+	// that of other calls of the same Kind.
+	Work time.Duration
+	Kind WorkKind
 }
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -69,6 +69,8 @@
 	scored       []scoredTarget // reused by each decision
 	homes        []scoredHome   // reused by each decision
 	decision     uint64         // number of calls of findCached so far
+	pools        map[classKey]*pool
+	lastJudgment time.Time // of the speeds of targets
 }
 
 // NewScheduler returns a Scheduler without targets.
@@ -86,6 +88,7 @@
 		programs:      map[model.ProgramKey]*program{},
 		prefixes:      newPrefixIndex(),
 		fairLevel:     math.Inf(1),
+		pools:         map[classKey]*pool{},
 	}
 }
 
@@ -119,6 +122,9 @@
 	for _, c := range s.classes {
 		s.attachTargets(c)
 	}
+	for key, p := range s.pools {
+		s.attachPool(key, p)
+	}
 	return s.grantAllWaiting(now)
 }
 
@@ -172,6 +178,7 @@
 		}
 		s.classes[key] = c
 		s.attachTargets(c)
+		c.pool = s.poolFor(c)
 	}
 	return c
 }
@@ -391,6 +398,7 @@
 // grant starts a call at an available target of the class.
 func (s *Scheduler) grant(now time.Time, c *class, k *call) Grant {
 	t := s.chooseTarget(c, k, now)
+	k.pool = c.pool
 	s.dequeue(k)
 	delete(s.waiting, k.id)
 	s.running[k.id] = k
@@ -458,6 +466,9 @@
 		served = max(served, k.charged) // the target worked but did not report its usage
 	}
 	s.updatePromptScale(&k.request, u)
+	if k.pool != nil && !u.Failed {
+		k.pool.observe(t, u, now.Sub(k.started), now)
+	}
 	sh := s.shareOf(k.request.Workspace)
 	if k.request.Model != "" {
 		sh.engineCalls--
@@ -635,6 +646,7 @@
 	if p, ok := s.options.Order.(FairShare); ok {
 		s.fairLevel = s.computeFairLevel(p)
 	}
+	s.updatePools(now)
 	s.releaseExpiredHolds(now)
 	moved := s.requeueExpiredPins(now)
 	if now.Sub(s.lastSweep) >= sweepInterval {
--- a/core/placement/scheduler_test.go
+++ b/core/placement/scheduler_test.go
@@ -323,6 +323,7 @@
 			"cancel":  m.cancel,
 			"targets": m.setTargets,
 			"skip":    m.skip,
+			"report":  m.report,
 			"tick":    m.tick,
 			"":        m.check,
 		})
@@ -417,6 +418,7 @@
 		if _, ok := m.running[id]; ok {
 			delete(m.running, id)
 			u := Usage{Prompt: model.Tokens(rapid.IntRange(0, 5000).Draw(t, "used")), Failed: rapid.Bool().Draw(t, "failed")}
+			u.Work = time.Duration(rapid.Int64().Draw(t, "work"))
 			m.checkGrants(t, m.scheduler.Release(m.now, id, u))
 			return
 		}
@@ -448,6 +450,14 @@
 	m.checkGrants(t, m.scheduler.SetSkip(m.now, id, x.Skip))
 }
 
+func (m *schedulerMachine) report(t *rapid.T) {
+	id := rapid.SampledFrom([]model.TargetID{"a", "b", "c"}).Draw(t, "target")
+	m.scheduler.Report(id, Load{
+		At: m.now, Running: rapid.IntRange(0, 1<<16).Draw(t, "running"), Waiting: rapid.IntRange(0, 1<<16).Draw(t, "waiting"),
+		Slots: rapid.IntRange(0, 1<<16).Draw(t, "slots"), Slowness: rapid.Float64Range(0, 1000).Draw(t, "slowness"),
+	})
+}
+
 func (m *schedulerMachine) tick(t *rapid.T) {
 	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
 	m.checkGrants(t, m.scheduler.Tick(m.now))
