placement, spill: calls stay in the zone of the host and leave by share

Every host used every target of all zones, so that most bytes crossed zones and each host opened connections to all targets.

Services with at least 8 targets in the zone of the host are kept there, with homes of prefixes in the zone. core/spill decides from the expected completion times which share leaves, for the least used zone, in steps with hysteresis. A zone without usable targets sends everything, and no call waits while any target has a place.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -187,7 +187,7 @@
 func (w *callWork) cost(cached model.Tokens, load float64, slots int, factor float64) float64 {
 	cached = min(cached, w.prompt)
 	if w.begun {
-		if 2*cached >= w.prompt {
+		if w.keeps(cached) {
 			factor /= keptTolerance
 		}
 		factor = max(factor, 1)
@@ -216,32 +216,57 @@
 	return t.Slots
 }
 
-// chooseByCost draws two of the targets whose cost is within Slack of the
-// lowest and returns the one with fewer calls, or the lower cost if equal.
+// chooseByCost draws two of the targets whose cost is within Slack of the lowest and
+// returns the one with fewer calls, or the lower cost if equal. Targets in other zones
+// count only as reachOf decides, unless no other target is available.
 func (s *Scheduler) chooseByCost(c *class, k *call, p CacheAware, now time.Time) *target {
 	s.findCached(k, now)
-	home := s.creditHomes(c, k)
+	r := s.reachOf(c, k)
+	home := s.creditHomes(c, k, &r)
+	r.kept = s.mostKept(c, s.options.Zone)
 	work := s.workOf(c.pool, s.expectedPrompt(&k.request), p.CallCost)
 	work.begun = work.prompt > 0 && s.keptBy(c, work.prompt)
+	if lowest := s.scoreTargets(c, &work, &r, home, now); len(s.scored) > 0 {
+		return s.drawTarget(lowest + p.Slack)
+	}
+	r.all = true
+	return s.drawTarget(s.scoreTargets(c, &work, &r, home, now) + p.Slack)
+}
+
+// scoreTargets sets scored to the available targets that the call may use and returns
+// their lowest cost. A target that keeps at least half of the prompt, and more than those
+// in the zone of the host, may be used in any zone: the program began there. Without the
+// second condition a prefix that many programs share would lead to any zone.
+func (s *Scheduler) scoreTargets(c *class, w *callWork, r *reach, home *target, now time.Time) float64 {
 	s.scored = s.scored[:0]
 	lowest := 0.0
 	for _, t := range c.targets {
 		if !t.available {
 			continue
 		}
+		cached := s.cachedTokens(t)
+		if !r.includes(t) && (!w.keeps(cached) || cached <= r.kept) {
+			continue
+		}
 		calls, factor := t.estimatedCalls(now), t.timeFactor(now)
-		cost := work.cost(s.cachedTokens(t), calls+s.heldLoad(t), t.slots(), factor)
+		cost := w.cost(cached, calls+s.heldLoad(t), t.slots(), factor) + r.pathTo(t, s.options.Zone)
 		if t == home {
-			cost -= homeBonusCalls * p.CallCost
+			cost -= homeBonusCalls * w.callCost
 		}
 		if len(s.scored) == 0 || cost < lowest {
 			lowest = cost
 		}
 		s.scored = append(s.scored, scoredTarget{target: t, calls: calls * factor, cost: cost})
 	}
+	return lowest
+}
+
+// drawTarget draws two of the scored targets whose cost is at most limit and returns the
+// better one.
+func (s *Scheduler) drawTarget(limit float64) *target {
 	cheapest := s.scored[:0]
 	for _, st := range s.scored {
-		if st.cost <= lowest+p.Slack {
+		if st.cost <= limit {
 			cheapest = append(cheapest, st)
 		}
 	}
@@ -253,6 +278,9 @@
 	return a.target
 }
 
+// keeps reports whether a target with that part of the prompt keeps at least half of it.
+func (w *callWork) keeps(cached model.Tokens) bool { return w.prompt > 0 && 2*cached >= w.prompt }
+
 // keptBy reports whether a target of the class keeps at least half of the prompt.
 func (s *Scheduler) keptBy(c *class, prompt model.Tokens) bool {
 	for _, t := range c.targets {
--- a/core/placement/dump.go
+++ b/core/placement/dump.go
@@ -1,9 +1,12 @@
 package placement
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"mimosarelay/core/model"
+	"mimosarelay/core/spill"
 )
 
 // Dump is the state of a Scheduler for operators.
@@ -15,6 +18,16 @@
 	Held     int // programs held at a target during a pause
 	Targets  []TargetDump
 	Shares   []ShareDump
+	Zones    []ZonesDump // services whose calls are kept in the zone of the host
+}
+
+// ZonesDump is the decision on zones for one service.
+type ZonesDump struct {
+	Model    model.ModelID
+	Share    float64    // of the calls that leave the zone of the host
+	Zone     model.Zone // that gets them
+	Anywhere bool
+	Views    []spill.Zone // that of the host is the first
 }
 
 // TargetDump is a target's state at this host.
@@ -57,5 +70,13 @@
 			d.Shares = append(d.Shares, ShareDump{Workspace: sh.workspace, Weight: sh.weight, Virtual: sh.virtualTime, Calls: sh.calls})
 		}
 	}
+	for key, p := range s.pools {
+		if p.spill != nil {
+			d.Zones = append(d.Zones, ZonesDump{
+				Model: key.model, Share: p.spill.Share(), Zone: p.spill.Zone(), Anywhere: p.spill.Anywhere(), Views: slices.Clone(p.views),
+			})
+		}
+	}
+	slices.SortFunc(d.Zones, func(a, b ZonesDump) int { return cmp.Compare(a.Model, b.Model) })
 	return d
 }
--- a/core/placement/fleet_test.go
+++ b/core/placement/fleet_test.go
@@ -28,9 +28,12 @@
 	calls, over  int // all calls, and those that ran in another zone
 	wait, total  time.Duration
 	computed     model.Tokens // prompt tokens that were not kept
-	overByPeriod map[int]int  // by period of overPeriod
+	overByPeriod map[overKey]int
 }
 
+// overKey is a period of overPeriod and the zone to which calls went.
+type overKey struct{ period, zone int }
+
 const (
 	overPeriod = 500 * time.Millisecond
 	simToken   = 4 * time.Microsecond
@@ -102,7 +105,7 @@
 	f := &fleetSim{random: rand.New(rand.NewPCG(7, 9)), targets: map[model.TargetID]*simTarget{}, stats: make([]zoneStats, zones)}
 	var list []Target
 	for z := range zones {
-		f.stats[z].overByPeriod = map[int]int{}
+		f.stats[z].overByPeriod = map[overKey]int{}
 		for i := range targetsPerZone {
 			id := model.TargetID(fmt.Sprintf("target-%d-%02d", z, i))
 			f.targets[id] = &simTarget{sim: f, zone: z, slots: slots, speed: 1, kept: map[model.ProgramID]model.Tokens{}}
@@ -232,7 +235,7 @@
 	z.computed += c.uncached
 	if t.zone != h.zone {
 		z.over++
-		z.overByPeriod[int(c.arrived/overPeriod)]++
+		z.overByPeriod[overKey{int(c.arrived / overPeriod), t.zone}]++
 	}
 	delete(h.calls, c.id)
 	u := Usage{Prompt: c.request.Prompt, Completion: simEvents, Work: c.gap, Kind: 1}
--- a/core/placement/homes.go
+++ b/core/placement/homes.go
@@ -27,14 +27,15 @@
 // parts of it. All hosts compute the same homes without exchanging messages, so
 // other hosts probably chose them too. It returns the home of the program. It
 // returns nil for a call without a program or prefix sizes, and for a program that
-// ran at this host before, because its target is known.
-func (s *Scheduler) creditHomes(c *class, k *call) *target {
+// ran at this host before, because its target is known. Where calls are kept in a zone,
+// each zone has its own homes.
+func (s *Scheduler) creditHomes(c *class, k *call, a *reach) *target {
 	r := &k.request
 	n := len(r.Prefixes)
 	if n == 0 || len(r.PrefixTokens) != n || r.Program == "" || k.program.lastMessages > 0 {
 		return nil
 	}
-	s.homes = topHomes(s.homes[:0], c.targets, r.Prefixes[0])
+	s.homes = topHomes(s.homes[:0], c.homeCandidates(a.home), r.Prefixes[0])
 	if s.prefixes.byHash[r.Prefixes[0]] == nil {
 		for _, h := range s.homes {
 			s.assumeCached(h.target, r.PrefixTokens[0])
@@ -47,6 +48,19 @@
 	return home
 }
 
+// homeCandidates returns the targets of the class in a zone, or all if the zone is empty.
+func (c *class) homeCandidates(zone model.Zone) []*target {
+	if zone == "" {
+		return c.targets
+	}
+	for i := range c.pool.zones {
+		if c.pool.zones[i].name == zone {
+			return c.pool.zones[i].targets
+		}
+	}
+	return c.targets
+}
+
 // assumeCached raises the number of tokens of the present prompt that a target
 // probably has cached.
 func (s *Scheduler) assumeCached(t *target, tokens model.Tokens) {
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -112,7 +112,9 @@
 // HoldThroughPause.
 type Options struct {
 	// Zone is the availability zone of this host.
-	Zone      model.Zone
+	Zone model.Zone
+	// Zones has an effect only with Zone and CacheAware.
+	Zones     Zones
 	Order     Order
 	Choice    Choice
 	Retention Retention
--- a/core/placement/speed.go
+++ b/core/placement/speed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mimosarelay/core/model"
+	"mimosarelay/core/spill"
 )
 
 const (
@@ -23,8 +24,8 @@
 	// speedHysteresis is the distance from the present class, in classes, from which a
 	// target gets another one. At 0.5 a target between two classes would alternate.
 	speedHysteresis = 0.75
-	// minSpeedClass and maxSpeedClass bound the factor of a target to 0.59 and 3.7.
-	minSpeedClass, maxSpeedClass = -2, 5
+	// minSpeedClass and maxSpeedClass bound the factor of a target to 0.35 and 3.7.
+	minSpeedClass, maxSpeedClass = -4, 5
 	// speedHalfLife is the time in which an unconfirmed difference halves, so that a
 	// target that gets few calls because it was slow is tried again.
 	speedHalfLife = time.Minute
@@ -119,8 +120,11 @@
 	candidates []model.TargetID
 	targets    []*target
 	kinds      map[WorkKind]*workKind
-	meanCall   time.Duration // moving average of the time from the grant to the release; 0: not known
-	medians    []float64     // reused by judgeSpeeds
+	meanCall   time.Duration  // moving average of the time from the grant to the release; 0: not known
+	medians    []float64      // reused by judgeSpeeds
+	zones      []poolZone     // with spill, that of the host is the first
+	spill      *spill.Decider // nil: calls are not kept in the zone of the host
+	views      []spill.Zone   // reused by updateZones
 }
 
 // observe learns from a completed call.
@@ -192,10 +196,15 @@
 			p.targets = append(p.targets, t)
 		}
 	}
+	s.attachZones(p)
 }
 
-// updatePools judges the speeds of all targets if speedInterval has passed.
+// updatePools updates the decisions on zones, and judges the speeds of all targets if
+// speedInterval has passed.
 func (s *Scheduler) updatePools(now time.Time) {
+	for _, p := range s.pools {
+		s.updateZones(p, now)
+	}
 	if now.Sub(s.lastJudgment) < speedInterval {
 		return
 	}
--- a/core/placement/speed_test.go
+++ b/core/placement/speed_test.go
@@ -29,7 +29,7 @@
 	}
 	f.arrivals(0, func(time.Duration) float64 { return programsPerSecond }, 6)
 	f.runUntil(20 * time.Second)
-	f.stats[0] = zoneStats{overByPeriod: map[int]int{}}
+	f.stats[0] = zoneStats{overByPeriod: map[overKey]int{}}
 	f.runUntil(80 * time.Second)
 	return f.sum()
 }
