io/target: connections are kept for the time that the target states

An idle connection was reused for at most 4 s, so that a host which uses a target now and then opened a connection for most requests. It is now reused up to a second less than the time in the header Keep-Alive, at most 2 minutes. Without the header 4 s remain, and non-repeatable requests still use only connections idle for less than 1 s. Expired connections to all targets are closed once a second; before, those to targets that were not used any more stayed open.

TestConnectionIsReusedWithinStatedTime fails on the previous client for longer and for shorter stated times and passes now.

--- a/io/target/client.go
+++ b/io/target/client.go
@@ -6,12 +6,12 @@
 
 import (
 	"bufio"
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -38,7 +38,8 @@
 	// maxIdlePerTarget is the number of idle connections kept per address.
 	maxIdlePerTarget = 64
 	// maxIdleTime is shorter than the keep-alive timeout of common servers, so
-	// that the target has seldom closed a connection that is reused.
+	// that the target has seldom closed a connection that is reused. It applies to
+	// targets that do not state their timeout.
 	maxIdleTime = 4 * time.Second
 )
 
@@ -52,9 +53,11 @@
 // concurrent use.
 type Client struct {
 	dialer net.Dialer
-	mu     sync.Mutex // guards idle and closed
+	mu     sync.Mutex // guards the fields below
 	idle   map[string][]*conn
 	closed bool
+	// sweptAt is when expired connections were last closed.
+	sweptAt time.Time
 }
 
 // NewClient returns a Client without open connections.
@@ -152,7 +155,7 @@
 
 func (c *Client) connect(ctx context.Context, address string, o CallOptions) (*conn, error) {
 	if !o.Fresh {
-		if cn := c.takeIdle(address, cmp.Or(o.MaxConnIdleTime, maxIdleTime)); cn != nil {
+		if cn := c.takeIdle(address, o.MaxConnIdleTime); cn != nil {
 			return cn, nil
 		}
 	}
@@ -160,35 +163,44 @@
 	if err != nil {
 		return nil, err
 	}
-	cn := &conn{Conn: nc}
+	cn := &conn{Conn: nc, maxIdle: maxIdleTime}
 	cn.reader = bufio.NewReaderSize(cn, readBufferSize)
 	cn.writer = bufio.NewWriterSize(cn, writeBufferSize)
 	return cn, nil
 }
 
-// takeIdle removes and returns a reusable connection that has been idle for less
-// than maxIdle, or returns nil.
+// takeIdle removes and returns a reusable connection that has been idle for less than
+// both maxIdle, if that is not 0, and the time that its target allows, or returns nil.
 func (c *Client) takeIdle(address string, maxIdle time.Duration) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cns := c.idle[address]
 	for len(cns) > 0 {
 		cn := cns[len(cns)-1]
-		cns = cns[:len(cns)-1]
-		c.idle[address] = cns
 		age := time.Since(cn.idleSince)
-		if age < maxIdle && cn.reusable() {
-			return cn
-		}
-		if age < maxIdleTime && age >= maxIdle { // another request may allow this age
-			c.idle[address] = append(c.idle[address], cn)
+		if maxIdle > 0 && age >= maxIdle && age < cn.maxIdle { // another request may allow this age
 			return nil
 		}
+		cns[len(cns)-1] = nil
+		cns = cns[:len(cns)-1]
+		c.setIdle(address, cns)
+		if age < cn.maxIdle && cn.reusable() {
+			return cn
+		}
 		_ = cn.Close()
 	}
 	return nil
 }
 
+// setIdle replaces the idle connections of an address. The caller holds mu.
+func (c *Client) setIdle(address string, cns []*conn) {
+	if len(cns) == 0 {
+		delete(c.idle, address)
+		return
+	}
+	c.idle[address] = cns
+}
+
 // release keeps a connection for reuse. It closes the connection if the client
 // is closed or already keeps maxIdlePerTarget connections to the address.
 func (c *Client) release(address string, cn *conn) {
@@ -196,11 +208,30 @@
 	cn.bytesWritten = 0
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || len(c.idle[address]) >= maxIdlePerTarget {
+	if c.closed || cn.maxIdle <= 0 || len(c.idle[address]) >= maxIdlePerTarget {
 		_ = cn.Close()
 		return
 	}
 	c.idle[address] = append(c.idle[address], cn)
+	c.closeExpired(cn.idleSince)
+}
+
+// closeExpired closes the connections that are idle for too long, at most once in
+// sweepInterval. The caller holds mu.
+func (c *Client) closeExpired(now time.Time) {
+	if now.Sub(c.sweptAt) < sweepInterval {
+		return
+	}
+	c.sweptAt = now
+	for address, cns := range c.idle {
+		c.setIdle(address, slices.DeleteFunc(cns, func(cn *conn) bool {
+			if now.Sub(cn.idleSince) < cn.maxIdle {
+				return false
+			}
+			_ = cn.Close()
+			return true
+		}))
+	}
 }
 
 // conn is a connection with an idle timeout for each read and write. It counts
@@ -214,7 +245,8 @@
 	stallTimeout time.Duration // 0 means no limit
 	progressAt   time.Time     // when the exchange last made progress
 	idleSince    time.Time
-	timedOut     bool // a read or write exceeded idleTimeout
+	maxIdle      time.Duration // idle time after which the connection is not reused
+	timedOut     bool          // a read or write exceeded idleTimeout
 }
 
 func (cn *conn) Write(p []byte) (int, error) {
@@ -307,6 +339,9 @@
 		return nil, err
 	}
 	resp.body = resp.message.BodyStream()
+	if stated, ok := statedIdleTime(string(resp.message.Header.Peek(headerKeepAlive))); ok {
+		cn.maxIdle = stated
+	}
 	return resp, nil
 }
 
