member: the last one or two members can be removed after their rights have ended

An epoch of one member holds that member as a majority of itself: it acted on its own word for as long as the store was unreachable, so that no other process could ever remove it.

In an epoch of at most two members, the right by confirmations now ends at AwayLimit (5 s for keepers) after the last renewal. A member whose lease has been missing for AwayLimit may then be removed. Attachments in the record tells a remover with a late watch that the lease was held again meanwhile.

TestFleetActsAfterLastMemberIsLost, TestFleetActsAfterEachOfSuccessiveLosses (one member) and TestReplacedLastMemberDoesNotAct failed before and pass now. Without the limit in Right, TestNoTwoOwnersMayActInSmallEpochs finds two hosts that act; without the comparison of Attachments, TestLeaseAcquiredAgainRestartsTimeOfSilence does.

--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -116,6 +116,12 @@
 	renewInterval   = 500 * time.Millisecond
 	renewTimeout    = 500 * time.Millisecond
 	minLeaseMissing = 300 * time.Millisecond
+	// awayLimit ends the right to act of the last one or two keepers while they
+	// cannot renew their leases. Hosts serve requests that need a key for 4.6 s after
+	// the last confirmation of the configuration (bound of 5 s less 400 ms), so that
+	// a longer time would serve few more. Another keeper that observes the loss of
+	// all earlier ones acts about 8 s after it, within recovery_s (12 s).
+	awayLimit = 5 * time.Second
 	// minStoreReachable covers a renewal that just failed (renewTimeout),
 	// renewInterval until the next one and the calls that acquire a lease.
 	minStoreReachable = renewInterval + renewTimeout + 200*time.Millisecond
--- a/app/entry/keeper.go
+++ b/app/entry/keeper.go
@@ -43,7 +43,7 @@
 		Holdings:       func(e model.Epoch) map[model.WorkspaceID]int64 { return k.limits.Holdings(e) },
 		ConfigRevision: h.revision,
 		Log:            o.Log, Scope: h.metrics.Scope,
-		LeaseTTL: leaseTTL, Margin: leaseMargin, RenewInterval: renewInterval, RenewTimeout: renewTimeout,
+		LeaseTTL: leaseTTL, Margin: leaseMargin, AwayLimit: awayLimit, RenewInterval: renewInterval, RenewTimeout: renewTimeout,
 		MinStoreReachable: minStoreReachable, MinLeaseMissing: minLeaseMissing,
 		HeartbeatInterval: heartbeatInterval, ConfirmationTTL: confirmationTTL, WatchPause: watchPause,
 	})
--- a/app/fleet/lease.go
+++ b/app/fleet/lease.go
@@ -49,7 +49,7 @@
 		}
 	}
 	s.mu.Lock()
-	lease, attached := s.lease, s.attached
+	lease, attached := s.lease, s.attached && s.limitStatedLocked()
 	s.mu.Unlock()
 	if lease == "" {
 		if err := s.acquireLease(ctx); err != nil {
@@ -62,6 +62,14 @@
 	return s.joinFleet(ctx)
 }
 
+// limitStatedLocked reports whether the membership record states the AwayLimit of
+// this host, as far as it is known. A process of an earlier version that writes the
+// record drops it. mu is held.
+func (s *Service) limitStatedLocked() bool {
+	m, ok := s.latest.Member(s.self.Host)
+	return !ok || m.Incarnation != s.self.Incarnation || m.AwayLimit == s.self.AwayLimit
+}
+
 // renewLease renews the lease and records the result. A lapsed lease is dropped.
 func (s *Service) renewLease(ctx context.Context, lease store.LeaseID) error {
 	sent := s.options.Clock.Now()
@@ -116,7 +124,7 @@
 	record, err := s.updateRecord(ctx, func(r member.Record) (member.Record, error) {
 		switch {
 		case r.Has(self.Host, self.Incarnation):
-			return r, nil
+			return r.Attached(self)
 		case joinedBefore || s.joinOutcomeUnknown():
 			return r, errIncarnationRemoved
 		}
--- a/app/fleet/service.go
+++ b/app/fleet/service.go
@@ -59,6 +59,9 @@
 	HeartbeatInterval time.Duration // 500 ms
 	ConfirmationTTL   time.Duration // 1.5 s
 	Margin            time.Duration // 500 ms
+	// AwayLimit is member.Times.AwayLimit (0, no limit). It must be longer than
+	// LeaseTTL.
+	AwayLimit time.Duration
 	// RenewTimeout bounds a renewal (400 ms). When an outage of the store begins,
 	// all hosts must notice it and confirm each other within LeaseTTL - Margin
 	// after their last renewal. This takes up to RenewInterval (1 s) until the last
@@ -129,6 +132,7 @@
 	if o.Self.Incarnation == "" {
 		o.Self.Incarnation = newIncarnation()
 	}
+	o.Self.AwayLimit = o.AwayLimit
 	return o
 }
 
@@ -172,10 +176,12 @@
 	settled        bool                            // all members have entered the epoch of record
 	lastReport     model.Epoch                     // epoch of the last entry report written
 	entries        []store.Entry                   // of the last watch; nil before the first one
+	latest         member.Record                   // in entries; its epoch may not be entered yet
 	leases         map[model.HostID]bool           // hosts that held their lease in entries
 	reports        map[model.HostID]EntryReport    // from entries, with the own last report
 	deletedReports map[string]store.Version        // that the watch may still return, by key
 	missingSince   map[model.Incarnation]time.Time // first seen without a lease
+	silent         map[model.Incarnation]silence
 	peerStoreAway  map[model.HostID]bool
 	peerEpoch      map[model.Incarnation]model.Epoch // from heartbeats
 	answeredAt     map[model.Incarnation]time.Time   // when the last answer to a heartbeat arrived
@@ -193,13 +199,14 @@
 func New(o Options) *Service {
 	o = o.withDefaults()
 	now := o.Clock.Now()
-	times := member.Times{LeaseTTL: o.LeaseTTL, ConfirmationTTL: o.ConfirmationTTL, Margin: o.Margin}
+	times := member.Times{LeaseTTL: o.LeaseTTL, ConfirmationTTL: o.ConfirmationTTL, Margin: o.Margin, AwayLimit: o.AwayLimit}
 	return &Service{
 		options: o, started: now, self: o.Self, storeAwayAt: now,
 		right:        member.NewRight(times, o.Self, now),
 		ownership:    member.NewShardOwnership(o.Self.Host),
 		leases:       map[model.HostID]bool{},
 		reports:      map[model.HostID]EntryReport{},
+		silent:       map[model.Incarnation]silence{},
 		missingSince: map[model.Incarnation]time.Time{}, deletedReports: map[string]store.Version{},
 		peerStoreAway: map[model.HostID]bool{},
 		peerEpoch:     map[model.Incarnation]model.Epoch{},
--- a/core/member/right.go
+++ b/core/member/right.go
@@ -16,13 +16,19 @@
 	ConfirmationTTL time.Duration
 	// Margin allows for clock drift between two machines.
 	Margin time.Duration
+	// AwayLimit ends the right to act by confirmations in an epoch of at most
+	// SmallEpoch members, counted from when the last successful renewal of the lease
+	// was sent. 0 means no limit, and that lost members of such an epoch can be
+	// removed only with proof that their processes have ended.
+	AwayLimit time.Duration
 }
 
 // Right tracks whether one host has the right to act. A member has this right while
 // its lease in the store is valid. Without a lease, it has the right while the
 // members that confirm in answers to its heartbeats that they cannot reach the store
 // are a majority; the host counts as one of them if it cannot reach the store
-// itself. Right is not safe for concurrent use.
+// itself. In a small epoch, this ends at Times.AwayLimit after its last renewal.
+// Right is not safe for concurrent use.
 type Right struct {
 	times  Times
 	self   Member
@@ -30,7 +36,9 @@
 	// renewedAt is when the last successful lease renewal was sent. It is zero
 	// without a lease.
 	renewedAt time.Time
-	storeAway bool
+	// lastRenewedAt is renewedAt, but is kept when the lease is lost.
+	lastRenewedAt time.Time
+	storeAway     bool
 	// confirmed holds, for each member whose last answer had this epoch and
 	// StoreAway, when the heartbeat was sent.
 	confirmed map[model.Incarnation]time.Time
@@ -92,6 +100,7 @@
 	r.self = self
 	r.record = Record{}
 	r.LeaseLost()
+	r.lastRenewedAt = time.Time{}
 	clear(r.confirmed)
 }
 
@@ -101,6 +110,9 @@
 	if sent.After(r.renewedAt) {
 		r.renewedAt = sent
 	}
+	if sent.After(r.lastRenewedAt) {
+		r.lastRenewedAt = sent
+	}
 }
 
 // LeaseLost records that the host has no lease any more.
@@ -174,6 +186,9 @@
 	if !r.renewedAt.IsZero() && now.Sub(r.renewedAt) < r.times.LeaseTTL-r.times.Margin {
 		return true
 	}
+	if limit := r.times.AwayLimit; limit > 0 && r.record.isSmall() && now.Sub(r.lastRenewedAt) >= limit-r.times.Margin {
+		return false
+	}
 	n := 0
 	for _, m := range r.record.Members {
 		sent, ok := r.confirmed[m.Incarnation]
