fleet: standbys join when members are drained or lost; a drain waits for them

With half of the machines with a disk in use, no keeper runs on machines that are added, so that a fleet whose keepers are drained one after the other ends. A drain was reported as complete although it left too few keepers.

It joins when its zone has fewer members than half of its machines, or the fleet fewer than the tolerated losses need (core/member.Needed). A keeper that is drained reports that it is running until no standby should join in its place. Without the flag nothing changes.

New tests of app/fleet drain three members with three standbys, lose members one at a time, and check that an outage of the store brings no standby in.

--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -47,6 +47,9 @@
 	// Keeper makes the host a keeper instead of an entry host. Keepers count the
 	// turns of programs for all entry hosts.
 	Keeper bool
+	// Standby makes a keeper with an empty disk wait until the fleet needs it. It is
+	// for deployments that run a keeper on each machine with a disk.
+	Standby bool
 
 	// Keyspace returns a view of the store that holds the keys under a prefix.
 	Keyspace func(prefix string) store.Store
@@ -286,7 +289,12 @@
 		}
 		run(l.name, func() error { return l.serve(ln) })
 	}
-	run("catalog", func() error { return h.catalog.Run(ctx) })
+	run("catalog", func() error {
+		if h.keeper != nil && !h.keeper.awaitJoined(ctx) {
+			return nil
+		}
+		return h.catalog.Run(ctx)
+	})
 	if h.keeper != nil {
 		h.keeper.start(ctx, run)
 	} else {
--- a/app/entry/evacuate.go
+++ b/app/entry/evacuate.go
@@ -27,8 +27,11 @@
 	// evacuationCallTimeout limits one call of the store. It is also the pause
 	// before a failed report is repeated.
 	evacuationCallTimeout = time.Second
+	// replacementPollInterval is the time between two checks whether a standby has
+	// replaced this host. They make no call.
+	replacementPollInterval = 100 * time.Millisecond
 	// handOverTimeout is the time after which a host that is not emptied yet logs
-	// that and tells the fleet again that it is leaving.
+	// that, and tells the fleet again that it is leaving.
 	handOverTimeout = 5 * time.Second
 )
 
@@ -55,7 +58,10 @@
 	k.log.Info("evacuation started")
 	k.reportEvacuation(ctx, false)
 	k.draining.Store(true)
-	k.handOverTurns(ctx)
+	if !k.fleet.Waiting() {
+		k.awaitReplacement(ctx)
+		k.handOverTurns(ctx)
+	}
 	k.leaveFleet()
 	k.reportEvacuation(ctx, true)
 	k.log.Info("evacuation ended")
@@ -63,6 +69,31 @@
 	return nil
 }
 
+// awaitReplacement returns when no standby should join in the place of this host any
+// more. Until then the evacuation is reported as running: without the standby, too
+// few keepers may be left to survive the losses that the deployment tolerates.
+func (k *keeper) awaitReplacement(ctx context.Context) {
+	clock := k.options.Clock
+	k.markLeavingOnce(ctx)
+	lastMarked, waited := clock.Now(), false
+	for ctx.Err() == nil && (k.fleet.AwaitsStandby(k.options.losses()) || waited && !k.fleet.Settled()) {
+		waited = true
+		wait.For(ctx, clock, replacementPollInterval)
+		if clock.Since(lastMarked) >= handOverTimeout {
+			k.log.Warn("evacuation waits until a standby has joined the fleet")
+			k.markLeavingOnce(ctx)
+			lastMarked = clock.Now()
+		}
+	}
+}
+
+// markLeavingOnce tells the fleet that this host is leaving, with a limit on the time.
+func (k *keeper) markLeavingOnce(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, evacuationCallTimeout)
+	defer cancel()
+	k.markLeaving(callCtx)
+}
+
 // handOverTurns returns when the other keepers have copies of the turns on this disk.
 func (k *keeper) handOverTurns(ctx context.Context) {
 	if k.turns == nil {
--- a/app/entry/keeper.go
+++ b/app/entry/keeper.go
@@ -45,6 +45,7 @@
 		Log:            o.Log, Scope: h.metrics.Scope,
 		LeaseTTL: leaseTTL, Margin: leaseMargin, AwayLimit: awayLimit, RenewInterval: renewInterval, RenewTimeout: renewTimeout,
 		MinStoreReachable: minStoreReachable, MinLeaseMissing: minLeaseMissing,
+		Standby:           h.standbyOptions(),
 		HeartbeatInterval: heartbeatInterval, ConfirmationTTL: confirmationTTL, WatchPause: watchPause,
 	})
 	k.limits = limits.New(limits.Options{
@@ -74,9 +75,19 @@
 		run("evacuation", func() error { return k.runEvacuation(ctx) })
 	}
 	if k.turns != nil {
-		run("conversations", func() error { return k.turns.Run(ctx) })
+		run("conversations", func() error {
+			if !k.awaitJoined(ctx) {
+				return nil
+			}
+			return k.turns.Run(ctx)
+		})
 	}
-	run("budgets", func() error { return k.turnOwner.Run(ctx) })
+	run("budgets", func() error {
+		if !k.awaitJoined(ctx) {
+			return nil
+		}
+		return k.turnOwner.Run(ctx)
+	})
 	run("fleet", func() error { return k.fleet.Run(ctx) })
 }
 
--- a/app/fleet/control.go
+++ b/app/fleet/control.go
@@ -74,10 +74,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.entries, s.latest, s.leases, s.reports = entries, record, leases, reports
-	if s.right.StoreAway() {
-		// The store is reachable again. If entries hold a newer epoch, the
-		// confirmations of peers end with it and only the lease gives the right to
-		// act, so it must be renewed at once.
+	s.applyStandbysLocked(entries)
+	s.observeSilenceLocked(s.options.Clock.Now())
+	if s.right.StoreAway() || s.Waiting() {
+		// A standby may be needed now. For members, the store is reachable again. If
+		// entries hold a newer epoch, the confirmations of peers end with it and only
+		// the lease gives the right to act, so it must be renewed at once.
 		wake(s.wakeLease)
 	}
 	wake(s.wakeControl)
--- a/app/fleet/heartbeat.go
+++ b/app/fleet/heartbeat.go
@@ -18,6 +18,9 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	s.runPeriodically(ctx, s.options.HeartbeatInterval, s.wakeHeartbeat, func(ctx context.Context) {
+		if s.Waiting() {
+			return // members ignore it
+		}
 		self := s.Self()
 		for _, m := range s.View().Members {
 			if m.Host != self.Host {
--- a/app/fleet/lease.go
+++ b/app/fleet/lease.go
@@ -42,6 +42,9 @@
 	if stopped {
 		return nil
 	}
+	if stays, err := s.waitAsStandby(ctx); stays || err != nil {
+		return err
+	}
 	if lease != "" {
 		err := s.renewLease(ctx, lease)
 		if err != nil && !errors.Is(err, store.ErrLeaseLapsed) {
@@ -59,7 +62,16 @@
 	if attached {
 		return nil
 	}
-	return s.joinFleet(ctx)
+	err := s.joinFleet(ctx)
+	switch {
+	case errors.Is(err, errNotNeeded):
+		s.returnToStandby(ctx)
+		return nil
+	case err == nil && s.wasJoined():
+		s.joinOnce.Do(func() { close(s.joined) })
+		s.releaseStandby(ctx)
+	}
+	return err
 }
 
 // limitStatedLocked reports whether the membership record states the AwayLimit of
@@ -127,6 +139,8 @@
 			return r.Attached(self)
 		case joinedBefore || s.joinOutcomeUnknown():
 			return r, errIncarnationRemoved
+		case !s.joinsFleetOf(r):
+			return r, errNotNeeded
 		}
 		before = &r
 		return r.Join(self)
@@ -147,7 +161,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !joinedBefore {
-		s.joinEpoch = record.Epoch
+		s.joinEpoch, s.everJoined = record.Epoch, true
 		if before != nil {
 			s.right.Joined(*before, record.Epoch)
 		}
@@ -157,6 +171,21 @@
 	return nil
 }
 
+// wasJoined reports whether an incarnation of this process has joined.
+func (s *Service) wasJoined() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.everJoined
+}
+
+// joinsFleetOf reports whether this host should join the fleet of r. Another standby
+// may have joined since it decided to.
+func (s *Service) joinsFleetOf(r member.Record) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.options.Standby == nil || s.everJoined || s.shouldJoinLocked(r)
+}
+
 // joinOutcomeUnknown reports whether the answer to a join of this incarnation was
 // lost. The incarnation may have joined and been removed since.
 func (s *Service) joinOutcomeUnknown() bool {
--- a/app/fleet/leave.go
+++ b/app/fleet/leave.go
@@ -42,6 +42,7 @@
 	if err != nil && !errors.Is(err, member.ErrNotMember) {
 		return fmt.Errorf("leave: remove host %q from the membership: %w", self.Host, err)
 	}
+	s.releaseStandby(ctx)
 	if lease == "" {
 		return nil
 	}
--- a/app/fleet/removal.go
+++ b/app/fleet/removal.go
@@ -86,10 +86,8 @@
 	defer s.mu.Unlock()
 	if !s.attached || s.leaveStarted || s.right.StoreAway() || !s.right.MayAct(now) {
 		clear(s.missingSince)
-		clear(s.silent)
 		return nil
 	}
-	s.observeSilenceLocked(now)
 	const turnDelay, maxTurns = 250 * time.Millisecond, 8
 	rank := 0
 	var candidates []member.Member
--- a/app/fleet/service.go
+++ b/app/fleet/service.go
@@ -49,8 +49,10 @@
 	ConfigRevision func() model.Revision
 	// PeerRevision is called when a peer reports its configuration revision.
 	PeerRevision func(member.Member, model.Revision)
-	Log          *slog.Logger
-	Scope        tally.Scope
+	// Standby is nil if the host always joins.
+	Standby *StandbyOptions
+	Log     *slog.Logger
+	Scope   tally.Scope
 
 	// The durations below have their defaults in parentheses or behind them. For
 	// LeaseTTL, ConfirmationTTL and Margin see member.Times.
@@ -170,6 +172,8 @@
 	attached    bool      // self was a member after the current lease was acquired
 	// joinEpoch is the epoch in which this incarnation joined; 0 before.
 	joinEpoch model.Epoch
+	// everJoined is set once any incarnation of this process has joined.
+	everJoined bool
 	// joinUnknown is set if the answer to a join of this incarnation was lost.
 	joinUnknown    bool
 	leaveStarted   bool                            // Leave has begun
@@ -182,17 +186,23 @@
 	deletedReports map[string]store.Version        // that the watch may still return, by key
 	missingSince   map[model.Incarnation]time.Time // first seen without a lease
 	silent         map[model.Incarnation]silence
-	peerStoreAway  map[model.HostID]bool
-	peerEpoch      map[model.Incarnation]model.Epoch // from heartbeats
-	answeredAt     map[model.Incarnation]time.Time   // when the last answer to a heartbeat arrived
-	enteredAt      time.Time                         // when this host entered the epoch of record
-	revisions      map[model.Incarnation]model.Revision
-	epochCallbacks []func(old, current member.Record)
-	subscribers    []*subscriber
+	standbys       []member.Standby // from entries
+	standbyLease   store.LeaseID    // "" unless this host is a standby
+	// standbyRenewedAt is when the last renewal of standbyLease was sent.
+	standbyRenewedAt time.Time
+	peerStoreAway    map[model.HostID]bool
+	peerEpoch        map[model.Incarnation]model.Epoch // from heartbeats
+	answeredAt       map[model.Incarnation]time.Time   // when the last answer to a heartbeat arrived
+	enteredAt        time.Time                         // when this host entered the epoch of record
+	revisions        map[model.Incarnation]model.Revision
+	epochCallbacks   []func(old, current member.Record)
+	subscribers      []*subscriber
 
 	wakeLease, wakeHeartbeat, wakeControl, wakeDispatch chan struct{}
 
 	peerRevisions chan peerRevision
+	joined        chan struct{} // closed by joinOnce
+	joinOnce      sync.Once
 }
 
 // New returns a Service that Run starts.
@@ -200,7 +210,7 @@
 	o = o.withDefaults()
 	now := o.Clock.Now()
 	times := member.Times{LeaseTTL: o.LeaseTTL, ConfirmationTTL: o.ConfirmationTTL, Margin: o.Margin, AwayLimit: o.AwayLimit}
-	return &Service{
+	s := &Service{
 		options: o, started: now, self: o.Self, storeAwayAt: now,
 		right:        member.NewRight(times, o.Self, now),
 		ownership:    member.NewShardOwnership(o.Self.Host),
@@ -214,8 +224,12 @@
 		revisions:     map[model.Incarnation]model.Revision{},
 		wakeLease:     make(chan struct{}, 1), wakeHeartbeat: make(chan struct{}, 1),
 		wakeControl: make(chan struct{}, 1), wakeDispatch: make(chan struct{}, 1),
-		peerRevisions: make(chan peerRevision, 256),
+		peerRevisions: make(chan peerRevision, 256), joined: make(chan struct{}),
 	}
+	if o.Standby == nil {
+		s.joinOnce.Do(func() { close(s.joined) })
+	}
+	return s
 }
 
 // Run runs the loops until ctx ends. It does not leave the fleet, see Leave.
--- a/cmd/managed.go
+++ b/cmd/managed.go
@@ -37,7 +37,7 @@
 )
 
 // runManaged runs a host with the settings of the platform on which it is deployed.
-func runManaged(ctx context.Context, logs io.Writer) (runErr error) {
+func runManaged(ctx context.Context, logs io.Writer, standby bool) (runErr error) {
 	boot, err := platform.LoadBoot()
 	if err != nil {
 		return err
@@ -64,6 +64,7 @@
 		Quotas:          boot.Quotas,
 		Budgets:         boot.Programs,
 		Keeper:          boot.CallerAddress == "",
+		Standby:         standby,
 		Lifetime:        boot.Bounds.Revoke - revokeMargin,
 		FinalRefusalAge: boot.Bounds.Config - configMargin,
 		Grace:           boot.Bounds.Grace,
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -18,6 +18,7 @@
 
 func newServe() *cobra.Command {
 	var file string
+	var standby bool
 	c := &cobra.Command{
 		Use:   "serve [--settings FILE]",
 		Short: "Run one entry host",
@@ -29,12 +30,13 @@
 			ctx, stop := notifyShutdown(c.Context())
 			defer stop()
 			if file == "" && platform.Managed() {
-				return runManaged(ctx, c.OutOrStdout())
+				return runManaged(ctx, c.OutOrStdout(), standby)
 			}
 			return runHost(ctx, file, c.ErrOrStderr())
 		},
 	}
 	c.Flags().StringVar(&file, "settings", "", "settings file of this host")
+	c.Flags().BoolVar(&standby, "standby", false, "wait as a standby until the fleet needs this keeper (on a platform)")
 	return c
 }
 
