fleet: a machine replaced under its name at another address becomes a member

Its join was refused (ErrHostNameInUse), and the lost member was never removed, because the lease of the name, which its successor holds, counted as its own.

The value of a lease is now the peer address of its holder; a value of an earlier version counts for any member of the name, as before. The successor may also take the place of the old member in one write, by the same rules as a removal and only while that member has no lease.

TestMachineIsReplacedUnderItsName and TestReplacedMachineOfSameNameDoesNotAct fail if the address of the lease is not compared.

--- a/app/fleet/cluster_test.go
+++ b/app/fleet/cluster_test.go
@@ -89,6 +89,7 @@
 type host struct {
 	*fleet.Service
 	id      model.HostID
+	address string
 	client  *memstore.Client
 	freezer *freezer
 	// watchFreezer delays only the watch.
@@ -130,7 +131,7 @@
 	dropped := p.c.cutLinks[[2]string{string(p.from.id), address}]
 	var to *host
 	for _, h := range p.c.hosts {
-		if string(h.id) == address && !h.stopped {
+		if h.address == address && !h.stopped {
 			to = h
 		}
 	}
@@ -149,10 +150,15 @@
 }
 
 func (c *cluster) add(ctx context.Context, name, zone string) *host {
-	h := &host{id: model.HostID(name), client: c.store.NewClient(name), freezer: &freezer{}, watchFreezer: &freezer{}}
+	return c.addAt(ctx, name, zone, name)
+}
+
+// addAt adds a host with a peer address.
+func (c *cluster) addAt(ctx context.Context, name, zone, address string) *host {
+	h := &host{id: model.HostID(name), address: address, client: c.store.NewClient(name), freezer: &freezer{}, watchFreezer: &freezer{}}
 	h.Service = fleet.New(fleet.Options{
 		Store: frozenStore{h.client, h.freezer, h}, Clock: clockwork.NewRealClock(), Peers: peerLink{c, h},
-		Self:            member.Member{Host: h.id, Zone: model.Zone(zone), PeerAddress: name, CallerAddress: name},
+		Self:            member.Member{Host: h.id, Zone: model.Zone(zone), PeerAddress: address, CallerAddress: address},
 		Holdings:        func(model.Epoch) map[model.WorkspaceID]int64 { return map[model.WorkspaceID]int64{"w": 1} },
 		ConfigRevision:  func() model.Revision { return 7 },
 		MinLeaseMissing: c.minLeaseMissing, AwayLimit: c.awayLimit, Standby: c.standby,
@@ -170,8 +176,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, o := range c.hosts {
-		c.cutLinks[[2]string{string(h.id), string(o.id)}] = on
-		c.cutLinks[[2]string{string(o.id), string(h.id)}] = on
+		c.cutLinks[[2]string{string(h.id), o.address}] = on
+		c.cutLinks[[2]string{string(o.id), h.address}] = on
 	}
 }
 
--- a/app/fleet/control.go
+++ b/app/fleet/control.go
@@ -45,7 +45,7 @@
 // applyWatch stores the entries that the watch returned and wakes the loops that
 // depend on them.
 func (s *Service) applyWatch(entries []store.Entry) {
-	leases := map[model.HostID]bool{}
+	leases := map[model.HostID]leaseHolder{}
 	reports := map[model.HostID]EntryReport{}
 	leasePrefix, entryPrefix := s.leaseKey(""), s.entryKey("")
 	var record member.Record
@@ -57,7 +57,7 @@
 			}
 		}
 		if h, ok := strings.CutPrefix(e.Key, leasePrefix); ok && e.Holder != "" {
-			leases[model.HostID(h)] = true
+			leases[model.HostID(h)] = decodeLeaseHolder(e.Value)
 		}
 		if h, ok := strings.CutPrefix(e.Key, entryPrefix); ok {
 			var r EntryReport
--- a/app/fleet/join_test.go
+++ b/app/fleet/join_test.go
@@ -135,3 +135,25 @@
 		running.Wait()
 	})
 }
+
+// Guards against a machine that takes the place of a member of its name while that
+// member holds its lease again: the lease of the machine lapsed while it was paused.
+func TestMemberWithLeaseIsNotReplacedByItsName(t *testing.T) {
+	ctx := context.Background()
+	clock := clockwork.NewRealClock()
+	client := memstore.New(clock).NewClient("h0")
+	o := Options{Store: client, Clock: clock, Peers: unreachablePeers{}, Self: member.Member{Host: "h0", Zone: "a", PeerAddress: "10.0.0.1:1"}}
+	old := New(o)
+	assert.NilError(t, old.acquireLease(ctx))
+	record := member.Record{Members: []member.Member{
+		old.Self(), {Host: "h1", Incarnation: "i1", PeerAddress: "10.0.0.2:1"}, {Host: "h2", Incarnation: "i2", PeerAddress: "10.0.0.3:1"},
+	}}
+	o.Self = member.Member{Host: "h0", Zone: "a", PeerAddress: "10.0.0.9:1"}
+	other := New(o)
+	_, err := other.replaceMember(ctx, record, other.Self())
+	assert.ErrorIs(t, err, member.ErrHostNameInUse)
+	assert.NilError(t, client.Release(ctx, old.lease))
+	next, err := other.replaceMember(ctx, record, other.Self())
+	assert.NilError(t, err)
+	assert.Assert(t, next.Has("h0", other.Self().Incarnation))
+}
--- a/app/fleet/lease.go
+++ b/app/fleet/lease.go
@@ -110,7 +110,7 @@
 	ctx, cancel := s.withCallTimeout(ctx)
 	defer cancel()
 	self := s.Self()
-	id, err := s.options.Store.Hold(ctx, s.leaseKey(self.Host), []byte(self.Incarnation), s.options.LeaseTTL)
+	id, err := s.options.Store.Hold(ctx, s.leaseKey(self.Host), []byte(leaseValuePrefix+self.PeerAddress), s.options.LeaseTTL)
 	s.recordStoreResult(err)
 	if err != nil {
 		return fmt.Errorf("acquire lease of host %q: %w", self.Host, err)
@@ -143,7 +143,11 @@
 			return r, errNotNeeded
 		}
 		before = &r
-		return r.Join(self)
+		next, err := r.Join(self)
+		if errors.Is(err, member.ErrHostNameInUse) {
+			return s.replaceMember(ctx, r, self)
+		}
+		return next, err
 	})
 	s.recordStoreResult(err)
 	if errors.Is(err, errIncarnationRemoved) {
@@ -171,6 +175,26 @@
 	return nil
 }
 
+// replaceMember returns the record in which this host takes the place of a member of
+// the same name at another address. That member is gone or cut off: this host has
+// acquired the lease of the name. The lease is read after the record, as in
+// removeUnleased, because the member may have acquired it again.
+func (s *Service) replaceMember(ctx context.Context, r member.Record, self member.Member) (member.Record, error) {
+	old, _ := r.Member(self.Host)
+	held, err := s.leaseHeld(ctx, old)
+	if err != nil {
+		return r, err
+	}
+	if held {
+		return r, fmt.Errorf("member at %s holds its lease: %w", old.PeerAddress, member.ErrHostNameInUse)
+	}
+	next, err := r.Replace(s.silentFor(r), self)
+	if err == nil {
+		s.options.Log.Info("replacing a member of the same name", "host", self.Host, "address", self.PeerAddress, "replaced_address", old.PeerAddress, "epoch", next.Epoch)
+	}
+	return next, err
+}
+
 // wasJoined reports whether an incarnation of this process has joined.
 func (s *Service) wasJoined() bool {
 	s.mu.Lock()
--- a/app/fleet/leave.go
+++ b/app/fleet/leave.go
@@ -69,7 +69,7 @@
 		return fmt.Errorf("declare host %q gone: wait until its confirmations expire: %w", host, ctx.Err())
 	}
 	_, err := s.updateRecord(ctx, func(r member.Record) (member.Record, error) {
-		held, err := s.leaseHeld(ctx, host)
+		held, err := s.leaseHeld(ctx, m)
 		if err == nil && held {
 			err = ErrLeaseHeld
 		}
--- a/app/fleet/lost_test.go
+++ b/app/fleet/lost_test.go
@@ -174,3 +174,46 @@
 		}
 	})
 }
+
+// Guards against a machine that never becomes a member because it has the name of a
+// lost one and another address, and against a lost member that stays because the
+// lease of its successor counts as its own.
+func TestMachineIsReplacedUnderItsName(t *testing.T) {
+	for name, n := range map[string]int{"one member": 1, "two members": 2, "three members": 3} {
+		t.Run(name, func(t *testing.T) {
+			runClusterWithAwayLimit(t, n, func(_ *testing.T, ctx context.Context, c *cluster) {
+				for i := range 3 {
+					lost := c.hosts[len(c.hosts)-1]
+					c.stop(lost)
+					c.advance(time.Second)
+					c.addAt(ctx, string(lost.id), "z0", "address-"+string(rune('0'+i)))
+					c.advance(lostKeeperBound)
+					c.assertSettled(c.runningHosts()...)
+				}
+			})
+		})
+	}
+}
+
+// Guards against two machines of one name that act at once, when the first was only
+// cut off or frozen.
+func TestReplacedMachineOfSameNameDoesNotAct(t *testing.T) {
+	for name, n := range map[string]int{"one member": 1, "three members": 3} {
+		t.Run(name, func(t *testing.T) {
+			runClusterWithAwayLimit(t, n, func(_ *testing.T, ctx context.Context, c *cluster) {
+				old := c.hosts[0]
+				old.client.SetPartitioned(true)
+				c.advance(time.Second)
+				second := c.addAt(ctx, "h0", "z0", "elsewhere")
+				c.advance(lostKeeperBound)
+				c.assertActs(second)
+				old.freezer.freeze()
+				old.client.SetPartitioned(false)
+				c.advance(time.Second)
+				old.freezer.resume()
+				c.advance(recoveryBound)
+				c.assertActs(second)
+			})
+		})
+	}
+}
--- a/app/fleet/removal.go
+++ b/app/fleet/removal.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"mimosarelay/core/member"
@@ -74,7 +75,30 @@
 
 // holdsLeaseLocked reports whether a member held its lease when the watch returned.
 // mu is held.
-func (s *Service) holdsLeaseLocked(m member.Member) bool { return s.leases[m.Host] }
+func (s *Service) holdsLeaseLocked(m member.Member) bool {
+	holder, ok := s.leases[m.Host]
+	return ok && holder.mayBe(m)
+}
+
+// leaseHolder is the process that holds the lease of a host, as the value of the key
+// Lease/<host> names it: its peer address. It is empty if a process of an earlier
+// version holds the lease, which wrote its incarnation.
+type leaseHolder string
+
+// leaseValuePrefix tells an address in the value of a lease from an incarnation.
+const leaseValuePrefix = "address="
+
+func decodeLeaseHolder(value []byte) leaseHolder {
+	address, ok := strings.CutPrefix(string(value), leaseValuePrefix)
+	if !ok {
+		return ""
+	}
+	return leaseHolder(address)
+}
+
+// mayBe reports whether a member may hold the lease: a process at another address is
+// another machine with the same name.
+func (h leaseHolder) mayBe(m member.Member) bool { return h == "" || string(h) == m.PeerAddress }
 
 // removalCandidates returns the members whose lease has been missing long enough for
 // this host to remove them. A host waits one turnDelay longer for each host with a
@@ -92,7 +116,7 @@
 	rank := 0
 	var candidates []member.Member
 	for _, m := range s.record.Members {
-		if s.leases[m.Host] || m.Host == s.self.Host {
+		if s.holdsLeaseLocked(m) || m.Host == s.self.Host {
 			delete(s.missingSince, m.Incarnation)
 			if m.Host < s.self.Host {
 				rank++
@@ -147,7 +171,7 @@
 		if !r.Has(m.Host, m.Incarnation) {
 			continue
 		}
-		held, err := s.leaseHeld(ctx, m.Host)
+		held, err := s.leaseHeld(ctx, m)
 		if err != nil {
 			return r, err
 		}
@@ -168,16 +192,16 @@
 	return next, nil
 }
 
-// leaseHeld reports whether the store has a lease of a host.
-func (s *Service) leaseHeld(ctx context.Context, h model.HostID) (bool, error) {
+// leaseHeld reports whether the store has a lease that a member may hold.
+func (s *Service) leaseHeld(ctx context.Context, m member.Member) (bool, error) {
 	ctx, cancel := s.withCallTimeout(ctx)
 	defer cancel()
-	e, err := s.options.Store.Get(ctx, s.leaseKey(h))
+	e, err := s.options.Store.Get(ctx, s.leaseKey(m.Host))
 	if errors.Is(err, store.ErrNotFound) {
 		return false, nil
 	}
 	if err != nil {
-		return false, fmt.Errorf("read lease of host %q: %w", h, err)
+		return false, fmt.Errorf("read lease of host %q: %w", m.Host, err)
 	}
-	return e.Holder != "", nil
+	return e.Holder != "" && decodeLeaseHolder(e.Value).mayBe(m), nil
 }
--- a/app/fleet/service.go
+++ b/app/fleet/service.go
@@ -181,7 +181,7 @@
 	lastReport     model.Epoch                     // epoch of the last entry report written
 	entries        []store.Entry                   // of the last watch; nil before the first one
 	latest         member.Record                   // in entries; its epoch may not be entered yet
-	leases         map[model.HostID]bool           // hosts that held their lease in entries
+	leases         map[model.HostID]leaseHolder    // of the hosts that held their lease in entries
 	reports        map[model.HostID]EntryReport    // from entries, with the own last report
 	deletedReports map[string]store.Version        // that the watch may still return, by key
 	missingSince   map[model.Incarnation]time.Time // first seen without a lease
@@ -214,7 +214,7 @@
 		options: o, started: now, self: o.Self, storeAwayAt: now,
 		right:        member.NewRight(times, o.Self, now),
 		ownership:    member.NewShardOwnership(o.Self.Host),
-		leases:       map[model.HostID]bool{},
+		leases:       map[model.HostID]leaseHolder{},
 		reports:      map[model.HostID]EntryReport{},
 		silent:       map[model.Incarnation]silence{},
 		missingSince: map[model.Incarnation]time.Time{}, deletedReports: map[string]store.Version{},
@@ -403,6 +403,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var revisionUnknown []model.HostID
+	leases := map[model.HostID]bool{}
+	for h := range s.leases {
+		leases[h] = true
+	}
 	for _, m := range s.record.Members {
 		if _, ok := s.revisions[m.Incarnation]; !ok && m.Host != s.self.Host {
 			revisionUnknown = append(revisionUnknown, m.Host)
@@ -411,7 +415,7 @@
 	return State{
 		Self: s.self, Record: s.record, MayAct: mayAct, StoreAway: s.right.StoreAway(),
 		Attached: s.attached, Settled: s.settled, Stopped: s.leaveStarted, Reported: s.lastReport,
-		Leases: maps.Clone(s.leases), Reports: maps.Clone(s.reports), Revisions: revisions,
+		Leases: leases, Reports: maps.Clone(s.reports), Revisions: revisions,
 		RevisionUnknown: revisionUnknown,
 	}
 }
