--- a/spec/rights.pml
+++ b/spec/rights.pml
@@ -4,6 +4,8 @@
  * Models core/member (record.go, right.go, owner.go) and app/fleet (lease.go,
  * control.go, heartbeat.go).
  *
+ * The removal of the last one or two members of an epoch is in small.pml.
+ *
  * There are three hosts and one shard, which belongs to the member with the
  * highest number. Shares of limits follow the same rule as the shard: they are
  * granted again only after all members of an epoch have written entry reports.
