--- a/app/fleet/standby.go
+++ b/app/fleet/standby.go
@@ -143,6 +143,9 @@
 	defer cancel()
 	id, err := s.options.Store.Hold(ctx, s.standbyKey(self.Host), value, standbyTTL)
 	s.recordStoreResult(err)
+	if errors.Is(err, store.ErrConflict) {
+		return nil // held by the previous process of this host until it lapses
+	}
 	if err != nil {
 		return fmt.Errorf("acquire the lease of standby %q: %w", self.Host, err)
 	}
