config: fields that files do not have are not required

Cause: the decoder of contracts took the tag yaml:"-" of the new field Target.Slots for the name of a required field, so that every document was refused. Change: such fields are neither required, accepted nor listed.

--- a/core/config/decode.go
+++ b/core/config/decode.go
@@ -224,7 +224,7 @@
 func (r *Report) checkRequired(path string, seen map[string]bool, v reflect.Value) {
 	for f := range v.Type().Fields() {
 		name, required := yamlTag(f)
-		if required && !seen[name] {
+		if required && name != notInFile && !seen[name] {
 			r.Addf(joinPath(path, name), "missing; it must be %s", describeType(f.Type))
 		}
 	}
@@ -415,6 +415,9 @@
 	return fmt.Sprint(-highest - 1), fmt.Sprint(highest)
 }
 
+// notInFile is the YAML name of a field that files do not have.
+const notInFile = "-"
+
 // yamlTag returns the YAML name of a field and whether the field is required.
 func yamlTag(f reflect.StructField) (name string, required bool) {
 	name, options, _ := strings.Cut(f.Tag.Get("yaml"), ",")
@@ -423,7 +426,7 @@
 
 func fieldIndex(t reflect.Type, name string) (int, bool) {
 	for i := range t.NumField() {
-		if n, _ := yamlTag(t.Field(i)); n == name {
+		if n, _ := yamlTag(t.Field(i)); n == name && n != notInFile {
 			return i, true
 		}
 	}
@@ -433,8 +436,9 @@
 func fieldNames(t reflect.Type) []string {
 	var names []string
 	for f := range t.Fields() {
-		n, _ := yamlTag(f)
-		names = append(names, n)
+		if n, _ := yamlTag(f); n != notInFile {
+			names = append(names, n)
+		}
 	}
 	return names
 }
