ingress: removing the last tenant closes the routes

Cause: NeedsKeys was true only while the document had a workspace, so that a document with an empty list of tenants opened all routes.

--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -142,6 +142,14 @@
 // validateGrants checks that the models and routes which a workspace may use
 // exist.
 func (w *Workspace) validateGrants(r *Report, path string, f *references) {
+	// An empty list would grant everything, so that removing the last entry would
+	// have the opposite effect.
+	if w.Models != nil && len(w.Models) == 0 {
+		r.Addf(path+".Models", "an empty list is not allowed; omit the field to allow all models")
+	}
+	if w.Routes != nil && len(w.Routes) == 0 {
+		r.Addf(path+".Routes", "an empty list is not allowed; omit the field to allow all routes")
+	}
 	models := map[string]string{}
 	for i, m := range w.Models {
 		p := fmt.Sprintf("%s.Models[%d]", path, i)
--- a/core/ingress/ingress.go
+++ b/core/ingress/ingress.go
@@ -123,9 +123,12 @@
 type Document struct {
 	Revision   model.Revision
 	Workspaces []config.Workspace
-	Routes     []Route
-	Services   []Service
-	Limits     Limits
+	// Keyless says that requests need no key. A document without workspaces is not
+	// keyless by itself, because its last workspace may have been removed.
+	Keyless  bool
+	Routes   []Route
+	Services []Service
+	Limits   Limits
 }
 
 // StoredDocument is a configuration that was read from the store.
@@ -231,7 +234,7 @@
 func (v *View) Limits() Limits { return v.document.Limits }
 
 // NeedsKeys reports whether requests to routes that are not public need a key.
-func (v *View) NeedsKeys() bool { return len(v.document.Workspaces) > 0 }
+func (v *View) NeedsKeys() bool { return !v.document.Keyless }
 
 // Service returns the settings of a service, or the zero value if the document
 // does not define it.
