suspects: success shows that a request is harmless, and bans end

Cause: forwarded requests recorded crashes but no successes, and two crashes banned a request for an hour. Change: a complete answer of a target clears the crashes of the request on all hosts, and a host that has seen it succeed does not count the next crash. A ban of a forwarded request lasts 10 s, then 5 min, then an hour; after a ban one copy runs in the fleet, claimed at the owner. The method is part of the fingerprint now, because the success of one method shows nothing about another. Result: TestLookupIsServedAfterTargetsCrashed was refused with 503 for the 20 s that it waits and passes now.

--- a/app/entry/entryhost.go
+++ b/app/entry/entryhost.go
@@ -21,10 +21,20 @@
 	coreplacement "mimosarelay/core/placement"
 	"mimosarelay/core/presence"
 	"mimosarelay/core/store"
+	"mimosarelay/core/suspect"
 	"mimosarelay/io/ingress"
 	"mimosarelay/io/target"
 )
 
+const (
+	// harmlessRequests is the number of requests that are remembered as harmless, about
+	// 2 MB on the smallest hosts.
+	harmlessRequests = 1 << 13
+	// trialLifetime is how long the claim of a lost host keeps a request from its next
+	// trial. It is longer than the time limit of usual routes.
+	trialLifetime = time.Minute
+)
+
 // entryHost is the part of a Host that serves callers. It is not a member of the
 // fleet but gets the membership, the configuration and the targets from keepers.
 type entryHost struct {
@@ -54,7 +64,8 @@
 	e.suspects = suspects.New(suspects.Options{
 		Host: o.Host, Self: o.PeerAddress, Peers: suspectPeers{h.peers, e}, Store: control, KeyPrefix: suspectPrefix,
 		Incarnation: func() model.Incarnation { return incarnation },
-		Clock:       o.Clock, Log: o.Log,
+		Bans:        suspect.ShortBans, Harmless: harmlessRequests, ClaimLifetime: trialLifetime,
+		Clock: o.Clock, Log: o.Log,
 	})
 	e.placement = placement.New(placement.Options{
 		Host: o.Host, Hosts: e.hosts, Snapshot: h.snapshot, Prober: e.targets,
--- a/app/relay/forward.go
+++ b/app/relay/forward.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
+	"mimosarelay/app/suspects"
 	"mimosarelay/core/config"
 	"mimosarelay/core/conversation"
 	"mimosarelay/core/dispatch"
@@ -119,7 +120,8 @@
 	fingerprint  model.Fingerprint
 	pinnedTarget model.TargetID // the only target to try, after dispatch.Again
 	place        Place
-	lease        TurnLease // nil without a program budget
+	trial        *suspects.Run // claim of the current attempt; nil for most requests
+	lease        TurnLease     // nil without a program budget
 	started      time.Time
 	// chain is the conversation of a turn that is kept.
 	chain conversation.ChainID
@@ -131,7 +133,7 @@
 // fingerprint identifies the content that a target gets. The same input is another
 // content in another conversation.
 func (f *Forward) fingerprint() model.Fingerprint {
-	parts := [][]byte{[]byte(f.Workspace), []byte(f.URI), f.Body}
+	parts := [][]byte{[]byte(f.Workspace), []byte(f.Method), []byte(f.URI), f.Body}
 	if f.Route.Retention > 0 {
 		parts = append(parts, []byte(f.Previous))
 	}
@@ -245,11 +247,10 @@
 
 // forwardOnce makes one attempt. On an error, Next is nil if no attempt was made.
 func (s *Service) forwardOnce(ctx context.Context, c *forwardCall) (*Answer, dispatch.Next, error) {
-	place, err := s.acquirePlace(ctx, c)
+	place, err := s.startAttempt(ctx, c)
 	if err != nil {
 		return nil, nil, err
 	}
-	c.place = place
 	resp, err := s.dispatch(ctx, c, c.LastEvent)
 	if err != nil {
 		next := s.handleFailedAttempt(ctx, c, err)
@@ -259,13 +260,14 @@
 		return s.forwardStream(ctx, c, resp), nil, nil
 	}
 	headers := endToEndHeaders(resp.Message())
-	status := resp.Status()
+	status, survived := resp.Status(), showsSurvival(resp)
 	body, err := resp.ReadAll(maxAnswer)
 	_ = resp.Close()
 	if err != nil {
 		next := s.handleFailedAttempt(ctx, c, err)
 		return nil, next, err
 	}
+	s.endRun(c, survived)
 	place.Release(placement.Usage{Prompt: c.Prompt.Tokens})
 	c.endTurn(0)
 	s.logRequestEnded(c, status, true, 0)
@@ -352,6 +354,7 @@
 // returns the next step.
 func (s *Service) handleFailedAttempt(ctx context.Context, c *forwardCall, cause error) dispatch.Next {
 	t := c.place.Target()
+	defer s.endRun(c, false) // after the crash was recorded
 	var outcome dispatch.Outcome
 	failed := false
 	var refusal *model.Refusal
--- a/app/relay/forward_stream.go
+++ b/app/relay/forward_stream.go
@@ -90,6 +90,7 @@
 // after which the stream is resumed if possible.
 func (b *forwardStreamBody) handleEnd(err error) {
 	if target.AtEnd(err) {
+		b.service.endRun(b.call, b.resp != nil && showsSurvival(b.resp))
 		b.release(false)
 		b.finished = true
 		if len(b.pending) == 0 {
@@ -129,11 +130,10 @@
 // resume continues the stream with another attempt.
 func (b *forwardStreamBody) resume() (dispatch.Next, error) {
 	s, c := b.service, b.call
-	place, err := s.acquirePlace(b.ctx, c)
+	place, err := s.startAttempt(b.ctx, c)
 	if err != nil {
 		return nil, err
 	}
-	c.place = place
 	lastEvent := c.LastEvent
 	if b.lastEventID > 0 {
 		lastEvent = strconv.FormatUint(b.lastEventID, 10)
@@ -143,6 +143,7 @@
 		status := resp.Status()
 		_ = resp.Close()
 		err = fmt.Errorf("%w: target %q answered %d", errNotResumed, place.Target().Name, status)
+		s.endRun(c, false)
 		place.Release(placement.Usage{})
 		return dispatch.GiveUp{}, err
 	}
@@ -188,6 +189,7 @@
 	if b.resp != nil {
 		b.release(false)
 	}
+	b.service.endRun(b.call, false)
 	b.call.endTurn(b.tokens())
 	b.service.logRequestEnded(b.call, fasthttp.StatusOK, b.complete(), b.eventCount)
 	return nil
--- a/app/relay/interfaces.go
+++ b/app/relay/interfaces.go
@@ -100,6 +100,12 @@
 	// Check returns a *model.Refusal if the request may not run at any target.
 	// exclusive means that it may run once more, without a second attempt.
 	Check(f model.Fingerprint) (exclusive bool, err error)
+	// OnTrial reports whether a run of the request must be claimed by Begin, because
+	// the request was banned before.
+	OnTrial(f model.Fingerprint) bool
+	// RecordSuccess records that a target survived a whole run of a request that was
+	// not claimed.
+	RecordSuccess(f model.Fingerprint)
 	// RecordCrash records a crash and notifies all peers before it returns.
 	RecordCrash(ctx context.Context, f model.Fingerprint, target model.TargetID)
 }
--- a/app/suspects/service.go
+++ b/app/suspects/service.go
@@ -80,8 +80,16 @@
 	PeerTimeout time.Duration
 	// ClaimWait is how long Begin waits for other copies to end; 0 means 30 s.
 	ClaimWait time.Duration
-	Clock     clockwork.Clock
-	Log       *slog.Logger
+	// Bans says how long a request is refused; nil means for suspect.Lifetime.
+	Bans suspect.Bans
+	// ClaimLifetime is how long a claim counts whose end was not reported; 0 means
+	// suspect.ClaimLifetime.
+	ClaimLifetime time.Duration
+	// Harmless is the number of harmless requests that are remembered; 0 means
+	// suspect.DefaultHarmless.
+	Harmless int
+	Clock    clockwork.Clock
+	Log      *slog.Logger
 }
 
 func (o Options) withDefaults() Options {
@@ -94,6 +102,12 @@
 	if o.ClaimWait == 0 {
 		o.ClaimWait = defaultClaimWait
 	}
+	if o.ClaimLifetime == 0 {
+		o.ClaimLifetime = suspect.ClaimLifetime
+	}
+	if o.Harmless == 0 {
+		o.Harmless = suspect.DefaultHarmless
+	}
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
@@ -124,9 +138,12 @@
 // New returns a Service. Close ends its background work.
 func New(o Options) *Service {
 	ctx, stop := context.WithCancel(context.Background())
+	o = o.withDefaults()
+	claims := suspect.NewClaims()
+	claims.Lifetime = o.ClaimLifetime
 	return &Service{
-		options: o.withDefaults(), ctx: ctx, stop: stop,
-		ledger: suspect.NewLedger(), claims: suspect.NewClaims(), harmless: suspect.NewHarmlessSet(),
+		options: o, ctx: ctx, stop: stop,
+		ledger: suspect.NewLedger(), claims: claims, harmless: suspect.NewHarmlessSet(o.Harmless),
 	}
 }
 
@@ -154,15 +171,27 @@
 // that the request has crashed a target, so that its next run must not be retried.
 // Check claims nothing; the run itself must be claimed by Begin.
 func (s *Service) Check(f model.Fingerprint) (exclusive bool, err error) {
-	n := s.crashes(f)
-	if n >= suspect.MaxCrashes {
-		return false, errSuspect()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	now := s.options.Clock.Now()
+	if ban := s.ledger.BannedFor(now, f, s.options.Bans); ban > 0 {
+		return false, s.errSuspect(ban)
 	}
-	return n > 0, nil
+	return s.ledger.Crashes(now, f) > 0, nil
 }
 
-func errSuspect() error {
-	return model.NewRefusal(model.ErrSuspect, model.RanNo, "the request crashed %d targets", suspect.MaxCrashes)
+// OnTrial reports whether a request was banned and may run again. Such a run must be
+// claimed by Begin, so that only one target is at risk.
+func (s *Service) OnTrial(f model.Fingerprint) bool { return s.crashes(f) >= suspect.MaxCrashes }
+
+// errSuspect returns the refusal of a request that is banned for a time.
+func (s *Service) errSuspect(ban time.Duration) error {
+	r := model.NewRefusal(model.ErrSuspect, model.RanNo, "the request crashed %d targets", suspect.MaxCrashes)
+	if s.options.Bans == nil {
+		return r // not worth a retry
+	}
+	return r.Retry(ban)
 }
 
 func (s *Service) crashes(f model.Fingerprint) int {
@@ -190,10 +219,17 @@
 // RecordCrash records a crash and sends it to all peers before it returns. The
 // message to an unreachable peer is repeated in the background until the peer
 // answers or leaves the membership. The store is written in the background.
+//
+// The crash of a request that has succeeded is not recorded, but a second one is
+// unless the request has succeeded in between.
 func (s *Service) RecordCrash(ctx context.Context, f model.Fingerprint, target model.TargetID) {
 	at := s.options.Clock.Now().Truncate(time.Millisecond) // peers receive milliseconds
 	s.mu.Lock()
-	s.harmless.Remove(f)
+	if s.takeEvidence(f) {
+		s.mu.Unlock()
+		s.options.Log.Info("crash is not counted, the request has succeeded before", "fingerprint", f, "target", target)
+		return
+	}
 	isNew := s.ledger.RecordCrash(at, f, suspect.Crash{Target: target, At: at})
 	s.mu.Unlock()
 	s.broadcast(context.WithoutCancel(ctx), &peerpb.MarkSuspectRequest{
@@ -236,7 +272,11 @@
 func (s *Service) send(ctx context.Context, address string, m *peerpb.MarkSuspectRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, s.options.PeerTimeout)
 	defer cancel()
-	_, err := s.options.Peers.MarkSuspect(ctx, address, m)
+	response, err := s.options.Peers.MarkSuspect(ctx, address, m)
+	if err == nil && response.Crashes == 0 && isCrash(m) {
+		// The peer has seen the request succeed and does not count the crash.
+		s.background(func() { s.clear(model.Fingerprint(m.Fingerprint), time.UnixMilli(m.AtUnixMs)) })
+	}
 	return err
 }
 
@@ -268,7 +308,11 @@
 		s.ledger.Lift(now, f, at)
 	case strings.HasPrefix(m.Target, claimPrefix):
 		id := suspect.ClaimID(strings.TrimPrefix(m.Target, claimPrefix))
-		v := s.claims.Claim(now, f, id, s.ledger.Crashes(now, f))
+		v := suspect.Refused
+		if s.ledger.BannedFor(now, f, s.options.Bans) == 0 {
+			// After a ban only one copy runs, as after the first crash.
+			v = s.claims.Claim(now, f, id, min(s.ledger.Crashes(now, f), suspect.MaxCrashes-1))
+		}
 		return &peerpb.MarkSuspectResponse{Crashes: uint32(v)}, nil
 	case strings.HasPrefix(m.Target, harmlessPrefix):
 		s.claims.End(now, f, suspect.ClaimID(strings.TrimPrefix(m.Target, harmlessPrefix)), true)
@@ -276,8 +320,9 @@
 		s.claims.End(now, f, suspect.ClaimID(strings.TrimPrefix(m.Target, endPrefix)), false)
 	case m.Target == "":
 		return nil, errors.New("mark suspect: empty target")
+	case s.takeEvidence(f): // not counted, see RecordCrash
+		return &peerpb.MarkSuspectResponse{}, nil
 	default:
-		s.harmless.Remove(f)
 		s.ledger.RecordCrash(now, f, suspect.Crash{Target: model.TargetID(m.Target), At: at})
 	}
 	return &peerpb.MarkSuspectResponse{Crashes: uint32(s.ledger.Crashes(now, f))}, nil
@@ -315,11 +360,7 @@
 
 func (s *Service) end(r *Run, harmless bool) {
 	if harmless {
-		s.mu.Lock()
-		if s.ledger.Crashes(s.options.Clock.Now(), r.fingerprint) == 0 {
-			s.harmless.Add(s.options.Clock.Now(), r.fingerprint)
-		}
-		s.mu.Unlock()
+		s.RecordSuccess(r.fingerprint)
 	}
 	if r.owner == "" {
 		return
@@ -384,7 +425,7 @@
 			r.End(false)
 			return nil, unavailable("the host that tracks the copies of this request cannot be reached")
 		case v == suspect.Refused:
-			return nil, errSuspect()
+			return nil, s.errSuspect(claimRetryInterval)
 		case v != suspect.Busy:
 			r.exclusive = v == suspect.GrantedExclusive
 			return r, nil
@@ -433,8 +474,8 @@
 // claim sends one claim to the owner. After an error the owner may or may not
 // count it.
 func (s *Service) claim(ctx context.Context, r *Run) (suspect.Verdict, error) {
-	if s.crashes(r.fingerprint) >= suspect.MaxCrashes {
-		return suspect.Refused, nil
+	if _, err := s.Check(r.fingerprint); err != nil {
+		return suspect.Refused, nil //nolint:nilerr // the verdict says it
 	}
 	r.owner = suspect.Owner(r.fingerprint, append(slices.Clone(s.options.Peers.Peers()), s.options.Self))
 	m := &peerpb.MarkSuspectRequest{Sender: s.sender(), Fingerprint: string(r.fingerprint), Target: claimPrefix + string(r.id)}
--- a/core/suspect/claims.go
+++ b/core/suspect/claims.go
@@ -10,13 +10,13 @@
 	"mimosarelay/core/model"
 )
 
-// ClaimLifetime is the time after which a claim no longer counts if its end was
-// not reported. It is longer than any call takes.
+// ClaimLifetime is the default time after which a claim no longer counts if its end
+// was not reported. It is longer than any call takes.
 const ClaimLifetime = 10 * time.Minute
 
-// maxHarmless is the capacity of a HarmlessSet. The oldest request is evicted
-// first.
-const maxHarmless = 1 << 16
+// DefaultHarmless is the default capacity of a HarmlessSet, in requests of about 200
+// bytes each. The oldest request is evicted first.
+const DefaultHarmless = 1 << 16
 
 // Verdict is the answer to a claim. Its numeric values are sent to other hosts.
 type Verdict int
@@ -46,13 +46,15 @@
 // a copy has ended without a crash. A request therefore reaches at most
 // MaxCrashes targets before its crashes are known.
 type Claims struct {
+	// Lifetime is the time after which a claim no longer counts.
+	Lifetime time.Duration
 	running  map[model.Fingerprint]map[ClaimID]time.Time // time of the last claim
 	harmless *HarmlessSet
 }
 
 // NewClaims returns Claims without running copies.
 func NewClaims() *Claims {
-	return &Claims{running: map[model.Fingerprint]map[ClaimID]time.Time{}, harmless: NewHarmlessSet()}
+	return &Claims{Lifetime: ClaimLifetime, running: map[model.Fingerprint]map[ClaimID]time.Time{}, harmless: NewHarmlessSet(DefaultHarmless)}
 }
 
 // Claim decides whether the run id of request f may start, given the number of
@@ -60,7 +62,7 @@
 func (c *Claims) Claim(now time.Time, f model.Fingerprint, id ClaimID, crashes int) Verdict {
 	runs := c.running[f]
 	for other, claimedAt := range runs {
-		if now.Sub(claimedAt) >= ClaimLifetime {
+		if now.Sub(claimedAt) >= c.Lifetime {
 			delete(runs, other)
 		}
 	}
@@ -96,11 +98,11 @@
 	}
 }
 
-// Expire drops the claims whose end was not reported within ClaimLifetime.
+// Expire drops the claims whose end was not reported within Lifetime.
 func (c *Claims) Expire(now time.Time) {
 	for f, runs := range c.running {
 		for id, claimedAt := range runs {
-			if now.Sub(claimedAt) >= ClaimLifetime {
+			if now.Sub(claimedAt) >= c.Lifetime {
 				delete(runs, id)
 			}
 		}
@@ -133,6 +135,7 @@
 type HarmlessSet struct {
 	elements map[model.Fingerprint]*list.Element
 	byAge    *list.List // of harmlessEntry, oldest first
+	capacity int
 }
 
 type harmlessEntry struct {
@@ -140,16 +143,16 @@
 	addedAt     time.Time
 }
 
-// NewHarmlessSet returns an empty HarmlessSet.
-func NewHarmlessSet() *HarmlessSet {
-	return &HarmlessSet{elements: map[model.Fingerprint]*list.Element{}, byAge: list.New()}
+// NewHarmlessSet returns an empty HarmlessSet for a number of requests.
+func NewHarmlessSet(capacity int) *HarmlessSet {
+	return &HarmlessSet{elements: map[model.Fingerprint]*list.Element{}, byAge: list.New(), capacity: capacity}
 }
 
 // Add adds a request or renews it.
 func (s *HarmlessSet) Add(now time.Time, f model.Fingerprint) {
 	s.Remove(f)
 	s.elements[f] = s.byAge.PushBack(harmlessEntry{fingerprint: f, addedAt: now})
-	if s.byAge.Len() > maxHarmless {
+	if s.byAge.Len() > s.capacity {
 		s.Remove(s.byAge.Front().Value.(harmlessEntry).fingerprint)
 	}
 }
--- a/core/suspect/ledger.go
+++ b/core/suspect/ledger.go
@@ -13,7 +13,7 @@
 	// Lifetime is the time for which the crashes of a request count, from the
 	// last one on.
 	Lifetime = time.Hour
-	// MaxCrashes is the number of crashes after which a request is refused.
+	// MaxCrashes is the number of crashes after which a request is refused, see Bans.
 	MaxCrashes = 2
 	// duplicateCrashWindow is the time within which reports about one target
 	// count as one crash, because each host with a copy of the request at the
@@ -21,6 +21,17 @@
 	duplicateCrashWindow = 2 * time.Second
 )
 
+// Bans holds how long a request is refused after it has reached MaxCrashes, and after
+// each crash of the one copy that runs when a ban has ended. Later bans last for
+// Lifetime.
+type Bans []time.Duration
+
+// ShortBans lets a request run once more, because targets may have crashed for another
+// reason, such as the loss of a zone. The first ban is longer than a host may take to
+// learn of a crash (contact_ms, up to 4 s). A request that crashes each target reaches
+// two more within an hour; the limit is three.
+var ShortBans = Bans{10 * time.Second, 5 * time.Minute}
+
 // Crash records that a target crashed while it ran a request.
 type Crash struct {
 	Target model.TargetID
@@ -92,6 +103,38 @@
 	return len(e.Crashes)
 }
 
+// BannedFor returns how much longer a request is refused; 0 if it may run.
+func (l *Ledger) BannedFor(now time.Time, f model.Fingerprint, b Bans) time.Duration {
+	if l.Crashes(now, f) < MaxCrashes {
+		return 0
+	}
+	var end time.Time
+	bans := 0
+	for _, c := range l.entries[f].Crashes[MaxCrashes-1:] {
+		if !c.At.Before(end) { // others are of copies that ran before the ban
+			bans++
+		}
+		ban := Lifetime
+		if bans <= len(b) {
+			ban = b[bans-1]
+		}
+		if e := c.At.Add(ban); e.After(end) {
+			end = e
+		}
+	}
+	return max(0, end.Sub(now))
+}
+
+// LastCrash returns the time of the last crash of a request, and false if it has none
+// that count.
+func (l *Ledger) LastCrash(now time.Time, f model.Fingerprint) (time.Time, bool) {
+	n := l.Crashes(now, f)
+	if n == 0 {
+		return time.Time{}, false
+	}
+	return l.entries[f].Crashes[n-1].At, true
+}
+
 // RecordCrash records a crash and reports whether it was new.
 func (l *Ledger) RecordCrash(now time.Time, f model.Fingerprint, c Crash) bool {
 	return l.entry(now, f).add(c)
