--- a/app/relay/forward.go
+++ b/app/relay/forward.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
+	"mimosarelay/app/suspects"
 	"mimosarelay/core/config"
 	"mimosarelay/core/conversation"
 	"mimosarelay/core/dispatch"
@@ -119,7 +120,8 @@
 	fingerprint  model.Fingerprint
 	pinnedTarget model.TargetID // the only target to try, after dispatch.Again
 	place        Place
-	lease        TurnLease // nil without a program budget
+	trial        *suspects.Run // claim of the current attempt; nil for most requests
+	lease        TurnLease     // nil without a program budget
 	started      time.Time
 	sentAt       time.Time // when the present attempt was sent
 	// chain is the conversation of a turn that is kept.
@@ -132,7 +134,7 @@
 // fingerprint identifies the content that a target gets. The same input is another
 // content in another conversation.
 func (f *Forward) fingerprint() model.Fingerprint {
-	parts := [][]byte{[]byte(f.Workspace), []byte(f.URI), f.Body}
+	parts := [][]byte{[]byte(f.Workspace), []byte(f.Method), []byte(f.URI), f.Body}
 	if f.Route.Retention > 0 {
 		parts = append(parts, []byte(f.Previous))
 	}
@@ -246,11 +248,10 @@
 
 // forwardOnce makes one attempt. On an error, Next is nil if no attempt was made.
 func (s *Service) forwardOnce(ctx context.Context, c *forwardCall) (*Answer, dispatch.Next, error) {
-	place, err := s.acquirePlace(ctx, c)
+	place, err := s.startAttempt(ctx, c)
 	if err != nil {
 		return nil, nil, err
 	}
-	c.place = place
 	resp, err := s.dispatch(ctx, c, c.LastEvent)
 	if err != nil {
 		next := s.handleFailedAttempt(ctx, c, err)
@@ -260,13 +261,14 @@
 		return s.forwardStream(ctx, c, resp), nil, nil
 	}
 	headers := endToEndHeaders(resp.Message())
-	status := resp.Status()
+	status, survived := resp.Status(), showsSurvival(resp)
 	body, err := resp.ReadAll(maxAnswer)
 	_ = resp.Close()
 	if err != nil {
 		next := s.handleFailedAttempt(ctx, c, err)
 		return nil, next, err
 	}
+	s.endRun(c, survived)
 	recordOutcome(place, answerOutcome(status))
 	usage := placement.Usage{Prompt: c.Prompt.Tokens}
 	if status < fasthttp.StatusBadRequest { // an error takes another time than an answer
@@ -363,6 +365,7 @@
 func (s *Service) handleFailedAttempt(ctx context.Context, c *forwardCall, cause error) dispatch.Next {
 	t := c.place.Target()
 	recordOutcome(c.place, failureOutcome(ctx, cause))
+	defer s.endRun(c, false) // after the crash was recorded
 	var outcome dispatch.Outcome
 	failed := false
 	var refusal *model.Refusal
