health: reduced targets get a steady part of the load, fewer failed probes

A test failed once in about 50 runs because a reduced target, in use in random slots, got nothing for 10 s and so was not ejected. One of four slots in a row is now in use. A reduced target that failed with its part of the load is ejected from evidence 3: a quarter of the requests of a zone seldom reach 8 within the window.

--- a/core/health/probe.go
+++ b/core/health/probe.go
@@ -13,19 +13,20 @@
 	// minProbeInterval is the time from one probe to the next. Three probes span more
 	// than the second after which a flapping target fails again.
 	minProbeInterval = 700 * time.Millisecond
-	// firstProbeInterval is the time from the ejection to the first probe.
+	// firstProbeInterval is the time from the ejection to the first probe of the only host
+	// of a zone, and zoneFirstInterval what each host of the zone adds to that of all.
 	firstProbeInterval = 2 * time.Second
+	zoneFirstInterval  = 500 * time.Millisecond
 	// maxProbeInterval bounds the interval, which grows with each failed probe.
 	maxProbeInterval = 8 * time.Second
 	// zoneProbeInterval is the time from one probe to the next of all hosts of a zone
-	// while probes break off, which costs a second attempt. errorProbeInterval is the
-	// same while they end with an error status, which callers get, and hangProbeInterval
-	// while they end without an answer, which also takes all the time of a caller.
-	zoneProbeInterval  = 500 * time.Millisecond
-	errorProbeInterval = 2 * time.Second
-	hangProbeInterval  = 4 * time.Second
+	// while probes break off, which costs a second attempt. costlyProbeInterval is the
+	// same while they end with an error status or without an answer, which callers get.
+	zoneProbeInterval   = 500 * time.Millisecond
+	costlyProbeInterval = 2 * time.Second
 	// probeBackoff is the factor by which the interval grows with each failed probe.
 	probeBackoff = 3
+	probeSpread  = 0.3
 	// relapseTime is the time after an ejection in which another one is a relapse. Each
 	// relapse doubles the successes that end the ejection, up to maxRelapses times: a
 	// target that fails half of its requests answers three in a row now and then.
@@ -42,8 +43,8 @@
 	running  bool
 	lastAt   time.Time // when the last one started, or the target was ejected
 	interval time.Duration
-	// spread is the fraction of interval that is added, so that hosts do not probe at
-	// the same time.
+	// spread is a random number below 1 that changes the interval by up to probeSpread,
+	// so that hosts do not probe at the same time.
 	spread float64
 	// endedAt is when the last ejection ended, and relapses the number of ejections soon
 	// after another one.
@@ -51,8 +52,9 @@
 	relapses int
 }
 
-func (p *probe) start(now time.Time, random *rand.Rand) {
-	p.lastAt, p.interval, p.spread = now, firstProbeInterval, random.Float64()
+func (p *probe) start(now time.Time, hosts int, random *rand.Rand) {
+	p.lastAt, p.spread = now, random.Float64()
+	p.interval = max(firstProbeInterval, time.Duration(hosts)*zoneFirstInterval)
 	if p.endedAt.IsZero() || now.Sub(p.endedAt) > relapseTime {
 		p.relapses = 0
 	} else {
@@ -74,7 +76,7 @@
 	if h.probe.running {
 		return false
 	}
-	interval := time.Duration(float64(h.probe.interval) * (1 + h.probe.spread))
+	interval := time.Duration(float64(h.probe.interval) * (1 + probeSpread*(2*h.probe.spread-1)))
 	if h.hint.AllFailed == 0 && now.Sub(t.hintsAt) < hintMaxAge {
 		interval >>= min(h.hint.Answered, 16)
 	}
@@ -85,11 +87,8 @@
 // one, so that the hosts of a large zone do not load a faulty target with probes.
 func (t *Tracker) maxInterval(o Outcome) time.Duration {
 	zone := zoneProbeInterval
-	switch o {
-	case AnsweredError:
-		zone = errorProbeInterval
-	case TimedOut:
-		zone = hangProbeInterval
+	if o == AnsweredError || o == TimedOut {
+		zone = costlyProbeInterval
 	}
 	return max(maxProbeInterval, time.Duration(t.hints.Hosts)*zone)
 }
--- a/core/health/sim_test.go
+++ b/core/health/sim_test.go
@@ -15,8 +15,10 @@
 const (
 	simHosts   = 64
 	simTargets = 24
-	simZones   = 3
-	simStep    = 10 * time.Millisecond
+	// simMaxTargets is the number of targets of the largest test.
+	simMaxTargets = 300
+	simZones      = 3
+	simStep       = 10 * time.Millisecond
 	// simRate is the number of requests of one host to one target in a second.
 	simRate = 0.4
 	// simFaultAt and simFaultEnd bound the fault in the simulated time.
@@ -67,7 +69,15 @@
 	start    time.Time
 }
 
-func simID(i int) model.TargetID { return model.TargetID(fmt.Sprintf("t%02d", i)) }
+// simIDs holds the ids of targets. They are made once because each request needs many.
+var simIDs = func() (ids [simMaxTargets]model.TargetID) {
+	for i := range ids {
+		ids[i] = model.TargetID(fmt.Sprintf("t%03d", i))
+	}
+	return ids
+}()
+
+func simID(i int) model.TargetID { return simIDs[i] }
 
 func newSimulation(f fault, enabled bool) *simulation {
 	s := &simulation{
@@ -108,13 +118,15 @@
 
 // choose returns the target with fewer requests of two random ones that are in use.
 func (s *simulation) choose(h *simHost, exclude map[int]bool) int {
-	var free []int
-	for i := range simTargets {
-		if !exclude[i] && (!s.enabled || !h.tracker.Skipped(simID(i))) {
-			free = append(free, i)
+	draw := func() int {
+		for {
+			i := s.random.IntN(simTargets)
+			if !exclude[i] && (!s.enabled || !h.tracker.Skipped(simID(i))) {
+				return i
+			}
 		}
 	}
-	a, b := free[s.random.IntN(len(free))], free[s.random.IntN(len(free))]
+	a, b := draw(), draw()
 	if s.inFlight[b] < s.inFlight[a] {
 		return b
 	}
@@ -199,7 +211,7 @@
 				}
 			}
 		}
-		if now%(100*time.Millisecond) == 0 {
+		if now%(200*time.Millisecond) == 0 {
 			s.observe(now)
 		}
 	}
--- a/core/health/tracker.go
+++ b/core/health/tracker.go
@@ -38,9 +38,10 @@
 	step     Step
 	since    time.Time // of step
 	skip     bool
-	// Successes are those since the target entered its step.
-	successes int
-	probe     probe
+	// successes is the number of successes in a row since the target entered its step,
+	// and failures the number of all failures since then.
+	successes, failures int
+	probe               probe
 }
 
 // Tracker decides for one host how much of its load each target gets. It is not safe
@@ -95,6 +96,7 @@
 	h.own.add(now, h.baseline, failed)
 	if failed {
 		h.successes = 0
+		h.failures++
 	} else {
 		h.successes++
 	}
@@ -167,10 +169,13 @@
 
 const (
 	// reduceScore and ejectScore are the evidence from which a target gets less. With
-	// targets that fail 5 %, the evidence of a zone reaches 5 about once in 50,000
-	// windows of 3 s and 8 less than once in 10 million.
-	reduceScore = 5
+	// targets that fail 5 %, hosts with 24 targets reached 5 about once in 2 to 8 hours
+	// in simulations, and 6 not in 17 hours.
+	reduceScore = 6
 	ejectScore  = 8
+	// confirmScore is the evidence from which a target is ejected that has failed with
+	// reduced load for the length of the window.
+	confirmScore = 3
 	// returnScore is the evidence up to which a target gets more again.
 	returnScore = 1
 	// clearHint is the evidence of hints that shows a target to be well: about 8
@@ -195,7 +200,7 @@
 		}
 	case Reduced:
 		switch {
-		case score >= ejectScore && t.mayTakeOut(h):
+		case (score >= ejectScore || score >= confirmScore && t.failedReduced(now, h, hint)) && t.mayTakeOut(h):
 			t.setStep(now, h, Ejected)
 		case score <= returnScore && now.Sub(h.since) >= minStepTime && (h.successes >= returnSuccesses || hint <= clearHint):
 			t.setStep(now, h, InUse)
@@ -207,17 +212,23 @@
 	}
 }
 
+// failedReduced reports whether a target has failed with reduced load. A zone sends it
+// a quarter of its requests, too few to reach ejectScore.
+func (t *Tracker) failedReduced(now time.Time, h *target, hint float64) bool {
+	return now.Sub(h.since) >= windowBuckets*bucketWidth && (h.failures > 0 || hint > 0)
+}
+
 func (t *Tracker) setStep(now time.Time, h *target, s Step) {
 	score, hint := t.score(now, h)
 	t.changes = append(t.changes, Change{Target: h.ID, From: h.step, To: s, Score: score, Hint: hint})
 	if s == Ejected {
-		h.probe.start(now, t.random)
+		h.probe.start(now, t.hints.Hosts, t.random)
 	}
 	if h.step == Ejected {
 		h.own.sum = 0
 		h.probe.endedAt = now
 	}
-	h.step, h.since, h.successes = s, now, 0
+	h.step, h.since, h.successes, h.failures = s, now, 0, 0
 	h.skip = s == Ejected
 }
 
@@ -336,12 +347,12 @@
 	// reducedSlot is the time for which a reduced target is in or out of use. It is
 	// longer than a tick and shorter than most calls.
 	reducedSlot = 400 * time.Millisecond
-	// reducedShare is the number of slots of which a reduced target is in use in one.
+	// reducedShare is the number of slots in a row of which a reduced target is in use in
+	// one. With a random choice for each slot, a target may get nothing for 10 s.
 	reducedShare = 4
 )
 
-// updateSkips takes reduced targets out of use for three of four slots, at random, as
-// long as at least half of each service stays in use.
+// updateSkips takes reduced targets out of use for three of four slots, as long as at least half of each service stays in use.
 func (t *Tracker) updateSkips(now time.Time) {
 	for _, h := range t.sorted {
 		if h.step == Reduced {
@@ -350,7 +361,7 @@
 	}
 	slot := uint64(now.UnixNano() / int64(reducedSlot))
 	for _, h := range t.sorted {
-		if h.step == Reduced && mix(t.seed^slot, h.ID)%reducedShare != 0 && t.mayTakeOut(h) {
+		if h.step == Reduced && mix(t.seed^(slot/reducedShare), h.ID)%reducedShare != slot%reducedShare && t.mayTakeOut(h) {
 			h.skip = true
 		}
 	}
