--- a/app/fleet/service.go
+++ b/app/fleet/service.go
@@ -49,8 +49,10 @@
 	ConfigRevision func() model.Revision
 	// PeerRevision is called when a peer reports its configuration revision.
 	PeerRevision func(member.Member, model.Revision)
-	Log          *slog.Logger
-	Scope        tally.Scope
+	// Standby is nil if the host always joins.
+	Standby *StandbyOptions
+	Log     *slog.Logger
+	Scope   tally.Scope
 
 	// The durations below have their defaults in parentheses or behind them. For
 	// LeaseTTL, ConfirmationTTL and Margin see member.Times.
@@ -59,6 +61,9 @@
 	HeartbeatInterval time.Duration // 500 ms
 	ConfirmationTTL   time.Duration // 1.5 s
 	Margin            time.Duration // 500 ms
+	// AwayLimit is member.Times.AwayLimit (0, no limit). It must be longer than
+	// LeaseTTL.
+	AwayLimit time.Duration
 	// RenewTimeout bounds a renewal (400 ms). When an outage of the store begins,
 	// all hosts must notice it and confirm each other within LeaseTTL - Margin
 	// after their last renewal. This takes up to RenewInterval (1 s) until the last
@@ -129,6 +134,7 @@
 	if o.Self.Incarnation == "" {
 		o.Self.Incarnation = newIncarnation()
 	}
+	o.Self.AwayLimit = o.AwayLimit
 	return o
 }
 
@@ -166,40 +172,51 @@
 	attached    bool      // self was a member after the current lease was acquired
 	// joinEpoch is the epoch in which this incarnation joined; 0 before.
 	joinEpoch model.Epoch
+	// everJoined is set once any incarnation of this process has joined.
+	everJoined bool
 	// joinUnknown is set if the answer to a join of this incarnation was lost.
 	joinUnknown    bool
 	leaveStarted   bool                            // Leave has begun
 	settled        bool                            // all members have entered the epoch of record
 	lastReport     model.Epoch                     // epoch of the last entry report written
 	entries        []store.Entry                   // of the last watch; nil before the first one
-	leases         map[model.HostID]bool           // hosts that held their lease in entries
+	latest         member.Record                   // in entries; its epoch may not be entered yet
+	leases         map[model.HostID]leaseHolder    // of the hosts that held their lease in entries
 	reports        map[model.HostID]EntryReport    // from entries, with the own last report
 	deletedReports map[string]store.Version        // that the watch may still return, by key
 	missingSince   map[model.Incarnation]time.Time // first seen without a lease
-	peerStoreAway  map[model.HostID]bool
-	peerEpoch      map[model.Incarnation]model.Epoch // from heartbeats
-	answeredAt     map[model.Incarnation]time.Time   // when the last answer to a heartbeat arrived
-	enteredAt      time.Time                         // when this host entered the epoch of record
-	revisions      map[model.Incarnation]model.Revision
-	epochCallbacks []func(old, current member.Record)
-	subscribers    []*subscriber
+	silent         map[model.Incarnation]silence
+	standbys       []member.Standby // from entries
+	standbyLease   store.LeaseID    // "" unless this host is a standby
+	// standbyRenewedAt is when the last renewal of standbyLease was sent.
+	standbyRenewedAt time.Time
+	peerStoreAway    map[model.HostID]bool
+	peerEpoch        map[model.Incarnation]model.Epoch // from heartbeats
+	answeredAt       map[model.Incarnation]time.Time   // when the last answer to a heartbeat arrived
+	enteredAt        time.Time                         // when this host entered the epoch of record
+	revisions        map[model.Incarnation]model.Revision
+	epochCallbacks   []func(old, current member.Record)
+	subscribers      []*subscriber
 
 	wakeLease, wakeHeartbeat, wakeControl, wakeDispatch chan struct{}
 
 	peerRevisions chan peerRevision
+	joined        chan struct{} // closed by joinOnce
+	joinOnce      sync.Once
 }
 
 // New returns a Service that Run starts.
 func New(o Options) *Service {
 	o = o.withDefaults()
 	now := o.Clock.Now()
-	times := member.Times{LeaseTTL: o.LeaseTTL, ConfirmationTTL: o.ConfirmationTTL, Margin: o.Margin}
-	return &Service{
+	times := member.Times{LeaseTTL: o.LeaseTTL, ConfirmationTTL: o.ConfirmationTTL, Margin: o.Margin, AwayLimit: o.AwayLimit}
+	s := &Service{
 		options: o, started: now, self: o.Self, storeAwayAt: now,
 		right:        member.NewRight(times, o.Self, now),
 		ownership:    member.NewShardOwnership(o.Self.Host),
-		leases:       map[model.HostID]bool{},
+		leases:       map[model.HostID]leaseHolder{},
 		reports:      map[model.HostID]EntryReport{},
+		silent:       map[model.Incarnation]silence{},
 		missingSince: map[model.Incarnation]time.Time{}, deletedReports: map[string]store.Version{},
 		peerStoreAway: map[model.HostID]bool{},
 		peerEpoch:     map[model.Incarnation]model.Epoch{},
@@ -207,8 +224,12 @@
 		revisions:     map[model.Incarnation]model.Revision{},
 		wakeLease:     make(chan struct{}, 1), wakeHeartbeat: make(chan struct{}, 1),
 		wakeControl: make(chan struct{}, 1), wakeDispatch: make(chan struct{}, 1),
-		peerRevisions: make(chan peerRevision, 256),
+		peerRevisions: make(chan peerRevision, 256), joined: make(chan struct{}),
 	}
+	if o.Standby == nil {
+		s.joinOnce.Do(func() { close(s.joined) })
+	}
+	return s
 }
 
 // Run runs the loops until ctx ends. It does not leave the fleet, see Leave.
@@ -382,6 +403,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var revisionUnknown []model.HostID
+	leases := map[model.HostID]bool{}
+	for h := range s.leases {
+		leases[h] = true
+	}
 	for _, m := range s.record.Members {
 		if _, ok := s.revisions[m.Incarnation]; !ok && m.Host != s.self.Host {
 			revisionUnknown = append(revisionUnknown, m.Host)
@@ -390,7 +415,7 @@
 	return State{
 		Self: s.self, Record: s.record, MayAct: mayAct, StoreAway: s.right.StoreAway(),
 		Attached: s.attached, Settled: s.settled, Stopped: s.leaveStarted, Reported: s.lastReport,
-		Leases: maps.Clone(s.leases), Reports: maps.Clone(s.reports), Revisions: revisions,
+		Leases: leases, Reports: maps.Clone(s.reports), Revisions: revisions,
 		RevisionUnknown: revisionUnknown,
 	}
 }
--- a/core/placement/homes.go
+++ b/core/placement/homes.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -26,14 +27,15 @@
 // parts of it. All hosts compute the same homes without exchanging messages, so
 // other hosts probably chose them too. It returns the home of the program. It
 // returns nil for a call without a program or prefix sizes, and for a program that
-// ran at this host before, because its target is known.
-func (s *Scheduler) creditHomes(c *class, k *call) *target {
+// ran at this host before, because its target is known. Where calls are kept in a zone,
+// each zone has its own homes.
+func (s *Scheduler) creditHomes(c *class, k *call, a *reach) *target {
 	r := &k.request
 	n := len(r.Prefixes)
 	if n == 0 || len(r.PrefixTokens) != n || r.Program == "" || k.program.lastMessages > 0 {
 		return nil
 	}
-	s.homes = topHomes(s.homes[:0], c.targets, r.Prefixes[0])
+	s.homes = topHomes(s.homes[:0], c.homeCandidates(a.home), r.Prefixes[0])
 	if s.prefixes.byHash[r.Prefixes[0]] == nil {
 		for _, h := range s.homes {
 			s.assumeCached(h.target, r.PrefixTokens[0])
@@ -46,6 +48,19 @@
 	return home
 }
 
+// homeCandidates returns the targets of the class in a zone, or all if the zone is empty.
+func (c *class) homeCandidates(zone model.Zone) []*target {
+	if zone == "" {
+		return c.targets
+	}
+	for i := range c.pool.zones {
+		if c.pool.zones[i].name == zone {
+			return c.pool.zones[i].targets
+		}
+	}
+	return c.targets
+}
+
 // assumeCached raises the number of tokens of the present prompt that a target
 // probably has cached.
 func (s *Scheduler) assumeCached(t *target, tokens model.Tokens) {
@@ -80,19 +95,26 @@
 	return list
 }
 
-// homeOf returns the home with the highest rendezvous score for the hash of a
-// program, or nil if there are no homes.
+// homeOf returns the home with the highest weighted rendezvous score for the hash of a
+// program, or nil if there are no homes. The weight is the learned speed, so that a
+// slow target is the home of fewer programs. Hosts that judge one target differently
+// disagree only on programs of that target.
 func homeOf(homes []scoredHome, program uint64) *target {
 	var found *target
-	var highest uint64
+	var highest float64
 	for _, h := range homes {
-		if x := rendezvous(program, h.target); found == nil || x > highest {
+		// -1/ln(u) grows with u, so that equal weights give the order of the hashes.
+		u := (float64(rendezvous(program, h.target)>>hashDropBits) + 0.5) / (1 << (64 - hashDropBits))
+		if x := -1 / (math.Log(u) * h.target.speedFactor()); found == nil || x > highest {
 			found, highest = h.target, x
 		}
 	}
 	return found
 }
 
+// hashDropBits is the number of bits of a hash that exceed the precision of a float64.
+const hashDropBits = 12
+
 func rendezvous(key uint64, t *target) uint64 {
 	var b [16]byte
 	binary.LittleEndian.PutUint64(b[:8], key)
