catalog: targets in evacuated zones get no new request

Operators order an evacuation by the key op/evacuate/ZONE, which nothing read. Other hosts get the orders with the confirmation of the configuration. Placement excludes the targets, and the relay checks the zone again before the first byte.

--- a/app/catalog/catalog.go
+++ b/app/catalog/catalog.go
@@ -80,15 +80,16 @@
 	mu                 sync.Mutex // guards the fields below except loggedFaults and onChange
 	view               *ingress.View
 	document           *ingress.Document
-	value              []byte    // document as it is stored
-	documentRevision   uint64    // store revision at which document was last changed
-	storeRevision      uint64    // store revision up to which changes were checked
+	value              []byte // document as it is stored
+	documentRevision   uint64 // store revision at which document was last changed
+	storeRevision      uint64 // store revision up to which changes were checked
+	evacuations        evacuations
 	confirmedAsOf      time.Time // start of the latest request by which the store confirmed document
 	storeAway          bool      // whether the last request for the configuration failed
 	targetsUnavailable bool      // whether the last request for the targets failed
 	targets            discovery.Targets
 	targetsAsOf        time.Time             // as of when the store last listed the targets; zero before
-	changed            chan struct{}         // closed and replaced when the configuration changes
+	changed            chan struct{}         // closed and replaced when the configuration or the evacuation orders change
 	loggedFaults       []string              // faults of the last read of targets; used by readTargets only
 	onChange           []func(*ingress.View) // set before Run
 }
@@ -194,14 +195,17 @@
 	}
 	s.mu.Lock()
 	d := stored.Document
+	evacuationsChanged := stored.StoreRevision >= s.storeRevision && s.evacuations.set(stored.Evacuated, s.options.Log)
 	s.storeRevision = max(s.storeRevision, stored.StoreRevision)
 	s.recordConfirmation(requestedAt.Add(-stored.Age))
 	older := d != nil && s.document != nil && d.Revision < s.document.Revision
 	if d == nil || older {
+		view := s.applyEvacuationsLocked(evacuationsChanged)
 		s.mu.Unlock()
 		if older {
 			s.options.Log.Error("older configuration ignored", "revision", d.Revision)
 		}
+		s.notify(view)
 		return true
 	}
 	s.document, s.value, s.documentRevision = d, stored.Value, stored.Revision
@@ -309,7 +313,8 @@
 	}
 	list := s.targets.List()
 	sortTargets(list)
-	s.view = ingress.NewView(s.document, list)
+	s.view = ingress.NewView(s.document, list, s.evacuations.zones...)
+	s.evacuations.log(s.options.Log, list)
 	return s.view
 }
 
--- a/app/catalog/peers.go
+++ b/app/catalog/peers.go
@@ -27,13 +27,19 @@
 	if maxAge := time.Duration(r.GetMaxAgeUs()) * time.Microsecond; maxAge > 0 && !s.readConfiguration(ctx, maxAge) {
 		return nil, storeAwayRefusal()
 	}
-	s.waitForChange(ctx, r.GetKnownRevision(), min(maxLongPollWait, time.Duration(r.GetWaitMs())*time.Millisecond))
+	s.waitForChange(ctx, r, min(maxLongPollWait, time.Duration(r.GetWaitMs())*time.Millisecond))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.document == nil {
 		return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "the configuration is not known yet")
 	}
 	res := &peerpb.ConfigurationResponse{Revision: s.documentRevision, StoreRevision: s.storeRevision, AgeUs: arrivedAt.Sub(s.confirmedAsOf).Microseconds()}
+	if s.evacuations.zones != nil {
+		res.StatesEvacuations = true
+		for _, z := range s.evacuations.zones {
+			res.EvacuatedZones = append(res.EvacuatedZones, string(z))
+		}
+	}
 	if s.documentRevision != r.GetKnownRevision() && !r.GetWithoutValue() {
 		res.Value = s.value
 	}
@@ -44,13 +50,15 @@
 	return model.NewRefusal(model.ErrUnavailable, model.RanNo, "the store does not answer this host")
 }
 
-// waitForChange waits until the configuration has a store revision other than
-// known, ctx ends or wait has passed.
-func (s *Service) waitForChange(ctx context.Context, known uint64, wait time.Duration) {
+// waitForChange waits until the configuration or the evacuation orders are others
+// than those which r names, ctx ends or wait has passed.
+func (s *Service) waitForChange(ctx context.Context, r *peerpb.ConfigurationRequest, wait time.Duration) {
 	s.mu.Lock()
-	current, changed := s.documentRevision, s.changed
+	differs := s.documentRevision != r.GetKnownRevision() ||
+		r.GetStatesEvacuations() && s.evacuations.zones != nil && r.GetKnownEvacuations() != EvacuationsVersion(s.evacuations.zones)
+	changed := s.changed
 	s.mu.Unlock()
-	if current != known || wait <= 0 {
+	if differs || wait <= 0 {
 		return
 	}
 	select {
--- a/app/entry/entryhost.go
+++ b/app/entry/entryhost.go
@@ -76,7 +76,7 @@
 		Conversations: conversations.NewClient(conversations.ClientOptions{
 			Zone: o.Zone, Keepers: e.follow.TurnKeepers, Copies: max(1, o.TurnCopies), Peers: h.peers, Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
 		}),
-		Turns: turnClient, Departures: h.catalog, Pacer: pacer, Pauser: e.placement,
+		Turns: turnClient, Departures: h.catalog, Pacer: pacer, Pauser: e.placement, Zones: h.catalog,
 		Limiter: limiter{e}, Rights: e.follow, Placer: placer{e.placement}, Suspects: e.suspects, Targets: e.targets,
 		Dialect: o.Dialect, Loads: e.placement, Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
 	})
--- a/app/entry/state.go
+++ b/app/entry/state.go
@@ -26,6 +26,8 @@
 	// the request to the store that last confirmed it; -1ns before the first one.
 	Revision    model.Revision
 	EvidenceAge time.Duration
+	// Evacuated lists the zones with an evacuation order.
+	Evacuated []model.Zone `json:",omitempty"`
 	// Fleet, Limits, Budgets and Turns are set on keepers; Follow, Placement and Suspects
 	// on entry hosts.
 	Fleet     any `json:",omitempty"`
@@ -42,7 +44,7 @@
 	ready, reason := h.Ready()
 	s := State{
 		Host: h.options.Host, Ready: ready, Reason: reason, Draining: h.draining.Load(),
-		Revision: h.revision(), EvidenceAge: h.catalog.Age(),
+		Revision: h.revision(), EvidenceAge: h.catalog.Age(), Evacuated: h.catalog.Evacuated(),
 	}
 	if k := h.keeper; k != nil {
 		s.Fleet, s.Limits, s.Budgets = k.fleet.Dump(), k.limits.Dump(), k.turnOwner.Dump()
--- a/app/follow/source.go
+++ b/app/follow/source.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,9 +49,11 @@
 	Decode func([]byte) (*ingress.Document, error)
 	Clock  clockwork.Clock
 
-	mu             sync.Mutex // guards the fields below
-	firstAsked     time.Time  // when the first configuration was requested
-	knownRevision  uint64     // revision of the last configuration that was read
+	mu             sync.Mutex   // guards the fields below
+	firstAsked     time.Time    // when the first configuration was requested
+	knownRevision  uint64       // revision of the last configuration that was read
+	knownZones     []model.Zone // with an evacuation order, as last read; nil if not known
+	zonesRevision  uint64       // revision of the store up to which knownZones is known
 	targetsVersion uint64
 	targets        []ingress.Target
 }
@@ -103,6 +106,8 @@
 			return err
 		case res.GetRevision() < r.GetKnownRevision() || microseconds(res.GetAgeUs()) > maxConfigurationAge:
 			return fmt.Errorf("%w: keeper %s has revision %d, age %v", errStale, address, res.GetRevision(), microseconds(res.GetAgeUs()))
+		case s.statesOldZones(res):
+			return fmt.Errorf("%w: keeper %s has evacuation orders of store revision %d", errStale, address, res.GetStoreRevision())
 		}
 		return nil
 	})
@@ -140,6 +145,9 @@
 	if err == nil {
 		s.mu.Lock()
 		s.knownRevision = stored.Revision
+		if stored.Evacuated != nil {
+			s.knownZones, s.zonesRevision = stored.Evacuated, stored.StoreRevision
+		}
 		s.mu.Unlock()
 	}
 	return stored, err
@@ -155,26 +163,53 @@
 		stored.Value = res.GetValue()
 		stored.Document, err = s.Decode(res.GetValue())
 	}
+	stored.Evacuated = statedZones(res)
 	return stored, err
 }
 
+// statesOldZones reports whether a keeper states other evacuation orders than the
+// known ones, as of an earlier revision of the store.
+func (s *Source) statesOldZones(res *peerpb.ConfigurationResponse) bool {
+	zones := statedZones(res)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return zones != nil && res.GetStoreRevision() < s.zonesRevision && !slices.Equal(zones, s.knownZones)
+}
+
+// statedZones returns the zones with an evacuation order that a keeper states, or nil
+// if it states none because it runs an earlier version.
+func statedZones(res *peerpb.ConfigurationResponse) []model.Zone {
+	if !res.GetStatesEvacuations() {
+		return nil
+	}
+	zones := make([]model.Zone, 0, len(res.GetEvacuatedZones()))
+	for _, z := range res.GetEvacuatedZones() {
+		zones = append(zones, model.Zone(z))
+	}
+	return zones
+}
+
 // WatchConfiguration implements catalog.Source.
 func (s *Source) WatchConfiguration(ctx context.Context, after uint64, wait time.Duration) (ingress.WatchResult, error) {
 	s.mu.Lock()
-	known := s.knownRevision
+	known, knownZones := s.knownRevision, s.knownZones
 	s.mu.Unlock()
 	keeperWait := wait
 	if s.MaxWait > 0 {
 		keeperWait = min(wait, s.MaxWait)
 	}
-	res, err := s.requestConfiguration(ctx, keeperWait, &peerpb.ConfigurationRequest{KnownRevision: known, WithoutValue: true})
+	res, err := s.requestConfiguration(ctx, keeperWait, &peerpb.ConfigurationRequest{
+		KnownRevision: known, WithoutValue: true, StatesEvacuations: knownZones != nil, KnownEvacuations: catalog.EvacuationsVersion(knownZones),
+	})
 	if s.readsStore(err) {
 		return s.Store.WatchConfiguration(ctx, after, wait)
 	}
 	if err != nil {
 		return ingress.WatchResult{}, err
 	}
-	return ingress.WatchResult{StoreRevision: res.GetStoreRevision(), Changed: res.GetRevision() != known, Age: microseconds(res.GetAgeUs())}, nil
+	zones := statedZones(res)
+	ordersChanged := zones != nil && (knownZones == nil || !slices.Equal(zones, knownZones))
+	return ingress.WatchResult{StoreRevision: res.GetStoreRevision(), Changed: res.GetRevision() != known || ordersChanged, Age: microseconds(res.GetAgeUs())}, nil
 }
 
 // ReadTargets implements catalog.Source. It returns no faults with the targets of a
--- a/app/follow/source_test.go
+++ b/app/follow/source_test.go
@@ -27,6 +27,12 @@
 	unavailable bool
 	revision    uint64
 	calls       int
+	zones       []model.Zone // with an evacuation order
+	orders      uint64       // changes of zones
+}
+
+func (fs *fakeSource) evacuate(zones ...model.Zone) {
+	fs.update(func() { fs.zones, fs.orders = append([]model.Zone{}, zones...), fs.orders+1 })
 }
 
 func (fs *fakeSource) update(f func()) {
@@ -57,7 +63,8 @@
 	if err != nil {
 		return ingress.StoredDocument{}, err
 	}
-	s := ingress.StoredDocument{Revision: revision, StoreRevision: revision}
+	s := ingress.StoredDocument{Revision: revision}
+	fs.update(func() { s.StoreRevision, s.Evacuated = revision+fs.orders, fs.zones })
 	if revision != known {
 		s.Value, err = json.Marshal(revision)
 		s.Document = &ingress.Document{Revision: model.Revision(revision)}
@@ -68,10 +75,11 @@
 // WatchConfiguration implements catalog.Source. It checks for a change every 20 ms.
 func (fs *fakeSource) WatchConfiguration(ctx context.Context, after uint64, wait time.Duration) (ingress.WatchResult, error) {
 	revision, err := fs.recordCall()
+	fs.update(func() { revision += fs.orders })
 	for end := time.Now().Add(wait); err == nil && revision <= after && time.Now().Before(end) && ctx.Err() == nil; {
 		time.Sleep(20 * time.Millisecond)
 		fs.update(func() {
-			revision = fs.revision
+			revision = fs.revision + fs.orders
 			if fs.unavailable {
 				err = store.ErrUnavailable
 			}
--- a/app/placement/service.go
+++ b/app/placement/service.go
@@ -291,6 +291,9 @@
 	if t, ok := s.snapshot.Target(id); ok && t.Leaving {
 		return placement.ExcludedLeaving
 	}
+	if t, ok := s.snapshot.Target(id); ok && t.Evacuated {
+		return placement.ExcludedEvacuated
+	}
 	if h := s.health[id]; h != nil && h.skip {
 		return placement.ExcludedUnreachable
 	}
--- a/app/relay/forward.go
+++ b/app/relay/forward.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -299,7 +300,7 @@
 		IdleTimeout:     left,
 		BeforeSend: func() error {
 			sentAt = s.Clock.Now()
-			return s.checkBeforeForward(ctx)
+			return cmp.Or(s.checkBeforeForward(ctx), s.checkZone(t))
 		},
 		Match: func(m *fasthttp.Response) bool {
 			reply = s.Dialect.Decode(m)
--- a/app/relay/interfaces.go
+++ b/app/relay/interfaces.go
@@ -149,6 +149,12 @@
 	Report(id model.TargetID, l placement.Load)
 }
 
+// Zones knows which zones operators evacuate.
+type Zones interface {
+	// Evacuated returns the zones whose targets get no new request.
+	Evacuated() []model.Zone
+}
+
 // Departures learns which targets are leaving.
 type Departures interface {
 	// MarkLeaving records that a target said in a response that it is leaving. It
--- a/app/relay/pace.go
+++ b/app/relay/pace.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"time"
 
 	"mimosarelay/app/wait"
+	"mimosarelay/core/config"
 	"mimosarelay/core/model"
 	"mimosarelay/core/pacing"
 	"mimosarelay/core/placement"
@@ -41,3 +44,12 @@
 		}
 	}
 }
+
+// checkZone fails with errNotRun if the zone of a target was evacuated after the
+// target was chosen. Connecting may take most of a second.
+func (s *Service) checkZone(t config.Target) error {
+	if s.Zones != nil && slices.Contains(s.Zones.Evacuated(), t.Zone) {
+		return fmt.Errorf("%w: zone %q of target %q is evacuated", errNotRun, t.Zone, t.Name)
+	}
+	return nil
+}
--- a/app/relay/service.go
+++ b/app/relay/service.go
@@ -42,9 +42,11 @@
 	// Conversations is used by Forward on routes that keep turns; nil if none does.
 	Conversations Conversations
 	Pauser        Pauser
-	Clock         clockwork.Clock
-	Log           *slog.Logger
-	Scope         tally.Scope
+	// Zones is nil if no zone is ever evacuated.
+	Zones Zones
+	Clock clockwork.Clock
+	Log   *slog.Logger
+	Scope tally.Scope
 	// StreamIdle is the time without progress after which an exchange with a
 	// target is ended; 0 means 20 s.
 	StreamIdle time.Duration
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -102,6 +102,9 @@
 	ChecksFencing bool `yaml:"ChecksFencing,omitempty"`
 	// Leaving takes the target out of service: it gets no new calls.
 	Leaving bool `yaml:"Leaving,omitempty"`
+	// Evacuated is set while an operator keeps new calls away from the zone of the
+	// target. It is not part of the document.
+	Evacuated bool `yaml:"-"`
 }
 
 // Route exposes targets of kind Service to callers under /v1/routes/{Name}/.
--- a/core/ingress/ingress.go
+++ b/core/ingress/ingress.go
@@ -3,6 +3,7 @@
 package ingress
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -137,12 +138,16 @@
 	// Revision is the store revision at which the configuration was last
 	// changed. StoreRevision is the store's own revision when it was read.
 	Revision, StoreRevision uint64
+	// Evacuated lists the zones with an evacuation order at StoreRevision, sorted. It
+	// is nil if the reader does not know them, and not nil if there are none.
+	Evacuated []model.Zone
 	// Age is how long before this request the store was read. It is 0 unless
 	// another host answered from its copy.
 	Age time.Duration
 }
 
-// WatchResult is the result of watching the configuration for a change.
+// WatchResult is the result of watching the configuration and the evacuation orders
+// for a change.
 type WatchResult struct {
 	// StoreRevision is the store's revision up to which changes were checked.
 	StoreRevision uint64
@@ -186,8 +191,10 @@
 type View struct {
 	*config.Snapshot
 	document *Document
-	routes   map[string]map[string]*Route // by host name, then path prefix
-	services map[ServiceID]Service
+	// evacuated lists the zones whose targets get no new request.
+	evacuated []model.Zone
+	routes    map[string]map[string]*Route // by host name, then path prefix
+	services  map[ServiceID]Service
 }
 
 // overcommit is the number of requests that all hosts together may send to a
@@ -197,9 +204,9 @@
 // than they serve.
 const overcommit = 3
 
-// NewView indexes a document and the targets. Neither may be modified
-// afterwards.
-func NewView(d *Document, targets []Target) *View {
+// NewView indexes a document, the targets and the zones with an evacuation order. None
+// may be modified afterwards.
+func NewView(d *Document, targets []Target, evacuated ...model.Zone) *View {
 	c := &config.Document{Revision: d.Revision, Workspaces: d.Workspaces}
 	for _, t := range targets {
 		c.Targets = append(c.Targets, config.Target{
@@ -208,10 +215,11 @@
 			// used as the name of the model.
 			Models:      []model.ModelID{model.ModelID(t.Service)},
 			MaxInFlight: max(1, t.Slots*overcommit), Slots: t.Slots, Leaving: t.Leaving,
+			Evacuated: slices.Contains(evacuated, t.Zone),
 		})
 	}
 	v := &View{
-		Snapshot: config.NewSnapshot(c), document: d,
+		Snapshot: config.NewSnapshot(c), document: d, evacuated: evacuated,
 		routes: map[string]map[string]*Route{}, services: map[ServiceID]Service{},
 	}
 	for i := range d.Routes {
@@ -230,6 +238,10 @@
 // Limits returns the limits for callers.
 func (v *View) Limits() Limits { return v.document.Limits }
 
+// Evacuated returns the zones whose targets get no new request. The list must not be
+// changed.
+func (v *View) Evacuated() []model.Zone { return v.evacuated }
+
 // NeedsKeys reports whether requests to routes that are not public need a key.
 func (v *View) NeedsKeys() bool { return len(v.document.Workspaces) > 0 }
 
--- a/core/placement/exclusion.go
+++ b/core/placement/exclusion.go
@@ -7,6 +7,7 @@
 const (
 	NotExcluded         Exclusion = ""
 	ExcludedLeaving     Exclusion = "leaving"
+	ExcludedEvacuated   Exclusion = "evacuated zone"
 	ExcludedUnreachable Exclusion = "refuses connections"
 	ExcludedPaused      Exclusion = "paused"
 	ExcludedNoPlaces    Exclusion = "no places"
