pacing: cold targets get no more requests than they tolerate

A target that returned after a fault got the waiting requests of all hosts at once, as soon as each host could connect. Entry hosts now learn from the target's entry, its health path and their own broken connections which targets are cold, and send those only requests that the owner of the target's shard granted. Grants expire and are checked again before the first byte.

--- a/app/catalog/catalog.go
+++ b/app/catalog/catalog.go
@@ -88,10 +88,12 @@
 	storeAway          bool      // whether the last request for the configuration failed
 	targetsUnavailable bool      // whether the last request for the targets failed
 	targets            discovery.Targets
-	targetsAsOf        time.Time             // as of when the store last listed the targets; zero before
-	changed            chan struct{}         // closed and replaced when the configuration or the evacuation orders change
-	loggedFaults       []string              // faults of the last read of targets; used by readTargets only
-	onChange           []func(*ingress.View) // set before Run
+	targetsAsOf        time.Time                    // as of when the store last listed the targets; zero before
+	changed            chan struct{}                // closed and replaced when the configuration or the evacuation orders change
+	loggedFaults       []string                     // faults of the last read of targets; used by readTargets only
+	onChange           []func(*ingress.View)        // set before Run
+	onTargets          []func([]ingress.Target)     // set before Run
+	coldUntil          map[model.TargetID]time.Time // end of the cold time of targets, as listed last
 }
 
 // New returns a Service. Run keeps it up to date.
@@ -115,6 +117,11 @@
 // before Run.
 func (s *Service) OnChange(fn func(*ingress.View)) { s.onChange = append(s.onChange, fn) }
 
+// OnTargets registers fn, which is called with each list of targets that was read,
+// before the list is used. ColdFor of the targets counts from the call. OnTargets must
+// be called before Run.
+func (s *Service) OnTargets(fn func([]ingress.Target)) { s.onTargets = append(s.onTargets, fn) }
+
 // Run reads the store until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
@@ -262,7 +269,11 @@
 		return false
 	}
 	s.logFaults(list.Faults)
+	for _, fn := range s.onTargets {
+		fn(list.Targets)
+	}
 	s.mu.Lock()
+	list.Targets = s.takeColdLocked(list.Targets)
 	changed := s.targets.Update(s.options.Clock.Now(), list.Targets)
 	first := s.targetsAsOf.IsZero()
 	s.targetsAsOf, s.targetsUnavailable = requestedAt.Add(-list.Age), false
--- a/app/catalog/peers.go
+++ b/app/catalog/peers.go
@@ -74,14 +74,14 @@
 // grace period is over and the targets were read again.
 func (s *Service) HandleTargets(_ context.Context, r *peerpb.TargetsRequest) (*peerpb.TargetsResponse, error) {
 	s.mu.Lock()
-	targetsAsOf, list := s.targetsAsOf, s.targets.List()
+	targetsAsOf, list, cold := s.targetsAsOf, s.targets.List(), s.coldTargetsLocked()
 	unavailable := s.targetsAsOf.IsZero() || s.targetsUnavailable || s.targets.KeepsUnlisted() || s.targets.InGracePeriod(s.options.Clock.Now())
 	s.mu.Unlock()
 	if unavailable {
 		return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "the store has not listed the targets for this host")
 	}
 	sortTargets(list)
-	res := &peerpb.TargetsResponse{Version: contentHash(list), AgeUs: s.options.Clock.Since(targetsAsOf).Microseconds()}
+	res := &peerpb.TargetsResponse{Version: contentHash(list), AgeUs: s.options.Clock.Since(targetsAsOf).Microseconds(), Cold: cold}
 	if res.Version == r.GetKnownVersion() {
 		return res, nil
 	}
--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -18,14 +18,17 @@
 
 	"mimosarelay/app/catalog"
 	"mimosarelay/app/conversations"
+	"mimosarelay/app/pacing"
 	"mimosarelay/app/relay"
 	"mimosarelay/app/turns"
+	"mimosarelay/core/cold"
 	coreingress "mimosarelay/core/ingress"
 	"mimosarelay/core/model"
 	"mimosarelay/core/store"
 	"mimosarelay/io/ingress"
 	"mimosarelay/io/metrics"
 	"mimosarelay/io/peer"
+	"mimosarelay/io/target"
 )
 
 // Dialect reads and writes the header fields that callers and targets use.
@@ -69,6 +72,10 @@
 	TurnFolder   conversations.Folder
 	TurnCapacity int64
 	TurnCopies   int
+	// Cold bounds the requests to targets that are cold, and Prober asks such targets
+	// for their state.
+	Cold         cold.Bound
+	HealthProber func(*target.Client) pacing.HealthProber
 	// Quotas limits the rates of workspaces, and Budgets the tokens of each
 	// program.
 	Quotas  bool
--- a/app/entry/entryhost.go
+++ b/app/entry/entryhost.go
@@ -35,6 +35,7 @@
 	relay     *relay.Service
 	targets   *target.Client
 	callers   *ingress.Server
+	cold      *pacing.ColdTargets
 }
 
 func newEntryHost(h *Host) *entryHost {
@@ -68,8 +69,13 @@
 	if o.Budgets {
 		turnClient = &turns.Client{Owners: e.follow, Peers: h.peers, Isolated: e.follow.Isolated, Clock: o.Clock, Log: o.Log}
 	}
-	pacer := pacing.NewClient(e.follow, h.peers, o.Clock, o.Log)
+	e.cold = pacing.NewColdTargets(pacing.ColdOptions{
+		View: h.catalog.Latest, Bound: o.Cold, Prober: o.HealthProber(e.targets), Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
+	})
+	pacer := pacing.NewClient(e.follow, h.peers, e.cold, o.Clock, o.Log)
+	h.catalog.OnTargets(e.cold.SetTargets)
 	h.catalog.OnChange(func(v *coreingress.View) {
+		e.cold.ViewChanged(v)
 		pacer.Retain(func(id model.TargetID) bool { _, ok := v.Target(id); return ok })
 	})
 	e.relay = relay.New(relay.Options{
@@ -98,6 +104,7 @@
 
 func (e *entryHost) start(ctx context.Context, run func(string, func() error)) {
 	run("placement", func() error { return e.placement.Run(ctx) })
+	run("cold targets", func() error { return e.cold.Run(ctx) })
 	run("follow", func() error { return e.follow.Run(ctx) })
 }
 
--- a/app/entry/keeper.go
+++ b/app/entry/keeper.go
@@ -59,6 +59,7 @@
 		Relays: storeReaderRelays{k}, Peers: h.peers, Store: o.Source, Decode: o.Decode, Clock: o.Clock, StoreWithoutKeepers: true, MaxWait: relayedConfigWait,
 	}, targetWatchWait)
 	k.pacing = pacing.NewOwner(o.Clock)
+	k.pacing.Shards = k.fleet
 	k.followers = &follow.Keeper{Fleet: k.fleet, Limits: k.limits, Clock: o.Clock}
 	k.openTurns(control)
 	k.fleet.Subscribe(suspectPrefix, k.followers.SuspectsChanged)
--- a/app/entry/state.go
+++ b/app/entry/state.go
@@ -37,6 +37,8 @@
 	Follow    any `json:",omitempty"`
 	Placement any `json:",omitempty"`
 	Suspects  any `json:",omitempty"`
+	// Cold lists the targets that are cold, or may be, on entry hosts.
+	Cold any `json:",omitempty"`
 }
 
 // State returns the state of this process.
@@ -56,6 +58,7 @@
 	e := h.entry
 	s.Requests = e.callers.Running()
 	s.Follow, s.Placement, s.Suspects = e.follow.Dump(), e.placement.Dump(), e.suspects.Dump()
+	s.Cold = e.cold.Dump()
 	return s
 }
 
--- a/app/follow/source.go
+++ b/app/follow/source.go
@@ -237,7 +237,20 @@
 	if res.GetVersion() != known {
 		s.targetsVersion, s.targets = res.GetVersion(), decodeTargets(res.GetTargets())
 	}
-	return ingress.TargetList{Targets: s.targets, Age: microseconds(res.GetAgeUs())}, nil
+	return ingress.TargetList{Targets: withCold(s.targets, res.GetCold()), Age: microseconds(res.GetAgeUs())}, nil
+}
+
+// withCold returns a copy of a list of targets with the time for which they stay cold.
+func withCold(list []ingress.Target, cold []*peerpb.ColdTarget) []ingress.Target {
+	coldFor := make(map[model.TargetID]time.Duration, len(cold))
+	for _, c := range cold {
+		coldFor[model.TargetID(c.GetId())] = microseconds(c.GetColdForUs())
+	}
+	list = slices.Clone(list)
+	for i := range list {
+		list[i].ColdFor = coldFor[list[i].ID]
+	}
+	return list
 }
 
 func decodeTargets(list []*peerpb.TargetEntry) []ingress.Target {
--- a/app/pacing/pacing.go
+++ b/app/pacing/pacing.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"mimosarelay/app/relay"
+	"mimosarelay/core/cold"
 	"mimosarelay/core/model"
 	"mimosarelay/core/pacing"
 	"mimosarelay/io/peer/peerpb"
@@ -23,11 +24,20 @@
 // concurrent use.
 type Owner struct {
 	Clock clockwork.Clock
+	// Shards restricts the decisions on cold targets to the shards for which this keeper
+	// acts; nil for no restriction.
+	Shards ShardOwnership
 
 	mu        sync.Mutex // guards scheduler
 	scheduler *pacing.Scheduler
 }
 
+// ShardOwnership reports for which shards this host acts.
+type ShardOwnership interface {
+	// ActsFor reports whether this host may act for a shard now.
+	ActsFor(shard model.Shard) bool
+}
+
 // NewOwner returns an Owner without targets.
 func NewOwner(clock clockwork.Clock) *Owner {
 	return &Owner{Clock: clock, scheduler: pacing.NewScheduler()}
@@ -38,9 +48,17 @@
 	if r.GetTarget() == "" {
 		return nil, fmt.Errorf("pace request does not name its target: %w", model.ErrBadRequest)
 	}
+	id, rate, maxDelay := model.TargetID(r.GetTarget()), pacing.Rate(r.GetRate()), time.Duration(r.GetMaxDelayUs())*time.Microsecond
+	if r.GetCold() && o.Shards != nil && !o.Shards.ActsFor(ShardOf(id)) {
+		return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "this keeper does not decide on cold target %q", id)
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	decision := o.scheduler.Take(o.Clock.Now(), model.TargetID(r.GetTarget()), pacing.Rate(r.GetRate()), time.Duration(r.GetMaxDelayUs())*time.Microsecond)
+	take := o.scheduler.Take
+	if r.GetCold() {
+		take = o.scheduler.TakeCold
+	}
+	decision := take(o.Clock.Now(), id, rate, maxDelay)
 	switch d := decision.(type) {
 	case pacing.Granted:
 		return &peerpb.PaceResponse{Granted: true, WaitUs: d.Delay.Microseconds()}, nil
@@ -67,6 +85,7 @@
 	peers  Peers
 	clock  clockwork.Clock
 	log    *slog.Logger
+	cold   *ColdTargets // nil if no target is ever cold
 
 	mu     sync.Mutex // guards stated
 	stated *pacing.Stated
@@ -74,9 +93,9 @@
 
 var _ relay.Pacer = (*Client)(nil)
 
-// NewClient returns a Client that knows no rates.
-func NewClient(owners Owners, peers Peers, clock clockwork.Clock, log *slog.Logger) *Client {
-	return &Client{owners: owners, peers: peers, clock: clock, log: log, stated: pacing.NewStated()}
+// NewClient returns a Client that knows no rates. cold is nil if no target is ever cold.
+func NewClient(owners Owners, peers Peers, cold *ColdTargets, clock clockwork.Clock, log *slog.Logger) *Client {
+	return &Client{owners: owners, peers: peers, cold: cold, clock: clock, log: log, stated: pacing.NewStated()}
 }
 
 const (
@@ -104,26 +123,66 @@
 	c.mu.Lock()
 	rate, stated := c.stated.Rate(id)
 	c.mu.Unlock()
-	if !stated {
+	coldRate, isCold := c.cold.rate(id)
+	switch {
+	case !stated && !isCold:
 		return pacing.Granted{}
+	case isCold && !stated:
+		rate = coldRate
+	case isCold:
+		rate = min(rate, coldRate)
+	}
+	decision := c.ask(ctx, id, &peerpb.PaceRequest{Target: string(id), Rate: float64(rate), MaxDelayUs: maxDelay.Microseconds(), Cold: isCold})
+	if isCold {
+		c.cold.count(decision)
+	}
+	return decision
+}
+
+// ask asks the owner of a target for a decision. Without one, the request is denied.
+func (c *Client) ask(ctx context.Context, id model.TargetID, r *peerpb.PaceRequest) pacing.Decision {
+	noDecision := pacing.Denied{RetryAfter: noOwnerRetryDelay, Cold: r.GetCold()}
+	if r.GetCold() && r.GetRate() <= 0 {
+		return noDecision
 	}
 	address, err := c.owners.Owner(ShardOf(id))
 	if err != nil {
 		c.log.Warn("no keeper decides on the requests to a target", "target", id, "error", err)
-		return pacing.Denied{RetryAfter: noOwnerRetryDelay}
+		return noDecision
 	}
 	ctx, cancel := context.WithTimeout(ctx, rpcTimeout)
 	defer cancel()
-	res, err := c.peers.Pace(ctx, address, &peerpb.PaceRequest{Target: string(id), Rate: float64(rate), MaxDelayUs: maxDelay.Microseconds()})
+	asked := c.clock.Now()
+	res, err := c.peers.Pace(ctx, address, r)
 	if err != nil {
 		c.log.Warn("keeper did not decide on a request to a target", "target", id, "keeper", address, "error", err)
-		return pacing.Denied{RetryAfter: noOwnerRetryDelay}
+		return noDecision
 	}
 	wait := time.Duration(res.GetWaitUs()) * time.Microsecond
-	if res.GetGranted() {
-		return pacing.Granted{Delay: wait}
+	if !res.GetGranted() {
+		return pacing.Denied{RetryAfter: wait, Cold: r.GetCold()}
+	}
+	granted := pacing.Granted{Delay: wait}
+	if r.GetCold() {
+		granted.Expires = asked.Add(wait + cold.GrantLifetime)
+	}
+	return granted
+}
+
+// Cold implements relay.Pacer.
+func (c *Client) Cold(id model.TargetID) bool {
+	_, isCold := c.cold.rate(id)
+	return isCold
+}
+
+// ColdTargets implements relay.Pacer.
+func (c *Client) ColdTargets() []model.TargetID { return c.cold.list() }
+
+// Lost implements relay.Pacer.
+func (c *Client) Lost(id model.TargetID, down bool) {
+	if c.cold != nil {
+		c.cold.Lost(id, down)
 	}
-	return pacing.Denied{RetryAfter: wait}
 }
 
 // Retain removes the rates of the targets for which known returns false.
--- a/app/placement/service.go
+++ b/app/placement/service.go
@@ -133,8 +133,8 @@
 	snapshot   *config.Snapshot
 	membership membership
 	health     map[model.TargetID]*targetHealth
-	pauses     map[model.TargetID]time.Time // ends of the pauses
-	targets    []placement.Target           // of the snapshot; Limit is without loans
+	pauses     map[model.TargetID]pause
+	targets    []placement.Target // of the snapshot; Limit is without loans
 	loans      loans
 }
 
@@ -148,7 +148,7 @@
 		waiters:    map[placement.CallID]chan config.Target{},
 		membership: membership{delay: o.ChangeDelay},
 		health:     map[model.TargetID]*targetHealth{},
-		pauses:     map[model.TargetID]time.Time{},
+		pauses:     map[model.TargetID]pause{},
 		loans:      newLoans(),
 	}
 }
@@ -297,8 +297,8 @@
 	if h := s.health[id]; h != nil && h.skip {
 		return placement.ExcludedUnreachable
 	}
-	if _, paused := s.pauses[id]; paused {
-		return placement.ExcludedPaused
+	if p, paused := s.pauses[id]; paused {
+		return p.reason
 	}
 	return placement.NotExcluded
 }
@@ -313,16 +313,31 @@
 	return true
 }
 
+// pause is a time in which this host sends a target nothing.
+type pause struct {
+	end    time.Time
+	reason placement.Exclusion
+}
+
 // Pause takes a target out of use for a time. A longer pause is not shortened.
 func (s *Service) Pause(id model.TargetID, d time.Duration) {
+	s.pause(id, d, placement.ExcludedPaused)
+}
+
+// PauseCold is like Pause for a target that is cold.
+func (s *Service) PauseCold(id model.TargetID, d time.Duration) {
+	s.pause(id, d, placement.ExcludedCold)
+}
+
+func (s *Service) pause(id model.TargetID, d time.Duration, reason placement.Exclusion) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.options.Clock.Now()
 	end := now.Add(d)
-	if !end.After(s.pauses[id]) {
+	if !end.After(s.pauses[id].end) {
 		return
 	}
-	s.pauses[id] = end
+	s.pauses[id] = pause{end, reason}
 	s.deliverGrants(now, s.scheduler.SetSkip(now, id, true))
 	s.options.Clock.AfterFunc(d, func() { s.endPause(id) })
 }
@@ -331,7 +346,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.options.Clock.Now()
-	if now.Before(s.pauses[id]) {
+	if now.Before(s.pauses[id].end) {
 		return // a longer pause ends later
 	}
 	delete(s.pauses, id)
--- a/app/relay/forward.go
+++ b/app/relay/forward.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -120,7 +121,9 @@
 	fingerprint  model.Fingerprint
 	pinnedTarget model.TargetID // the only target to try, after dispatch.Again
 	place        Place
-	lease        TurnLease // nil without a program budget
+	granted      pacing.Granted   // of the current place
+	avoid        []model.TargetID // targets that are not tried as long as there are others
+	lease        TurnLease        // nil without a program budget
 	started      time.Time
 	// chain is the conversation of a turn that is kept.
 	chain conversation.ChainID
@@ -234,6 +237,9 @@
 		Prefixes: c.Prompt.Prefixes, PrefixTokens: c.Prompt.PrefixTokens, Fingerprint: c.fingerprint,
 		Model: model.ModelID(c.Service.ID),
 	}
+	if len(c.avoid) > 0 {
+		r.Exclude = slices.Concat(r.Exclude, c.avoid)
+	}
 	if c.Object != "" {
 		r.Object = max(1, xxhash.Sum64String(c.Object))
 	}
@@ -300,7 +306,7 @@
 		IdleTimeout:     left,
 		BeforeSend: func() error {
 			sentAt = s.Clock.Now()
-			return cmp.Or(s.checkBeforeForward(ctx), s.checkZone(t))
+			return cmp.Or(s.checkBeforeForward(ctx), s.checkTarget(c))
 		},
 		Match: func(m *fasthttp.Response) bool {
 			reply = s.Dialect.Decode(m)
@@ -379,8 +385,10 @@
 	case errors.Is(cause, errNotRun):
 		outcome = dispatch.NotRun{}
 	case errors.Is(cause, target.ErrNotSent):
+		s.recordLost(ctx, t.Name, cause)
 		outcome, failed = dispatch.Unsent{}, ctx.Err() == nil
 	default:
+		s.recordLost(ctx, t.Name, cause)
 		s.Targets.DropIdle(t.Address)
 		gone := !errors.Is(cause, target.ErrIdle) && s.Targets.Unreachable(ctx, t.Address)
 		outcome, failed = dispatch.Lost{Gone: gone}, gone
--- a/app/relay/interfaces.go
+++ b/app/relay/interfaces.go
@@ -79,10 +79,12 @@
 type Pauser interface {
 	// Pause takes a target out of use for a time.
 	Pause(id model.TargetID, d time.Duration)
+	// PauseCold is like Pause for a target that is cold.
+	PauseCold(id model.TargetID, d time.Duration)
 }
 
 // Pacer limits the requests that all hosts together send to targets that state how
-// many they take.
+// many they take, and to cold targets.
 type Pacer interface {
 	// Observe records the rate that a target states in a response. stated is false
 	// if the response has none. sentAt is when its request was sent.
@@ -90,6 +92,13 @@
 	// Take decides whether a request may be sent to a target. It is denied if it
 	// would have to wait for longer than maxDelay.
 	Take(ctx context.Context, id model.TargetID, maxDelay time.Duration) pacing.Decision
+	// Cold reports whether a target is cold, or may be.
+	Cold(id model.TargetID) bool
+	// ColdTargets returns the targets that are cold, or may be.
+	ColdTargets() []model.TargetID
+	// Lost records that a target refused a connection or broke one. down says that its
+	// machine answered so, and not that it did not answer.
+	Lost(id model.TargetID, down bool)
 }
 
 // Suspects tracks requests that crash targets.
--- a/cmd/managed.go
+++ b/cmd/managed.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -15,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"mimosarelay/app/entry"
+	"mimosarelay/core/cold"
 	"mimosarelay/io/boottime"
 	"mimosarelay/io/logsink"
 	"mimosarelay/platform"
@@ -61,6 +63,8 @@
 		},
 		Readiness:       func(ready func() (bool, string)) fasthttp.RequestHandler { return platform.Readiness(ready).Handle },
 		Evacuations:     client,
+		Cold:            cold.Bound{Over: cmp.Or(boot.Bounds.ColdOver, 1), Slack: boot.Bounds.ColdSlack},
+		HealthProber:    platform.NewHealthProber,
 		Quotas:          boot.Quotas,
 		Budgets:         boot.Programs,
 		Keeper:          boot.CallerAddress == "",
--- a/core/ingress/ingress.go
+++ b/core/ingress/ingress.go
@@ -118,6 +118,14 @@
 	// MaxConnections limits the connections to one target from all hosts; 0
 	// means no limit.
 	MaxConnections int
+	// ColdPerSecond is the number of requests a second that a cold target tolerates; 0
+	// means that targets are never cold. ColdStart is how long they are cold after a
+	// start.
+	ColdPerSecond float64
+	ColdStart     time.Duration
+	// HealthPath is the path at which a target says how long it stays cold; empty if
+	// there is none.
+	HealthPath string
 }
 
 // Document is a configuration that routes by host name and path.
--- a/core/pacing/pacing.go
+++ b/core/pacing/pacing.go
@@ -49,10 +49,18 @@
 type Decision interface{ isDecision() }
 
 // Granted allows one request to be sent after Delay.
-type Granted struct{ Delay time.Duration }
+type Granted struct {
+	Delay time.Duration
+	// Expires is when the request must have been sent; zero for no limit.
+	Expires time.Time
+}
 
 // Denied allows no request. A host may ask again after RetryAfter.
-type Denied struct{ RetryAfter time.Duration }
+type Denied struct {
+	RetryAfter time.Duration
+	// Cold says that the target is cold, or may be.
+	Cold bool
+}
 
 func (Granted) isDecision() {}
 func (Denied) isDecision()  {}
@@ -60,6 +68,15 @@
 // Take decides on one request to a target with the rate that it states. The request
 // is denied if it would have to wait for longer than maxDelay.
 func (s *Scheduler) Take(now time.Time, id model.TargetID, rate Rate, maxDelay time.Duration) Decision {
+	return s.take(now, id, rate, burstTime, maxDelay)
+}
+
+// TakeCold is like Take for a cold target, which gets no burst.
+func (s *Scheduler) TakeCold(now time.Time, id model.TargetID, rate Rate, maxDelay time.Duration) Decision {
+	return s.take(now, id, rate, 0, maxDelay)
+}
+
+func (s *Scheduler) take(now time.Time, id model.TargetID, rate Rate, burstTime, maxDelay time.Duration) Decision {
 	s.sweep(now)
 	interval := rate.interval()
 	x := s.schedules[id]
--- a/core/pacing/pacing_test.go
+++ b/core/pacing/pacing_test.go
@@ -74,3 +74,21 @@
 	_, ok = s.Rate("t")
 	assert.Assert(t, !ok)
 }
+
+// Guards against a cold target that gets the requests of the time in which it got none
+// at once.
+func TestColdTargetGetsNoBurst(t *testing.T) {
+	s := pacing.NewScheduler()
+	now := time.Unix(1000, 0)
+	s.TakeCold(now, "t", 10, 0)
+	for range 3 {
+		now = now.Add(10 * time.Second)
+		granted := 0
+		for range 20 {
+			if _, ok := s.TakeCold(now, "t", 10, 0).(pacing.Granted); ok {
+				granted++
+			}
+		}
+		assert.Equal(t, granted, 1)
+	}
+}
--- a/core/placement/exclusion.go
+++ b/core/placement/exclusion.go
@@ -9,6 +9,7 @@
 	ExcludedLeaving     Exclusion = "leaving"
 	ExcludedEvacuated   Exclusion = "evacuated zone"
 	ExcludedUnreachable Exclusion = "refuses connections"
+	ExcludedCold        Exclusion = "cold"
 	ExcludedPaused      Exclusion = "paused"
 	ExcludedNoPlaces    Exclusion = "no places"
 )
