--- a/app/catalog/catalog.go
+++ b/app/catalog/catalog.go
@@ -81,17 +81,20 @@
 	mu                 sync.Mutex // guards the fields below except loggedFaults and onChange
 	view               *ingress.View
 	document           *ingress.Document
-	value              []byte         // document as it is stored
-	documentRevision   uint64         // store revision at which document was last changed
-	storeRevision      uint64         // store revision up to which changes were checked
+	value              []byte // document as it is stored
+	documentRevision   uint64 // store revision at which document was last changed
+	storeRevision      uint64 // store revision up to which changes were checked
+	evacuations        evacuations
 	confirmed          evidence.Stamp // of the latest request by which the store confirmed document
 	storeAway          bool           // whether the last request for the configuration failed
 	targetsUnavailable bool           // whether the last request for the targets failed
 	targets            discovery.Targets
-	listed             evidence.Stamp        // of the latest request by which the store listed the targets
-	changed            chan struct{}         // closed and replaced when the configuration changes
-	loggedFaults       []string              // faults of the last read of targets; used by readTargets only
-	onChange           []func(*ingress.View) // set before Run
+	listed             evidence.Stamp               // of the latest request by which the store listed the targets
+	changed            chan struct{}                // closed and replaced when the configuration or the evacuation orders change
+	loggedFaults       []string                     // faults of the last read of targets; used by readTargets only
+	onChange           []func(*ingress.View)        // set before Run
+	onTargets          []func([]ingress.Target)     // set before Run
+	coldUntil          map[model.TargetID]time.Time // end of the cold time of targets, as listed last
 }
 
 // New returns a Service. Run keeps it up to date.
@@ -115,6 +118,11 @@
 // before Run.
 func (s *Service) OnChange(fn func(*ingress.View)) { s.onChange = append(s.onChange, fn) }
 
+// OnTargets registers fn, which is called with each list of targets that was read,
+// before the list is used. ColdFor of the targets counts from the call. OnTargets must
+// be called before Run.
+func (s *Service) OnTargets(fn func([]ingress.Target)) { s.onTargets = append(s.onTargets, fn) }
+
 // Run reads the store until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
@@ -195,14 +203,17 @@
 	}
 	s.mu.Lock()
 	d := stored.Document
+	evacuationsChanged := stored.StoreRevision >= s.storeRevision && s.evacuations.set(stored.Evacuated, s.options.Log)
 	s.storeRevision = max(s.storeRevision, stored.StoreRevision)
 	s.recordConfirmation(asked.Before(stored.Age))
 	older := d != nil && s.document != nil && d.Revision < s.document.Revision
 	if d == nil || older {
+		view := s.applyEvacuationsLocked(evacuationsChanged)
 		s.mu.Unlock()
 		if older {
 			s.options.Log.Error("older configuration ignored", "revision", d.Revision)
 		}
+		s.notify(view)
 		return true
 	}
 	s.document, s.value, s.documentRevision = d, stored.Value, stored.Revision
@@ -257,7 +268,11 @@
 		return false
 	}
 	s.logFaults(list.Faults)
+	for _, fn := range s.onTargets {
+		fn(list.Targets)
+	}
 	s.mu.Lock()
+	list.Targets = s.takeColdLocked(list.Targets)
 	changed := s.targets.Update(s.options.Clock.Now(), list.Targets)
 	first := !s.listed.Known()
 	s.listed, s.targetsUnavailable = asked.Before(list.Age), false
@@ -308,7 +323,8 @@
 	}
 	list := s.targets.List()
 	sortTargets(list)
-	s.view = ingress.NewView(s.document, list)
+	s.view = ingress.NewView(s.document, list, s.evacuations.zones...)
+	s.evacuations.log(s.options.Log, list)
 	return s.view
 }
 
--- a/app/entry/entryhost.go
+++ b/app/entry/entryhost.go
@@ -45,6 +45,7 @@
 	relay     *relay.Service
 	targets   *target.Client
 	callers   *ingress.Server
+	cold      *pacing.ColdTargets
 }
 
 func newEntryHost(h *Host) *entryHost {
@@ -87,15 +88,20 @@
 	if o.Budgets {
 		turnClient = &turns.Client{Owners: e.follow, Peers: h.peers, Isolated: e.follow.Isolated, Clock: o.Clock, Log: o.Log}
 	}
-	pacer := pacing.NewClient(e.follow, h.peers, o.Clock, o.Log)
+	e.cold = pacing.NewColdTargets(pacing.ColdOptions{
+		View: h.catalog.Latest, Bound: o.Cold, Prober: o.HealthProber(e.targets), Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
+	})
+	pacer := pacing.NewClient(e.follow, h.peers, e.cold, o.Clock, o.Log)
+	h.catalog.OnTargets(e.cold.SetTargets)
 	h.catalog.OnChange(func(v *coreingress.View) {
+		e.cold.ViewChanged(v)
 		pacer.Retain(func(id model.TargetID) bool { _, ok := v.Target(id); return ok })
 	})
 	e.relay = relay.New(relay.Options{
 		Conversations: conversations.NewClient(conversations.ClientOptions{
 			Zone: o.Zone, Keepers: e.follow.TurnKeepers, Copies: max(1, o.TurnCopies), Peers: h.peers, Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
 		}),
-		Turns: turnClient, Departures: h.catalog, Pacer: pacer, Pauser: e.placement,
+		Turns: turnClient, Departures: h.catalog, Pacer: pacer, Pauser: e.placement, Zones: h.catalog,
 		Limiter: limiter{e}, Rights: e.follow, Placer: placer{e.placement}, Suspects: e.suspects, Targets: e.targets,
 		Dialect: o.Dialect, Loads: e.placement, Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
 	})
@@ -117,6 +123,7 @@
 
 func (e *entryHost) start(ctx context.Context, run func(string, func() error)) {
 	run("placement", func() error { return e.placement.Run(ctx) })
+	run("cold targets", func() error { return e.cold.Run(ctx) })
 	run("follow", func() error { return e.follow.Run(ctx) })
 }
 
--- a/app/entry/state.go
+++ b/app/entry/state.go
@@ -26,6 +26,8 @@
 	// the request to the store that last confirmed it; -1ns before the first one.
 	Revision    model.Revision
 	EvidenceAge time.Duration
+	// Evacuated lists the zones with an evacuation order.
+	Evacuated []model.Zone `json:",omitempty"`
 	// Fleet, Limits, Budgets and Turns are set on keepers; Follow, Placement and Suspects
 	// on entry hosts.
 	Fleet     any `json:",omitempty"`
@@ -35,6 +37,8 @@
 	Follow    any `json:",omitempty"`
 	Placement any `json:",omitempty"`
 	Suspects  any `json:",omitempty"`
+	// Cold lists the targets that are cold, or may be, on entry hosts.
+	Cold any `json:",omitempty"`
 }
 
 // State returns the state of this process.
@@ -42,7 +46,7 @@
 	ready, reason := h.Ready()
 	s := State{
 		Host: h.options.Host, Ready: ready, Reason: reason, Draining: h.draining.Load(),
-		Revision: h.revision(), EvidenceAge: h.catalog.Age(),
+		Revision: h.revision(), EvidenceAge: h.catalog.Age(), Evacuated: h.catalog.Evacuated(),
 	}
 	if k := h.keeper; k != nil {
 		s.Fleet, s.Limits, s.Budgets = k.fleet.Dump(), k.limits.Dump(), k.turnOwner.Dump()
@@ -54,6 +58,7 @@
 	e := h.entry
 	s.Requests = e.callers.Running()
 	s.Follow, s.Placement, s.Suspects = e.follow.Dump(), e.placement.Dump(), e.suspects.Dump()
+	s.Cold = e.cold.Dump()
 	return s
 }
 
--- a/core/config/decode.go
+++ b/core/config/decode.go
@@ -415,7 +415,7 @@
 	return fmt.Sprint(-highest - 1), fmt.Sprint(highest)
 }
 
-// notInFile is the YAML name of a field that files do not have.
+// notInFile is the YAML name of fields that are not part of a file.
 const notInFile = "-"
 
 // yamlTag returns the YAML name of a field and whether the field is required.
--- a/core/placement/exclusion.go
+++ b/core/placement/exclusion.go
@@ -7,7 +7,9 @@
 const (
 	NotExcluded         Exclusion = ""
 	ExcludedLeaving     Exclusion = "leaving"
+	ExcludedEvacuated   Exclusion = "evacuated zone"
 	ExcludedUnreachable Exclusion = "refuses connections"
+	ExcludedCold        Exclusion = "cold"
 	ExcludedPaused      Exclusion = "paused"
 	ExcludedNoPlaces    Exclusion = "no places"
 	// ExcludedEjected is a target that gets probes only because its requests fail, and
