follow, placement: load and speed of targets are shared between hosts

Hosts now add to Follow requests what their answers said of targets, keepers hold the newest load of each target and sums of the speed over 8 s (core/loadboard), and the preferred keeper returns what changed.

--- a/app/entry/adapters.go
+++ b/app/entry/adapters.go
@@ -10,6 +10,7 @@
 	"mimosarelay/core/config"
 	"mimosarelay/core/health"
 	"mimosarelay/core/limit"
+	"mimosarelay/core/loadboard"
 	"mimosarelay/core/model"
 	coreplacement "mimosarelay/core/placement"
 	"mimosarelay/io/peer"
@@ -62,7 +63,7 @@
 	return place, nil
 }
 
-// placementOutcomes adapts placement.Service to follow.Outcomes. The service is made
+// placementOutcomes adapts placement.Service to follow.Outcomes and follow.Loads. The service is made
 // after the follow client.
 type placementOutcomes struct{ entry *entryHost }
 
@@ -72,6 +73,14 @@
 // SetHealthHints implements follow.Outcomes.
 func (o placementOutcomes) SetHealthHints(h health.Hints) { o.entry.placement.SetHealthHints(h) }
 
+// HeardLoads implements follow.Loads.
+func (o placementOutcomes) HeardLoads() []loadboard.Report { return o.entry.placement.HeardLoads() }
+
+// SetSharedLoads implements follow.Loads.
+func (o placementOutcomes) SetSharedLoads(list []loadboard.Report) {
+	o.entry.placement.SetSharedLoads(list)
+}
+
 // suspectPeers adapts the peer client to suspects.Peers.
 type suspectPeers struct {
 	*peer.Client
--- a/app/entry/entryhost.go
+++ b/app/entry/entryhost.go
@@ -43,9 +43,11 @@
 	control := o.Keyspace(controlPrefix)
 	e.targets = target.NewClient(target.Options{DialTimeout: dialTimeout})
 	var targetOutcomes follow.Outcomes
+	var targetLoads follow.Loads
 	var health *placement.HealthOptions
 	if o.Health {
 		targetOutcomes, health = placementOutcomes{e}, &placement.HealthOptions{Scope: h.metrics.Scope}
+		targetLoads = placementOutcomes{e}
 	}
 	e.follow = follow.NewClient(follow.Options{
 		Self: presence.Host{Host: o.Host, CallerAddress: o.CallerAddress, PeerAddress: o.PeerAddress},
@@ -53,6 +55,7 @@
 		KnownLimit:      h.knownLimit,
 		SuspectsChanged: func(entries []store.Entry) { e.suspects.EntriesChanged(entries) },
 		Outcomes:        targetOutcomes,
+		Loads:           targetLoads,
 		StoreAway:       func() bool { return h.catalog.StoreAway() }, SettleWait: settleWait, Clock: o.Clock, Log: o.Log,
 	})
 	h.catalog = newCatalog(o, &follow.Source{Relays: e.follow, Peers: h.peers, Store: o.Source, Decode: o.Decode, Clock: o.Clock}, 0)
--- a/app/follow/client.go
+++ b/app/follow/client.go
@@ -23,6 +23,7 @@
 	"mimosarelay/app/wait"
 	"mimosarelay/core/conversation"
 	"mimosarelay/core/evidence"
+	"mimosarelay/core/loadboard"
 	"mimosarelay/core/member"
 	"mimosarelay/core/model"
 	"mimosarelay/core/presence"
@@ -36,8 +37,8 @@
 	Admit(ctx context.Context, address string, r *peerpb.AdmitRequest) (*peerpb.AdmitResponse, error)
 }
 
-// Options configures a Client. All fields but SuspectsChanged, KnownLimit, Outcomes and
-// SettleWait are required.
+// Options configures a Client. All fields but SuspectsChanged, KnownLimit, Outcomes, Loads
+// and SettleWait are required.
 type Options struct {
 	Self presence.Host
 	Zone model.Zone
@@ -54,6 +55,8 @@
 	KnownLimit func(model.WorkspaceID) *peerpb.KnownLimit
 	// Outcomes judges targets by the outcomes of requests; nil for none.
 	Outcomes Outcomes
+	// Loads is told the load of targets as other hosts heard it; nil for none.
+	Loads Loads
 	// SettleWait is how long a request waits for a keeper that may act. 0 means
 	// 1.2 s, in which a restarted fleet settles.
 	SettleWait time.Duration
@@ -91,6 +94,8 @@
 	// The keeper stores turns that continue a conversation, and first turns.
 	acceptsTurns, acceptsConversations bool
 	suspectsVersion                    uint64
+	heard                              loadboard.Outbox // that the keeper was not told yet
+	loadsVersion                       uint64
 
 	responsive context.Context // ends when unresponsive becomes true
 	lose       context.CancelFunc
@@ -297,6 +302,8 @@
 	r := &peerpb.FollowRequest{Self: encodeHost(self), KnownEpoch: uint64(c.record.Epoch), KnownHosts: k.hostsVersion, KnownDisks: k.disksVersion, KnownSuspects: k.suspectsVersion}
 	c.mu.Unlock()
 	c.addOutcomes(r)
+	c.addLoads(r, address)
+	sentAt := c.options.Clock.Now()
 	sent := evidence.Now(c.options.Clock)
 	res, err := c.options.Peers.Follow(ctx, address, r)
 	c.mu.Lock()
@@ -328,6 +335,7 @@
 		c.options.SuspectsChanged(decodeEntries(res.GetSuspects()))
 	}
 	c.applyOutcomes(res)
+	c.applyLoads(k, res, sentAt)
 	c.applyEncodedRecord(res.GetRecord())
 }
 
--- /dev/null
+++ b/app/follow/export_test.go
@@ -0,0 +1,7 @@
+package follow
+
+// EncodeReports and DecodeReports are tested for their size and time.
+var (
+	EncodeReports = encodeReports
+	DecodeReports = decodeReports
+)
--- a/app/follow/keeper.go
+++ b/app/follow/keeper.go
@@ -14,6 +14,7 @@
 	"mimosarelay/app/conversations"
 	"mimosarelay/core/conversation"
 	"mimosarelay/core/health"
+	"mimosarelay/core/loadboard"
 	"mimosarelay/core/member"
 	"mimosarelay/core/model"
 	"mimosarelay/core/presence"
@@ -61,6 +62,7 @@
 	// suspectsVersion is a hash of suspects.
 	suspectsVersion uint64
 	outcomes        *health.Aggregator // nil until a host reports outcomes
+	loads           *loadboard.Board   // nil until a host reports loads
 }
 
 // SuspectsChanged applies the stored requests that crash targets, which entry hosts
@@ -116,6 +118,7 @@
 	k.addDisks(res, r.GetKnownDisks())
 	k.addSuspects(res, r.GetKnownSuspects())
 	k.addOutcomes(k.Clock.Now(), r, res)
+	k.addLoads(k.Clock.Now(), r, res)
 	return res, nil
 }
 
--- a/app/placement/health.go
+++ b/app/placement/health.go
@@ -36,6 +36,7 @@
 	probes   tally.Counter
 	ejected  tally.Gauge
 	reduced  tally.Gauge
+	shared   sharedLoadMetrics
 
 	logTokens  int
 	logRefill  time.Time
@@ -53,7 +54,7 @@
 	t := &targetOutcomes{
 		tracker: health.NewTracker(o.Random), outcomes: map[health.Outcome]tally.Counter{}, steps: map[health.Step]tally.Counter{},
 		probes: scope.Counter("probes"), ejected: scope.Gauge("ejected_targets"), reduced: scope.Gauge("reduced_targets"),
-		logTokens: stepLogBurst,
+		shared: newSharedLoadMetrics(o.Scope), logTokens: stepLogBurst,
 	}
 	for _, x := range health.Outcomes() {
 		t.outcomes[x] = scope.Tagged(map[string]string{"outcome": x.String()}).Counter("outcomes")
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"mimosarelay/core/model"
@@ -45,7 +46,8 @@
 	available        bool // hasCapacity, as last counted in classes
 	load             Load
 	sentSinceReport  int         // calls in flight that started after load.At
-	endedSinceReport []time.Time // end times after load.At of calls that load includes
+	ended            []endedCall // calls that ended after load.At, oldest first
+	endedSinceReport int         // those of them that load includes
 	// hitTokens is the part of the prompt that the target probably has cached.
 	// It is valid while hitDecision equals Scheduler.decision.
 	hitDecision  uint64
@@ -53,6 +55,7 @@
 	heldPrograms int       // programs held here during a pause
 	cacheLostAt  time.Time // when the target last lost its cache
 	speed        speed
+	sharing      sharing
 }
 
 func (t *target) hasCapacity() bool { return !t.Skip && len(t.inFlight) < t.Limit }
@@ -71,7 +74,7 @@
 // receives a report of a target only every few seconds.
 func (t *target) estimatedCalls(now time.Time) float64 {
 	own := float64(len(t.inFlight))
-	others := float64(t.load.Running+t.load.Waiting-len(t.endedSinceReport)+t.sentSinceReport) - own
+	others := float64(t.load.Running+t.load.Waiting-t.endedSinceReport+t.sentSinceReport) - own
 	weight := float64(loadMaxAge-now.Sub(t.load.At)) / float64(loadMaxAge-loadFreshAge)
 	return own + max(0, others)*min(max(0, weight), 1)
 }
@@ -82,13 +85,13 @@
 		return
 	}
 	t.load = l
-	kept := t.endedSinceReport[:0]
-	for _, at := range t.endedSinceReport {
-		if at.After(l.At) {
-			kept = append(kept, at)
+	t.dropEnded(l.At)
+	t.endedSinceReport = 0
+	for _, c := range t.ended {
+		if !c.started.After(l.At) {
+			t.endedSinceReport++
 		}
 	}
-	t.endedSinceReport = kept
 	t.sentSinceReport = 0
 	for _, c := range t.inFlight {
 		if c.started.After(l.At) {
@@ -104,15 +107,28 @@
 	}
 }
 
+// endCall removes a call. Also a call that the present load does not include is kept in
+// ended, because a later report may be older than its end.
 func (t *target) endCall(c *call, now time.Time) {
 	delete(t.inFlight, c.id)
+	t.dropEnded(now.Add(-loadMaxAge))
+	t.ended = append(t.ended, endedCall{started: c.started, ended: now})
 	if c.started.After(t.load.At) {
 		t.sentSinceReport--
 	} else if !t.load.At.IsZero() {
-		t.endedSinceReport = append(t.endedSinceReport, now)
+		t.endedSinceReport++
 	}
 }
 
+// dropEnded forgets the calls that ended until a moment. Later reports are younger.
+func (t *target) dropEnded(until time.Time) {
+	n := 0
+	for n < len(t.ended) && !t.ended[n].ended.After(until) {
+		n++
+	}
+	t.ended = slices.Delete(t.ended, 0, n)
+}
+
 // chooseTarget returns an available target of the class, which must have at
 // least one.
 func (s *Scheduler) chooseTarget(c *class, k *call, now time.Time) *target {
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"mimosarelay/core/loadboard"
 	"mimosarelay/core/model"
 )
 
@@ -50,6 +51,7 @@
 	sequence      uint64
 	targets       map[model.TargetID]*target
 	sortedTargets []*target // by ID
+	targetsByKey  map[loadboard.Key]*target
 	classes       map[classKey]*class
 	waiting       map[CallID]*call
 	running       map[CallID]*call
@@ -116,6 +118,7 @@
 	}
 	s.targets = targets
 	s.sortedTargets = slices.SortedFunc(maps.Values(targets), func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
+	s.indexKeys()
 	for _, t := range s.sortedTargets {
 		t.classes = nil
 	}
@@ -602,6 +605,7 @@
 func (s *Scheduler) Report(id model.TargetID, l Load) {
 	if t := s.targets[id]; t != nil {
 		t.setLoad(l)
+		t.sharing.heard = l
 	}
 }
 
--- a/core/placement/speed.go
+++ b/core/placement/speed.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"mimosarelay/core/loadboard"
 	"mimosarelay/core/model"
 	"mimosarelay/core/spill"
 )
@@ -146,29 +147,43 @@
 		p.kinds[u.Kind] = k
 	}
 	t.speed.add(x-k.usual, now)
+	if k.count >= minKindSamples {
+		t.sharing.unsent.Add(loadboard.Speed{Samples: 1, LogSum: min(max(x-k.usual, -loadboard.MaxRatio), loadboard.MaxRatio)})
+	}
 	k.count++
 	step := max(kindStep, firstKindStep/float64(k.count))
 	k.usual += min(max(x-k.usual, -step), step) // follows the median, not the mean
 }
 
-// judgeSpeeds compares the targets of the pool with their median.
+// judgeSpeeds compares the targets of the pool with their median: by the shared
+// measurements where there are enough, else by those of this host.
 func (p *pool) judgeSpeeds(now time.Time) {
+	usual, ok := p.usual(now, (*target).sharedMean)
+	ownUsual, ownOK := p.usual(now, (*target).ownMedian)
+	for _, t := range p.targets {
+		if m, enough := t.sharedMean(now); enough && ok {
+			t.speed.observedAt = now
+			t.speed.judge(m-usual, now)
+		} else if m, enough := t.ownMedian(now); enough && ownOK {
+			t.speed.judge(m-ownUsual, now)
+		}
+	}
+}
+
+// usual returns the median of the targets that have the figure, or false if they are too
+// few.
+func (p *pool) usual(now time.Time, figure func(*target, time.Time) (float64, bool)) (float64, bool) {
 	p.medians = p.medians[:0]
 	for _, t := range p.targets {
-		if m, ok := t.speed.median(); ok {
+		if m, ok := figure(t, now); ok {
 			p.medians = append(p.medians, m)
 		}
 	}
 	if len(p.medians) < minSpeedTargets {
-		return
+		return 0, false
 	}
 	slices.Sort(p.medians)
-	usual := p.medians[len(p.medians)/2]
-	for _, t := range p.targets {
-		if m, ok := t.speed.median(); ok {
-			t.speed.judge(m-usual, now)
-		}
-	}
+	return p.medians[len(p.medians)/2], true
 }
 
 // poolFor returns the pool of a class, or nil for a class with a single candidate,
--- a/core/placement/zones.go
+++ b/core/placement/zones.go
@@ -124,7 +124,7 @@
 // lastCalls returns the number of calls at the target as last reported, corrected by the
 // calls that this host started or ended since.
 func (t *target) lastCalls() float64 {
-	return float64(max(len(t.inFlight), t.load.Running+t.load.Waiting-len(t.endedSinceReport)+t.sentSinceReport))
+	return float64(max(len(t.inFlight), t.load.Running+t.load.Waiting-t.endedSinceReport+t.sentSinceReport))
 }
 
 // reach is the set of targets that a call may use because of their zones.
