memory: one account bounds the bytes that a host holds for its callers

Cause: bodies and answers were held without a bound over all connections, bodies before the key was checked, and the auxiliary ports read bodies of up to 4 MiB. Change: core/memory is the account, derived from limits.memory_mb and limits.max_fds, and chooses who loses memory. io/buffer reads bodies and answers into reserved memory. io/ingress decides by the header before it reads the body. An answer without memory is forwarded at the pace of its caller. Auxiliary ports accept no bodies above 4 KiB. GOMEMLIMIT comes from the same figure. The names of the platform that the tests use are in platform/standin, as platform/names_test.go requires.

--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -21,6 +21,7 @@
 	"mimosarelay/app/relay"
 	"mimosarelay/app/turns"
 	coreingress "mimosarelay/core/ingress"
+	"mimosarelay/core/memory"
 	"mimosarelay/core/model"
 	"mimosarelay/core/store"
 	"mimosarelay/io/ingress"
@@ -79,6 +80,11 @@
 	// FinalRefusalAge is how old that confirmation may be when a request is refused
 	// in a way that callers do not retry.
 	FinalRefusalAge time.Duration
+	// Memory is the memory of the machine; 0 for no limit on the bytes of callers.
+	Memory memory.Bytes
+	// Descriptors is the limit of open descriptors of the process; 0 if it is not
+	// known.
+	Descriptors int
 	// Grace is the time within which the process must end after it was asked to.
 	Grace time.Duration
 
@@ -185,8 +191,9 @@
 	catalog *catalog.Service
 	peers   *peer.Client
 	metrics *metrics.Root
-	keeper  *keeper    // nil on entry hosts
-	entry   *entryHost // nil on keepers
+	memory  *memory.Account // nil without a limit
+	keeper  *keeper         // nil on entry hosts
+	entry   *entryHost      // nil on keepers
 
 	draining   atomic.Bool
 	drainState atomic.Pointer[ingress.Drain]
@@ -195,7 +202,7 @@
 
 // New assembles a host. It starts nothing; Run does.
 func New(o Options) *Host {
-	h := &Host{options: o, log: o.Log, metrics: metrics.New()}
+	h := &Host{options: o, log: o.Log, metrics: metrics.New(), memory: newAccount(o)}
 	h.peers = peer.NewClient(peer.Options{DialTimeout: peerDialTimeout})
 	if o.Keeper {
 		h.keeper = newKeeper(h)
@@ -266,7 +273,7 @@
 		return fmt.Errorf("listen for peers: %w", err)
 	}
 	run("peer server", func() error { return peer.Serve(ctx, peerListener, h.peerHandler()) })
-	listeners := []listener{{"metrics", h.options.MetricsAddress, serveAuxiliary(h.serveDiagnostics)}}
+	listeners := []listener{{"metrics", h.options.MetricsAddress, h.serveAuxiliary(h.serveDiagnostics)}}
 	if h.entry != nil {
 		listeners = append(listeners, h.entry.listeners()...)
 	}
@@ -295,20 +302,6 @@
 	serve         func(net.Listener) error
 }
 
-// auxiliaryTimeout limits a request to the directory, the readiness check or the
-// diagnostics.
-const auxiliaryTimeout = 5 * time.Second
-
-// serveAuxiliary returns a function that serves handler on a listener with short
-// timeouts.
-func serveAuxiliary(handler fasthttp.RequestHandler) func(net.Listener) error {
-	s := &fasthttp.Server{
-		Handler: handler, ReadTimeout: auxiliaryTimeout, WriteTimeout: auxiliaryTimeout, ReadBufferSize: 4096,
-		NoDefaultServerHeader: true, NoDefaultDate: true,
-	}
-	return s.Serve
-}
-
 // Ready reports whether this host is ready to serve, and otherwise the reason.
 func (h *Host) Ready() (bool, string) {
 	if h.draining.Load() {
--- a/app/entry/entryhost.go
+++ b/app/entry/entryhost.go
@@ -82,7 +82,7 @@
 	})
 	e.callers = ingress.New(ingress.Options{
 		Relay: e.relay, Dialect: o.Dialect, View: h.catalog.View, Limits: h.catalog.Limits,
-		Confirm: h.catalog.Confirm, Confirmation: h.catalog.Confirmation, Drain: h.drainState.Load, Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
+		Confirm: h.catalog.Confirm, Confirmation: h.catalog.Confirmation, Drain: h.drainState.Load, Memory: h.memory, Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
 	})
 	return e
 }
@@ -90,8 +90,8 @@
 func (e *entryHost) listeners() []listener {
 	o := e.options
 	return []listener{
-		{"readiness", o.ReadyAddress, serveAuxiliary(o.Readiness(e.Ready))},
-		{"directory", o.DirectoryAddress, serveAuxiliary(o.Directory(e.addresses, directoryTTL))},
+		{"readiness", o.ReadyAddress, e.serveAuxiliary(o.Readiness(e.Ready))},
+		{"directory", o.DirectoryAddress, e.serveAuxiliary(o.Directory(e.addresses, directoryTTL))},
 		{"callers", o.CallerAddress, e.callers.Serve},
 	}
 }
--- a/app/relay/forward.go
+++ b/app/relay/forward.go
@@ -14,6 +14,7 @@
 	"mimosarelay/core/conversation"
 	"mimosarelay/core/dispatch"
 	"mimosarelay/core/ingress"
+	"mimosarelay/core/memory"
 	"mimosarelay/core/model"
 	"mimosarelay/core/pacing"
 	"mimosarelay/core/placement"
@@ -49,6 +50,8 @@
 	// Object names the object that the request concerns; empty on routes whose
 	// targets do not handle the same object faster.
 	Object string
+	// Memory reserves the memory of the answer; nil for no limit.
+	Memory *memory.Holder
 }
 
 // Prompt describes the input of a generation.
@@ -258,18 +261,7 @@
 	if c.Route.Streaming() && resp.Status() == fasthttp.StatusOK && isEventStream(resp.ContentType()) {
 		return s.forwardStream(ctx, c, resp), nil, nil
 	}
-	headers := endToEndHeaders(resp.Message())
-	status := resp.Status()
-	body, err := resp.ReadAll(maxAnswer)
-	_ = resp.Close()
-	if err != nil {
-		next := s.handleFailedAttempt(ctx, c, err)
-		return nil, next, err
-	}
-	place.Release(placement.Usage{Prompt: c.Prompt.Tokens})
-	c.endTurn(0)
-	s.logRequestEnded(c, status, true, 0)
-	return &Answer{Status: status, Headers: headers, Body: newBytesBody(body), Length: len(body)}, nil, nil
+	return s.forwardAnswer(ctx, c, resp)
 }
 
 // dispatch sends the request to the target of the current place and reads the
@@ -321,7 +313,7 @@
 	}
 	if reply.NotRun {
 		status := resp.Status()
-		_, _ = resp.ReadAll(maxAnswer)
+		_, _ = resp.ReadAll(maxNotRunAnswer)
 		_ = resp.Close()
 		return nil, fmt.Errorf("%w: target %q answered %d", errNotRun, t.Name, status)
 	}
--- a/cmd/managed.go
+++ b/cmd/managed.go
@@ -15,16 +15,13 @@
 	"github.com/valyala/fasthttp"
 
 	"mimosarelay/app/entry"
+	"mimosarelay/core/memory"
 	"mimosarelay/io/boottime"
 	"mimosarelay/io/logsink"
 	"mimosarelay/platform"
 )
 
 const (
-	// memoryLimitFraction is the soft memory limit of the Go runtime as a fraction
-	// of the process's memory. The rest is for buffers of the kernel and the C
-	// library.
-	memoryLimitFraction = 0.7
 	// storeTimeout limits one call to the store, which usually answers within
 	// milliseconds.
 	storeTimeout = time.Second
@@ -42,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(int64(float64(boot.Memory) * memoryLimitFraction))
+	debug.SetMemoryLimit(int64(memory.Limit(memory.Bytes(boot.Memory))))
 	sink := logsink.New(logs, logsink.Options{})
 	defer sink.Close()
 	log := slog.New(slog.NewTextHandler(sink, nil))
@@ -60,6 +57,8 @@
 			return platform.Directory{Addresses: addresses, TTL: min(ttl, boot.Bounds.DirectoryTTL)}.Handle
 		},
 		Readiness:       func(ready func() (bool, string)) fasthttp.RequestHandler { return platform.Readiness(ready).Handle },
+		Memory:          memory.Bytes(boot.Memory),
+		Descriptors:     boot.Descriptors,
 		Evacuations:     client,
 		Quotas:          boot.Quotas,
 		Budgets:         boot.Programs,
--- a/io/ingress/conn.go
+++ b/io/ingress/conn.go
@@ -1,11 +1,15 @@
 package ingress
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	coreingress "mimosarelay/core/ingress"
+	"mimosarelay/core/memory"
+	"mimosarelay/io/buffer"
 	"mimosarelay/io/tcpclose"
 )
 
@@ -23,15 +27,31 @@
 	net.Listener
 	limits       func() coreingress.Limits
 	writeTimeout time.Duration
+	memory       *memory.Account // nil for no limit
+	refused      func()          // called for each connection that is closed at once
 }
 
+// connectionBytes is the memory of an open connection: the buffers for reading and
+// writing, the request and response of fasthttp, and two stacks.
+const connectionBytes = headerBufferSize + 12<<10
+
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: nc, limits: l.limits, writeTimeout: l.writeTimeout}
+		if l.memory == nil {
+			return c, nil
+		}
+		if c.holder, err = buffer.Admit(l.memory, nc, connectionBytes, c.evict); err == nil {
+			return c, nil
+		}
+		_ = nc.Close()
+		l.refused()
 	}
-	return &conn{Conn: c, limits: l.limits, writeTimeout: l.writeTimeout}, nil
 }
 
 // conn limits how long a caller may take to send a request and to read the
@@ -49,6 +69,26 @@
 	watcher       sync.WaitGroup
 	peeked        [1]byte
 	lingerOnClose bool // Close keeps reading for a moment
+	bodyUnread    bool // the body of the current request was not read to its end
+
+	holder *memory.Holder // nil without a limit
+	// evicted is set when the connection has lost its memory while it received a
+	// request. It then gets a refusal.
+	evicted atomic.Bool
+}
+
+// errEvicted ends a read of a connection that has lost its memory.
+var errEvicted = errors.New("connection was evicted under memory pressure")
+
+// evict ends a connection that has lost its memory. One that receives a request
+// still gets a refusal.
+func (c *conn) evict(p memory.Phase) {
+	if p == memory.Receiving {
+		c.evicted.Store(true)
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		return
+	}
+	_ = c.Conn.Close()
 }
 
 // Read implements net.Conn.
@@ -65,6 +105,9 @@
 	case phaseHeader:
 		_ = c.Conn.SetReadDeadline(c.headerDeadline)
 	}
+	if c.evicted.Load() { // the deadline above may have replaced the one of evict
+		return 0, errEvicted
+	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.startHeader()
@@ -77,6 +120,7 @@
 func (c *conn) startHeader() {
 	if c.phase == phaseIdle {
 		c.phase = phaseHeader
+		c.holder.SetPhase(memory.Receiving)
 		c.headerDeadline = time.Now().Add(c.limits().HeaderTimeout)
 	}
 }
@@ -96,11 +140,20 @@
 	if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.holder.Progress(n)
+	return n, err
+}
+
+// requestEnded prepares the connection for its next request.
+func (c *conn) requestEnded() {
+	c.phase, c.lingerOnClose, c.bodyUnread = phaseIdle, false, false
+	c.holder.SetPhase(memory.Idle)
 }
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	defer c.holder.Close()
 	if c.lingerOnClose {
 		return tcpclose.Linger(c.Conn)
 	}
--- a/io/ingress/server.go
+++ b/io/ingress/server.go
@@ -21,7 +21,9 @@
 
 	"mimosarelay/app/relay"
 	coreingress "mimosarelay/core/ingress"
+	"mimosarelay/core/memory"
 	"mimosarelay/core/model"
+	"mimosarelay/io/buffer"
 	"mimosarelay/io/target"
 )
 
@@ -61,7 +63,7 @@
 	Refuse(r *fasthttp.Response, id model.RequestID, refusal *model.Refusal)
 }
 
-// Options configures a Server. All fields are required.
+// Options configures a Server. All fields but Memory are required.
 type Options struct {
 	Relay   Relay
 	Dialect Dialect
@@ -78,9 +80,11 @@
 	Confirmation func() (model.Revision, time.Duration)
 	// Drain returns the state of the host's drain; nil if the host is not draining.
 	Drain func() *Drain
-	Clock clockwork.Clock
-	Log   *slog.Logger
-	Scope tally.Scope
+	// Memory is the account for the bytes of callers; nil for no limit.
+	Memory *memory.Account
+	Clock  clockwork.Clock
+	Log    *slog.Logger
+	Scope  tally.Scope
 }
 
 // Drain describes the planned stop of a host. Connections are closed after the answer,
@@ -142,6 +146,9 @@
 		Handler:                      s.handle,
 		ErrorHandler:                 s.handleParseError,
 		HeaderReceived:               s.requestConfig,
+		ExpectHandler:                s.handleExpect,
+		ConnState:                    connState,
+		StreamRequestBody:            true, // keys are checked before the body is read
 		ReadBufferSize:               headerBufferSize,
 		CloseOnShutdown:              true,
 		NoDefaultDate:                true,
@@ -161,14 +168,9 @@
 // Printf implements fasthttp.Logger.
 func (discardLogger) Printf(string, ...any) {}
 
-// requestConfig sets the limits for the body after the header was read.
-func (s *Server) requestConfig(*fasthttp.RequestHeader) fasthttp.RequestConfig {
-	return fasthttp.RequestConfig{ReadTimeout: bodyTimeout, MaxRequestBodySize: s.options.Limits().BodyBytes}
-}
-
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	return s.http.Serve(&listener{Listener: l, limits: s.options.Limits, writeTimeout: writeTimeout})
+	return s.http.Serve(&listener{Listener: l, limits: s.options.Limits, writeTimeout: writeTimeout, memory: s.options.Memory, refused: s.countRefusedConnection})
 }
 
 // Running returns the number of running requests.
@@ -183,27 +185,66 @@
 		defer ctx.SetConnectionClose()
 	}
 	received := s.options.Clock.Now()
+	f, fields, ok := s.decide(ctx, received)
+	if !ok {
+		return
+	}
+	body, ok := s.readBody(ctx, f)
+	if !ok {
+		return
+	}
+	if now := s.options.Clock.Now(); now.Sub(received) > maxDecisionAge {
+		var err error
+		if f, err = s.authorize(ctx, fields, now); err != nil {
+			body.Release()
+			s.refuse(ctx, fields.ID, nil, err)
+			return
+		}
+		f.Body = body.Bytes()
+	}
+	s.relayRequest(ctx, f, body)
+}
+
+// maxDecisionAge is the time to receive a body after which the request is decided on
+// again, because its key may have been withdrawn in the meantime.
+const maxDecisionAge = 100 * time.Millisecond
+
+// decide decides on a request by its header, before its body is read. If it refuses
+// the request, ok is false.
+func (s *Server) decide(ctx *fasthttp.RequestCtx, received time.Time) (f *relay.Forward, fields Fields, ok bool) {
+	c := ctx.Conn().(*conn)
+	c.bodyUnread = ctx.IsBodyStream()
 	if err := checkFraming(&ctx.Request); err != nil {
 		s.refuse(ctx, "", nil, err)
 		ctx.SetConnectionClose()
-		return
+		return nil, fields, false
 	}
 	fields, err := s.options.Dialect.Fields(&ctx.Request)
+	if err == nil {
+		f, err = s.authorize(ctx, fields, received)
+	}
+	if err == nil && announcedLength(&ctx.Request.Header) > s.options.Limits().BodyBytes {
+		err = s.confirmTooLarge(errBodyTooLarge)
+		ctx.SetConnectionClose()
+		c.bodyUnread = true
+	}
 	if err != nil {
 		s.refuse(ctx, fields.ID, nil, err)
-		return
+		return nil, fields, false
 	}
+	return f, fields, true
+}
+
+// authorize is resolve with a confirmation of the configuration for refusals that
+// callers take as final.
+func (s *Server) authorize(ctx *fasthttp.RequestCtx, fields Fields, received time.Time) (*relay.Forward, error) {
 	f, err := s.resolve(ctx, fields, received)
 	if errors.Is(err, model.ErrNotFound) || errors.Is(err, model.ErrUnauthorized) { // callers do not retry these
 		if err = s.options.Confirm(context.Background()); err == nil {
 			f, err = s.resolve(ctx, fields, received)
 		}
 	}
-	if err != nil {
-		s.refuse(ctx, fields.ID, nil, err)
-		return
-	}
-	s.relayRequest(ctx, f)
+	return f, err
 }
 
 // resolve authenticates a request and finds its route and service.
@@ -219,7 +260,7 @@
 	}
 	f := &relay.Forward{
 		ID: fields.ID, Route: route, Method: string(ctx.Method()), URI: string(ctx.RequestURI()),
-		Headers: fields.Headers, Body: ctx.PostBody(), LastEvent: fields.LastEvent,
+		Headers: fields.Headers, LastEvent: fields.LastEvent,
 		Prompt: fields.Prompt, Program: fields.Program, Previous: fields.Previous, Deadline: received.Add(route.Timeout),
 	}
 	if route.Sticky {
@@ -243,9 +284,14 @@
 }
 
 // relayRequest passes a request to the relay and writes the answer.
-func (s *Server) relayRequest(ctx *fasthttp.RequestCtx, f *relay.Forward) {
+func (s *Server) relayRequest(ctx *fasthttp.RequestCtx, f *relay.Forward, body *buffer.Buffer) {
 	callCtx, cancel := context.WithDeadlineCause(context.Background(), time.Now().Add(f.Deadline.Sub(s.options.Clock.Now())), context.DeadlineExceeded)
 	c := ctx.Conn().(*conn)
+	c.holder.SetPhase(memory.Running)
+	f.Memory = c.holder
+	if c.evicted.Load() {
+		ctx.SetConnectionClose()
+	}
 	stop := c.onDisconnect(cancel)
 	s.running.Add(1)
 	start := s.options.Clock.Now()
@@ -253,6 +299,7 @@
 		s.duration.RecordDuration(s.options.Clock.Since(start))
 		stop()
 		cancel()
+		body.Release()
 		s.running.Add(-1)
 	}
 	answer, err := s.options.Relay.Forward(callCtx, f)
@@ -261,6 +308,7 @@
 		s.refuse(ctx, f.ID, f, err)
 		return
 	}
+	c.holder.SetPhase(memory.Answering)
 	ctx.SetStatusCode(answer.Status)
 	for _, h := range answer.Headers {
 		ctx.Response.Header.Add(h.Name, h.Value)
@@ -306,7 +354,10 @@
 		route, workspace = f.Route.Name, f.Workspace
 	}
 	if c, ok := ctx.Conn().(*conn); ok {
-		c.phase = phaseIdle
+		c.holder.SetPhase(memory.Answering)
+		if c.lingerOnClose = c.lingerOnClose || c.bodyUnread; !c.bodyUnread {
+			c.phase = phaseIdle
+		}
 	}
 	var refusal *model.Refusal
 	if !errors.As(err, &refusal) {
@@ -319,28 +370,6 @@
 		"retry_after", refusal.RetryAfter, "revision", revision, "age", age, "error", refusal)
 }
 
-// handleParseError refuses a request that fasthttp failed to read.
-func (s *Server) handleParseError(ctx *fasthttp.RequestCtx, err error) {
-	kind := model.ErrBadRequest
-	var netErr net.Error
-	var bufferErr *fasthttp.ErrSmallBuffer
-	switch {
-	case errors.As(err, &bufferErr):
-		kind = ErrHeaderTooLarge
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		kind = model.ErrTooLarge
-	case errors.As(err, &netErr) && netErr.Timeout():
-		kind = ErrRequestTimeout
-	}
-	refusal := error(model.NewRefusal(kind, model.RanNo, "failed to read the request: %v", err))
-	if errors.Is(refusal, model.ErrTooLarge) {
-		refusal = s.confirmTooLarge(refusal)
-	}
-	s.refuse(ctx, "", nil, refusal)
-	ctx.SetConnectionClose()
-	lingerOnClose(ctx.Conn())
-}
-
 // limitRaisedRetryAfter is the Retry-After of a request whose body was above a limit
 // that has just been raised.
 const limitRaisedRetryAfter = 20 * time.Millisecond
@@ -358,15 +387,6 @@
 	return refusal
 }
 
-// lingerOnClose makes Close of a connection keep reading for a moment, after a
-// request was refused before it was read. Closing a connection with unread data
-// resets it, which could lose the answer.
-func lingerOnClose(c net.Conn) {
-	if w, ok := c.(*conn); ok {
-		w.lingerOnClose = true
-	}
-}
-
 // Errors of requests that could not be read.
 var (
 	ErrHeaderTooLarge = errors.New("request header too large")
--- a/io/target/response.go
+++ b/io/target/response.go
@@ -67,6 +67,14 @@
 	return r.message.Header.ContentLength() != identityLength
 }
 
+// Length returns the length of the body, or a negative number if it is not known.
+func (r *Response) Length() int {
+	if r.body == nil {
+		return 0
+	}
+	return r.message.Header.ContentLength()
+}
+
 // identityLength is the content length that fasthttp reports for a body that
 // ends when the connection is closed.
 const identityLength = -2
--- a/test/e2e/memory/crowd_test.go
+++ b/test/e2e/memory/crowd_test.go
@@ -10,6 +10,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"mimosarelay/platform/standin"
 )
 
 // caller writes its bytes to a connection and returns. The connection stays open
@@ -45,13 +47,7 @@
 
 // head returns the header of a request.
 func head(target, key string, n int, fields ...string) []byte {
-	var b bytes.Buffer
-	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: s.example\r\nAttempt-Id: crowd-%d\r\nAuthorization: Token %s\r\n", target, n, key)
-	for _, f := range fields {
-		b.WriteString(f + "\r\n")
-	}
-	b.WriteString("\r\n")
-	return b.Bytes()
+	return standin.RequestHead("POST", target, key, fmt.Sprint("crowd-", n), fields...)
 }
 
 const (
@@ -124,7 +120,7 @@
 			_ = tcp.SetReadBuffer(4096)
 		}
 		for i := range requests {
-			if _, err := c.Write(head("/look/big?size="+strconv.Itoa(answer), "key-1", n*requests+i, "Content-Length: 0")); err != nil {
+			if _, err := c.Write(head("/look/big?"+standin.SizeParameter+"="+strconv.Itoa(answer), "key-1", n*requests+i, "Content-Length: 0")); err != nil {
 				return err
 			}
 		}
--- a/test/e2e/memory/deployment_test.go
+++ b/test/e2e/memory/deployment_test.go
@@ -3,8 +3,8 @@
 package memory
 
 import (
+	"bufio"
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -34,16 +34,16 @@
 	maxBodyBytes = 4 << 20
 	// grace is the time between SIGTERM and SIGKILL.
 	grace = 8 * time.Second
+	// ordinaryBody is the usual size of a body, in bytes, and ordinaryLimit the time for
+	// one ordinary request.
+	ordinaryBody  = 17_000
+	ordinaryLimit = 5 * time.Second
+	// targetSlots is enough for the requests of all callers of a test.
+	targetSlots = 64
 	// patience limits the wait for a condition that holds within seconds.
 	patience = 30 * time.Second
 )
 
-const manifest = `{"version":1,"routes":[
-{"name":"look","host":"s.example","prefix":"/look/","kind":"safe","timeout_ms":10000,"service":"app","max_attempts":2}],
-"services":[{"name":"app"}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
-"tenants":[{"name":"office","api_keys":["key-1"],"rate_per_s":10000,"burst":10000}]}`
-
 // deployment is an entry host and a keeper.
 type deployment struct {
 	t             *testing.T
@@ -88,34 +88,30 @@
 	assert.NilError(t, err)
 	t.Cleanup(store.Close)
 	d := &deployment{t: t, store: store}
-	store.Put("op/config", []byte(manifest))
-	d.startTarget("app-0")
+	store.PutSmallManifest()
+	target, err := standin.NewBackend(store, "app-0", standin.PlainService)
+	assert.NilError(t, err)
+	target.SetSlots(targetSlots)
+	t.Cleanup(target.Close)
 	ip, _ := freeAddress(peerPort)
 	d.keeperPeers, d.keeperMetrics = fmt.Sprintf("%s:%d", ip, peerPort), fmt.Sprintf("%s:%d", ip, metricsPort)
-	d.keeper = d.startProcess("keeper-0", ip, nil)
+	d.keeper = d.startProcess(standin.Machine{Name: "keeper-0", IP: ip})
 	ip, d.callers = freeAddress(callerPort)
 	d.ready, d.directory = fmt.Sprintf("%s:%d", ip, readyPort), fmt.Sprintf("%s:%d", ip, listPort)
 	d.peers, d.metrics = fmt.Sprintf("%s:%d", ip, peerPort), fmt.Sprintf("%s:%d", ip, metricsPort)
-	d.host = d.startProcess("entry-0", ip, map[string]string{"front": d.callers, "ready": d.ready, "directory": d.directory})
+	d.host = d.startProcess(standin.Machine{Name: "entry-0", IP: ip, Callers: d.callers, Ready: d.ready, Directory: d.directory})
 	d.checkServes()
 	return d
 }
 
 // startProcess starts a process with settings as the platform writes them.
-func (d *deployment) startProcess(name, ip string, listen map[string]string) *process {
-	boot := map[string]any{
-		"node_name": name, "zone": "z", "region": "r", "ip": ip, "listen": listen, "internal_ports": []int{peerPort, metricsPort},
-		"fault_tolerance": map[string]int{"machines": 0, "zones": 0}, "contracts": []string{"quota"},
-		"limits":   map[string]any{"memory_mb": memoryMB, "max_fds": maxDescriptors, "disk_mb": 0},
-		"bounds":   map[string]any{"revoke_ms": 5000, "config_ms": 2000, "drain_ms": 2000, "grace_s": grace.Seconds(), "ttl_max_s": 5},
-		"platform": map[string]any{"address": d.store.Address(), "form": "kv"},
-	}
-	data, err := json.Marshal(boot)
-	assert.NilError(d.t, err)
+func (d *deployment) startProcess(m standin.Machine) *process {
+	name := m.Name
+	m.PeerPort, m.MemoryMB, m.MaxDescriptors, m.Grace = peerPort, memoryMB, maxDescriptors, grace
 	file := filepath.Join(d.t.TempDir(), name+".json")
-	assert.NilError(d.t, os.WriteFile(file, data, 0o600))
+	assert.NilError(d.t, os.WriteFile(file, m.Settings(d.store), 0o600))
 	p := &process{t: d.t, name: name, cmd: exec.Command(binary, "serve"), ended: make(chan struct{})}
-	p.cmd.Env = append(os.Environ(), "MIMOSARELAY_BOOT="+file)
+	p.cmd.Env = append(os.Environ(), standin.BootVariable+"="+file)
 	p.cmd.Stdout, p.cmd.Stderr = &p.output, &p.output
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	assert.NilError(d.t, p.cmd.Start())
@@ -200,14 +196,22 @@
 
 var requestCount atomic.Int64
 
+// ordinaryRequest sends a request of the usual size on a connection of its own.
 func (d *deployment) ordinaryRequest() (status int, err error) {
-	req, err := http.NewRequestWithContext(d.t.Context(), "POST", "http://"+d.callers+"/look/ordinary", strings.NewReader(strings.Repeat("x", 17_000)))
-	assert.NilError(d.t, err)
-	req.Host = "s.example"
-	req.Header.Set("Attempt-Id", fmt.Sprint("ordinary-", requestCount.Add(1)))
-	req.Header.Set("Authorization", "Token key-1")
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
-	resp, err := client.Do(req)
+	c, err := net.DialTimeout("tcp", d.callers, ordinaryLimit)
+	if err != nil {
+		return 0, err
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(ordinaryLimit)); err != nil {
+		return 0, err
+	}
+	id := fmt.Sprint("ordinary-", requestCount.Add(1))
+	data := standin.RequestHead("POST", "/look/ordinary", standin.CallerKey, id, fmt.Sprint("Content-Length: ", ordinaryBody))
+	if _, err := c.Write(append(data, make([]byte, ordinaryBody)...)); err != nil {
+		return 0, err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		return 0, err
 	}
@@ -215,33 +219,3 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	return resp.StatusCode, err
 }
-
-// startTarget starts a target. It answers with as many bytes as the query says.
-func (d *deployment) startTarget(id string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(d.t, err)
-	s := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		size, _ := strconv.Atoi(r.URL.Query().Get("size")) // 0 without a size
-		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
-		w.Header().Set("Response-Seal", "seal")
-		w.Header().Set("Server-Load", "1,0,64")
-		w.Header().Set("Content-Length", strconv.Itoa(size))
-		piece := make([]byte, 32<<10)
-		for size > 0 {
-			n, err := w.Write(piece[:min(size, len(piece))])
-			if err != nil {
-				return
-			}
-			size -= n
-		}
-	})}
-	go func() { _ = s.Serve(l) }()
-	d.t.Cleanup(func() { _ = s.Close() })
-	value, err := json.Marshal(map[string]any{
-		"service": "app", "address": l.Addr().String(), "zone": "z", "version": "v1", "slots": 64, "state": "ready",
-		"cold_remaining_ms": 0, "sequence": 1, "born": time.Now().UnixMilli(),
-	})
-	assert.NilError(d.t, err)
-	d.store.Put("servers/"+id, value)
-}
--- a/test/e2e/memory/memory_test.go
+++ b/test/e2e/memory/memory_test.go
@@ -6,6 +6,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"mimosarelay/platform/standin"
 )
 
 // Guards against a process that runs out of memory when many callers send large
@@ -37,6 +39,13 @@
 	d.checkHeld()
 }
 
+// Guards against a host that holds the chunks of callers without a valid key.
+func TestChunksWithWrongKey(t *testing.T) {
+	d := newDeployment(t)
+	sendCrowd(t, d.callers, bigCrowd, sendChunks("/look/x", "key-9", fullBody, largeChunk))
+	d.checkHeld()
+}
+
 // Guards against a process that runs out of memory with bodies in small chunks.
 func TestSmallChunks(t *testing.T) {
 	d := newDeployment(t)
@@ -83,13 +92,13 @@
 // Guards against the same crowd at the ports that are not for requests.
 func TestDirectory(t *testing.T) {
 	d := newDeployment(t)
-	crowdAtPort(t, d.directory, "/v1/resolve")
+	crowdAtPort(t, d.directory, standin.DirectoryPath)
 	d.checkHeld()
 }
 
 func TestReadiness(t *testing.T) {
 	d := newDeployment(t)
-	crowdAtPort(t, d.ready, "/v1/readiness")
+	crowdAtPort(t, d.ready, standin.ReadinessPath)
 	d.checkHeld()
 }
 
