ingress: refusals before the body is read arrive, and a skipped body is never taken for a request

Cause: whether the body is unread was asked of the response, so that connections were closed at once and callers that still sent lost the refusal. The body of a request that announces too much was skipped, but the connection stayed open if the request was refused for its key: the bytes of the body were then read as requests. Change: requestConfig closes the connection of a body that it skips; the connection lingers if the request has a body that was not read.

--- a/io/ingress/body.go
+++ b/io/ingress/body.go
@@ -28,23 +28,33 @@
 )
 
 // requestConfig sets the limits for the body after the header was read. The body of
-// a request that announces too much is not read, so that it can be refused at once.
+// a request that announces too much is not read, so that it can be refused at once. Its
+// connection is closed, because its body would be taken for the next request.
 func (s *Server) requestConfig(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
 	if h.ContentLength() > s.options.Limits().BodyBytes {
 		h.SetContentLength(0)
+		h.SetConnectionClose()
 	}
 	return fasthttp.RequestConfig{ReadTimeout: bodyTimeout, MaxRequestBodySize: prefetchBytes}
 }
 
-// announcedLength returns the content length that a caller has sent, which
-// requestConfig may have replaced.
-func announcedLength(h *fasthttp.RequestHeader) int {
-	if n := h.ContentLength(); n != 0 {
-		return n
+// skippedLength returns the length of the body that requestConfig has not let fasthttp
+// read, or 0.
+func skippedLength(h *fasthttp.RequestHeader) int {
+	if h.ContentLength() != 0 {
+		return 0
 	}
 	return rawContentLength(h.RawHeaders())
 }
 
+// refuseSkipped returns the refusal of a request whose body was not read.
+func (s *Server) refuseSkipped(length int) error {
+	if length > s.options.Limits().BodyBytes {
+		return s.confirmTooLarge(errBodyTooLarge)
+	}
+	return model.NewRefusal(model.ErrUnavailable, model.RanNo, "the limit for bodies was raised").Retry(limitRaisedRetryAfter)
+}
+
 // handleExpect decides on a request whose caller waits before it sends the body.
 func (s *Server) handleExpect(ctx *fasthttp.RequestCtx) int {
 	if _, _, ok := s.decide(ctx, s.options.Clock.Now()); !ok {
@@ -110,7 +120,7 @@
 // handleParseError refuses a request that fasthttp failed to read.
 func (s *Server) handleParseError(ctx *fasthttp.RequestCtx, err error) {
 	c := ctx.Conn().(*conn)
-	c.lingerOnClose = true
+	c.lingerOnClose.Store(true)
 	s.refuse(ctx, "", nil, readError(c, err))
 	ctx.SetConnectionClose()
 }
--- a/io/ingress/conn.go
+++ b/io/ingress/conn.go
@@ -68,8 +68,8 @@
 
 	watcher       sync.WaitGroup
 	peeked        [1]byte
-	lingerOnClose bool // Close keeps reading for a moment
-	bodyUnread    bool // the body of the current request was not read to its end
+	lingerOnClose atomic.Bool // Close keeps reading for a moment
+	bodyUnread    bool        // the body of the current request was not read to its end
 
 	holder *memory.Holder // nil without a limit
 	// evicted is set when the connection has lost its memory while it received a
@@ -147,14 +147,15 @@
 
 // requestEnded prepares the connection for its next request.
 func (c *conn) requestEnded() {
-	c.phase, c.lingerOnClose, c.bodyUnread = phaseIdle, false, false
+	c.phase, c.bodyUnread = phaseIdle, false
+	c.lingerOnClose.Store(false)
 	c.holder.SetPhase(memory.Idle)
 }
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	defer c.holder.Close()
-	if c.lingerOnClose {
+	if c.lingerOnClose.Load() {
 		return tcpclose.Linger(c.Conn)
 	}
 	return c.Conn.Close()
--- a/io/ingress/server.go
+++ b/io/ingress/server.go
@@ -213,7 +213,8 @@
 // the request, ok is false.
 func (s *Server) decide(ctx *fasthttp.RequestCtx, received time.Time) (f *relay.Forward, fields Fields, ok bool) {
 	c := ctx.Conn().(*conn)
-	c.bodyUnread = ctx.IsBodyStream()
+	skipped := skippedLength(&ctx.Request.Header)
+	c.bodyUnread = ctx.RequestBodyStream() != nil || skipped > 0
 	if err := checkFraming(&ctx.Request); err != nil {
 		s.refuse(ctx, "", nil, err)
 		ctx.SetConnectionClose()
@@ -223,10 +224,8 @@
 	if err == nil {
 		f, err = s.authorize(ctx, fields, received)
 	}
-	if err == nil && announcedLength(&ctx.Request.Header) > s.options.Limits().BodyBytes {
-		err = s.confirmTooLarge(errBodyTooLarge)
-		ctx.SetConnectionClose()
-		c.bodyUnread = true
+	if err == nil && skipped > 0 {
+		err = s.refuseSkipped(skipped)
 	}
 	if err != nil {
 		s.refuse(ctx, fields.ID, nil, err)
@@ -355,7 +354,9 @@
 	}
 	if c, ok := ctx.Conn().(*conn); ok {
 		c.holder.SetPhase(memory.Answering)
-		if c.lingerOnClose = c.lingerOnClose || c.bodyUnread; !c.bodyUnread {
+		if c.bodyUnread {
+			c.lingerOnClose.Store(true)
+		} else {
 			c.phase = phaseIdle
 		}
 	}
