--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -288,6 +288,10 @@
 		run(l.name, func() error { return l.serve(ln) })
 	}
 	run("catalog", func() error { return h.catalog.Run(ctx) })
+	if h.memory != nil {
+		r := &memoryReporter{account: h.memory, scope: h.metrics.Scope.SubScope("memory"), clock: h.options.Clock, log: h.log}
+		run("memory metrics", func() error { return r.run(ctx) })
+	}
 	if h.keeper != nil {
 		h.keeper.start(ctx, run)
 	} else {
--- a/io/ingress/body.go
+++ b/io/ingress/body.go
@@ -92,7 +92,7 @@
 	if errors.Is(err, buffer.ErrTooLarge) {
 		err = s.confirmTooLarge(errBodyTooLarge)
 	} else {
-		err = readError(c, err)
+		err = s.readError(c, err)
 	}
 	s.refuse(ctx, f.ID, f, err)
 	ctx.SetConnectionClose()
@@ -102,12 +102,17 @@
 var errBodyTooLarge = model.NewRefusal(model.ErrTooLarge, model.RanNo, "the body is larger than the limit")
 
 // readError returns the refusal for a request that could not be read.
-func readError(c *conn, err error) *model.Refusal {
+func (s *Server) readError(c *conn, err error) *model.Refusal {
 	kind := model.ErrBadRequest
 	var netErr net.Error
 	var bufferErr *fasthttp.ErrSmallBuffer
 	switch {
 	case c.evicted.Load(), errors.Is(err, memory.ErrEvicted), errors.Is(err, memory.ErrFull):
+		reason := "evicted"
+		if errors.Is(err, memory.ErrFull) {
+			reason = "full"
+		}
+		s.options.Scope.Tagged(map[string]string{"reason": reason}).Counter("requests_refused_for_memory").Inc(1)
 		return model.NewRefusal(model.ErrUnavailable, model.RanNo, "this host has no memory for the request now").Retry(memoryRetryAfter)
 	case errors.As(err, &bufferErr):
 		kind = ErrHeaderTooLarge
@@ -121,7 +126,7 @@
 func (s *Server) handleParseError(ctx *fasthttp.RequestCtx, err error) {
 	c := ctx.Conn().(*conn)
 	c.lingerOnClose.Store(true)
-	s.refuse(ctx, "", nil, readError(c, err))
+	s.refuse(ctx, "", nil, s.readError(c, err))
 	ctx.SetConnectionClose()
 }
 
--- /dev/null
+++ b/test/e2e/memory/ordinary_test.go
@@ -0,0 +1,86 @@
+//go:build linux
+
+package memory
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mimosarelay/platform/standin"
+)
+
+const (
+	ordinaryCallers = 300
+	ordinaryRounds  = 6
+	// largeOrdinaryBody is the size of one body in ten, in bytes.
+	largeOrdinaryBody = 100_000
+	// ordinaryPause is the time between two requests on a connection.
+	ordinaryPause = 2 * time.Second
+)
+
+// Guards against an account that refuses or closes ordinary callers: some hundred
+// connections that are idle for seconds and used again, with bodies of 17 to 100 kB.
+func TestOrdinaryCallersAreServed(t *testing.T) {
+	d := newDeployment(t)
+	var all sync.WaitGroup
+	var failed, served atomic.Int64
+	var first atomic.Pointer[string]
+	for i := range ordinaryCallers {
+		all.Go(func() {
+			if err := useConnection(d.callers, i, &served); err != nil {
+				failed.Add(1)
+				text := err.Error()
+				first.CompareAndSwap(nil, &text)
+			}
+		})
+	}
+	all.Wait()
+	if text := first.Load(); text != nil {
+		t.Log(*text)
+	}
+	assert.Equal(t, failed.Load(), int64(0))
+	assert.Equal(t, served.Load(), int64(ordinaryCallers*ordinaryRounds))
+	d.host.checkHeld()
+}
+
+// useConnection sends requests on one connection.
+func useConnection(address string, caller int, served *atomic.Int64) error {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for round := range ordinaryRounds {
+		time.Sleep(ordinaryPause * time.Duration(caller) / ordinaryCallers) // callers are spread over the pause
+		size := ordinaryBody
+		if (caller+round)%10 == 0 {
+			size = largeOrdinaryBody
+		}
+		_ = c.SetDeadline(time.Now().Add(patience))
+		data := standin.RequestHead("POST", "/look/x", standin.CallerKey, fmt.Sprintf("o-%d-%d", caller, round), fmt.Sprint("Content-Length: ", size))
+		if _, err := c.Write(append(data, make([]byte, size)...)); err != nil {
+			return fmt.Errorf("round %d: write: %w", round, err)
+		}
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			return fmt.Errorf("round %d: read: %w", round, err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			return fmt.Errorf("round %d: status %d, %s: %w", round, resp.StatusCode, body, err)
+		}
+		served.Add(1)
+		time.Sleep(ordinaryPause - ordinaryPause*time.Duration(caller)/ordinaryCallers)
+	}
+	return nil
+}
