peer: messages above 64 KiB are reserved from the memory account while they arrive

Cause: drpc holds up to 16 MiB for each connection, and the buffers stay after the message. Change: the peer listener follows the frames of a connection and reserves twice the size of its largest message. Without memory, or when the message stalls under pressure, the connection is closed; clients of the peer interface call again.

--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -272,7 +272,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	run("peer server", func() error { return peer.Serve(ctx, peerListener, h.peerHandler()) })
+	run("peer server", func() error { return peer.Serve(ctx, peer.LimitMessages(peerListener, h.memory), h.peerHandler()) })
 	listeners := []listener{{"metrics", h.options.MetricsAddress, h.serveAuxiliary(h.serveDiagnostics)}}
 	if h.entry != nil {
 		listeners = append(listeners, h.entry.listeners()...)
--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -23,14 +23,15 @@
 	Connections Kind = iota // buffers of a connection, with the header of its request
 	Bodies                  // bodies of requests
 	Answers                 // answers of targets
+	Messages                // messages between hosts
 	kindCount
 )
 
 // String returns the name of the kind in metrics.
-func (k Kind) String() string { return [...]string{"connections", "bodies", "answers"}[k] }
+func (k Kind) String() string { return [...]string{"connections", "bodies", "answers", "messages"}[k] }
 
 // Kinds lists all kinds.
-func Kinds() []Kind { return []Kind{Connections, Bodies, Answers} }
+func Kinds() []Kind { return []Kind{Connections, Bodies, Answers, Messages} }
 
 // Phase is what a holder's connection does.
 type Phase int
--- a/core/memory/memory_test.go
+++ b/core/memory/memory_test.go
@@ -24,7 +24,7 @@
 type peer struct {
 	holder *memory.Holder
 	phase  memory.Phase
-	held   [3]memory.Bytes
+	held   [4]memory.Bytes
 	lost   bool
 }
 
@@ -67,7 +67,7 @@
 			}
 			i := rapid.IntRange(0, len(peers)-1).Draw(t, "peer")
 			p := peers[i]
-			k := memory.Kind(rapid.IntRange(0, 2).Draw(t, "kind"))
+			k := memory.Kind(rapid.IntRange(0, 3).Draw(t, "kind"))
 			n := memory.Bytes(rapid.IntRange(0, 600).Draw(t, "n"))
 			switch rapid.IntRange(0, 4).Draw(t, "step") {
 			case 0:
--- a/io/buffer/buffer.go
+++ b/io/buffer/buffer.go
@@ -115,7 +115,7 @@
 
 // grow moves the content to a buffer of size bytes.
 func (b *Buffer) grow(ctx context.Context, size int, maxWait time.Duration) error {
-	if err := reserve(ctx, b.holder, b.kind, memory.Bytes(size), maxWait); err != nil {
+	if err := Reserve(ctx, b.holder, b.kind, memory.Bytes(size), maxWait); err != nil {
 		return err
 	}
 	old := cap(b.data)
@@ -126,9 +126,9 @@
 	return nil
 }
 
-// reserve waits for memory for at most maxWait. The load that this addresses is a
+// Reserve waits for memory for at most maxWait. The load that this addresses is a
 // full account whose holders are about to release or to be evicted.
-func reserve(ctx context.Context, h *memory.Holder, k memory.Kind, n memory.Bytes, maxWait time.Duration) error {
+func Reserve(ctx context.Context, h *memory.Holder, k memory.Kind, n memory.Bytes, maxWait time.Duration) error {
 	err := h.Reserve(k, n)
 	if err == nil || !errors.Is(err, memory.ErrFull) {
 		return err
--- a/test/e2e/memory/ordinary_test.go
+++ b/test/e2e/memory/ordinary_test.go
@@ -76,6 +76,7 @@
 			return fmt.Errorf("round %d: read: %w", round, err)
 		}
 		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
 		if err != nil || resp.StatusCode != http.StatusOK {
 			return fmt.Errorf("round %d: status %d, %s: %w", round, resp.StatusCode, body, err)
 		}
