ingress: Retry-After of a refusal for memory is at most a third of the remaining time

Cause: it was 500 ms whatever the deadline, and REFUSED allows a third. Change: it follows the deadline of the request; a refusal before the header is complete has none. TestAnswersAreWholeUnderPressure checks answers that are read at the pace of their callers.

--- a/io/ingress/body.go
+++ b/io/ingress/body.go
@@ -23,8 +23,11 @@
 	// memoryWait is how long a body waits for memory. Holders without progress are
 	// evicted within that time.
 	memoryWait = 2 * time.Second
-	// memoryRetryAfter is the Retry-After of requests that are refused for memory.
-	memoryRetryAfter = 500 * time.Millisecond
+	// memoryRetryAfter is the Retry-After of requests that are refused for memory. It is
+	// at most a third of the time until the deadline (retryAfterDivisor), so that another
+	// attempt can complete in the rest.
+	memoryRetryAfter  = 500 * time.Millisecond
+	retryAfterDivisor = 3
 )
 
 // requestConfig sets the limits for the body after the header was read. The body of
@@ -92,7 +95,7 @@
 	if errors.Is(err, buffer.ErrTooLarge) {
 		err = s.confirmTooLarge(errBodyTooLarge)
 	} else {
-		err = s.readError(c, err)
+		err = s.readError(c, err, f.Deadline.Sub(s.options.Clock.Now()))
 	}
 	s.refuse(ctx, f.ID, f, err)
 	ctx.SetConnectionClose()
@@ -101,8 +104,9 @@
 
 var errBodyTooLarge = model.NewRefusal(model.ErrTooLarge, model.RanNo, "the body is larger than the limit")
 
-// readError returns the refusal for a request that could not be read.
-func (s *Server) readError(c *conn, err error) *model.Refusal {
+// readError returns the refusal for a request that could not be read. left is the time
+// until its deadline, or 0 if that is not known.
+func (s *Server) readError(c *conn, err error, left time.Duration) *model.Refusal {
 	kind := model.ErrBadRequest
 	var netErr net.Error
 	var bufferErr *fasthttp.ErrSmallBuffer
@@ -113,7 +117,7 @@
 			reason = "full"
 		}
 		s.options.Scope.Tagged(map[string]string{"reason": reason}).Counter("requests_refused_for_memory").Inc(1)
-		return model.NewRefusal(model.ErrUnavailable, model.RanNo, "this host has no memory for the request now").Retry(memoryRetryAfter)
+		return model.NewRefusal(model.ErrUnavailable, model.RanNo, "this host has no memory for the request now").Retry(min(memoryRetryAfter, max(0, left)/retryAfterDivisor))
 	case errors.As(err, &bufferErr):
 		kind = ErrHeaderTooLarge
 	case errors.As(err, &netErr) && netErr.Timeout():
@@ -126,7 +130,7 @@
 func (s *Server) handleParseError(ctx *fasthttp.RequestCtx, err error) {
 	c := ctx.Conn().(*conn)
 	c.lingerOnClose.Store(true)
-	s.refuse(ctx, "", nil, s.readError(c, err))
+	s.refuse(ctx, "", nil, s.readError(c, err, 0))
 	ctx.SetConnectionClose()
 }
 
--- a/test/e2e/memory/crowd_test.go
+++ b/test/e2e/memory/crowd_test.go
@@ -113,14 +113,14 @@
 }
 
 // sendRequests returns a caller that sends a number of complete requests at once
-// for large answers, which it never reads.
-func sendRequests(requests, answer int) caller {
+// for answers of fullBody bytes, which it never reads.
+func sendRequests(requests int) caller {
 	return func(c net.Conn, n int) error {
 		if tcp, ok := c.(*net.TCPConn); ok {
 			_ = tcp.SetReadBuffer(4096)
 		}
 		for i := range requests {
-			if _, err := c.Write(head("/look/big?"+standin.SizeParameter+"="+strconv.Itoa(answer), "key-1", n*requests+i, "Content-Length: 0")); err != nil {
+			if _, err := c.Write(head("/look/big?"+standin.SizeParameter+"="+strconv.Itoa(fullBody), "key-1", n*requests+i, "Content-Length: 0")); err != nil {
 				return err
 			}
 		}
--- a/test/e2e/memory/memory_test.go
+++ b/test/e2e/memory/memory_test.go
@@ -78,14 +78,14 @@
 // Guards against answers that are held for callers that never read them.
 func TestUnreadResponses(t *testing.T) {
 	d := newDeployment(t)
-	sendCrowd(t, d.callers, bigCrowd, sendRequests(1, fullBody))
+	sendCrowd(t, d.callers, bigCrowd, sendRequests(1))
 	d.checkHeld()
 }
 
 // Guards against requests that wait behind an unread response.
 func TestPipelinedBehindUnreadResponse(t *testing.T) {
 	d := newDeployment(t)
-	sendCrowd(t, d.callers, bigCrowd, sendRequests(50, fullBody))
+	sendCrowd(t, d.callers, bigCrowd, sendRequests(50))
 	d.checkHeld()
 }
 
--- a/test/e2e/memory/ordinary_test.go
+++ b/test/e2e/memory/ordinary_test.go
@@ -85,3 +85,47 @@
 	}
 	return nil
 }
+
+// Guards against an answer that is changed or looks complete although it is not, when
+// there is no memory to read it to its end first.
+func TestAnswersAreWholeUnderPressure(t *testing.T) {
+	d := newDeployment(t)
+	sendCrowd(t, d.callers, bigCrowd, sendRequests(1))
+	whole := 0
+	for end := time.Now().Add(patience); whole < 10 && time.Now().Before(end); {
+		size, err := d.largeAnswer(whole)
+		if err != nil {
+			t.Log(err) // the answer is visibly incomplete, or the request was refused
+			continue
+		}
+		assert.Equal(t, size, fullBody)
+		whole++
+	}
+	assert.Equal(t, whole, 10)
+	d.checkHeld()
+}
+
+// largeAnswer requests an answer of fullBody bytes and returns the size of what arrived
+// as complete.
+func (d *deployment) largeAnswer(n int) (int, error) {
+	c, err := net.Dial("tcp", d.callers)
+	if err != nil {
+		return 0, err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(patience))
+	target := fmt.Sprintf("/look/large?%s=%d", standin.SizeParameter, fullBody)
+	if _, err := c.Write(standin.RequestHead("POST", target, standin.CallerKey, fmt.Sprint("large-", n), "Content-Length: 0")); err != nil {
+		return 0, err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("status %d: %s", resp.StatusCode, body)
+	}
+	return len(body), err
+}
