--- a/app/relay/forward_stream.go
+++ b/app/relay/forward_stream.go
@@ -162,10 +162,10 @@
 // resume continues the stream with another attempt.
 func (b *forwardStreamBody) resume() (dispatch.Next, error) {
 	s, c := b.service, b.call
-	place, err := s.startAttempt(b.ctx, c)
-	if err != nil {
+	if err := s.startAttempt(b.ctx, c); err != nil {
 		return nil, err
 	}
+	place := c.place
 	lastEvent := c.LastEvent
 	if b.lastEventID > 0 {
 		lastEvent = strconv.FormatUint(b.lastEventID, 10)
