--- a/app/entry/replace_test.go
+++ b/app/entry/replace_test.go
@@ -92,7 +92,8 @@
 
 // Guards against a deployment that becomes unavailable when all its keepers are
 // replaced: three machines are added, and the three old ones drained one after the
-// other. Each drain is complete only when another keeper acts in its place.
+// other. Each drain is complete only when another keeper acts in its place. Also
+// guards against a standby that cannot be drained.
 func TestAllKeepersAreReplaced(t *testing.T) {
 	s, err := standin.NewStore()
 	assert.NilError(t, err)
@@ -110,15 +111,25 @@
 	for i, k := range old {
 		ready, _ := added[i].Ready()
 		assert.Assert(t, !ready, "standby %d acts although no keeper is missing", i)
-		k.orders.requested.Store(true)
-		poll.WaitOn(t, func(poll.LogT) poll.Result {
-			if !k.orders.done.Load() {
-				return poll.Continue("keeper %d is not drained", i)
-			}
-			return poll.Success()
-		}, poll.WithTimeout(15*time.Second), poll.WithDelay(10*time.Millisecond))
+		k.drain(t)
 		awaitActing(t, added[:i+1]...)
 		k.stop()
 	}
 	awaitActing(t, added...)
+	spare := startKeeper(t, s, zones[0], true)
+	time.Sleep(time.Second)
+	spare.drain(t)
+	awaitActing(t, added...)
+}
+
+// drain orders that the keeper is drained and waits until it reports that it is.
+func (k *testKeeper) drain(t *testing.T) {
+	t.Helper()
+	k.orders.requested.Store(true)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !k.orders.done.Load() {
+			return poll.Continue("the keeper is not drained, running: %v", k.orders.running.Load())
+		}
+		return poll.Success()
+	}, poll.WithTimeout(15*time.Second), poll.WithDelay(10*time.Millisecond))
 }
--- a/app/fleet/service.go
+++ b/app/fleet/service.go
@@ -388,6 +388,9 @@
 	Attached  bool
 	Settled   bool
 	Stopped   bool
+	// Waiting is set on a standby. Standbys lists all of them.
+	Waiting   bool
+	Standbys  []member.Standby
 	Reported  model.Epoch
 	Leases    map[model.HostID]bool
 	Reports   map[model.HostID]EntryReport
@@ -414,7 +417,7 @@
 	}
 	return State{
 		Self: s.self, Record: s.record, MayAct: mayAct, StoreAway: s.right.StoreAway(),
-		Attached: s.attached, Settled: s.settled, Stopped: s.leaveStarted, Reported: s.lastReport,
+		Attached: s.attached, Settled: s.settled, Stopped: s.leaveStarted, Waiting: s.Waiting(), Standbys: s.standbys, Reported: s.lastReport,
 		Leases: leases, Reports: maps.Clone(s.reports), Revisions: revisions,
 		RevisionUnknown: revisionUnknown,
 	}
--- a/core/member/model_test.go
+++ b/core/member/model_test.go
@@ -232,11 +232,17 @@
 // hosts may act for one shard. Paused hosts count, because they may resume at any
 // time.
 func (f *modelFleet) countActing(t rapid.TB) int {
+	var mayAct []*modelHost
+	for _, h := range f.hosts {
+		if h.right.MayAct(f.localTime(h)) {
+			mayAct = append(mayAct, h)
+		}
+	}
 	total := 0
 	for s := range model.Shard(32) {
 		var acting []model.HostID
-		for _, h := range f.hosts {
-			if h.right.MayAct(f.localTime(h)) && h.ownership.Active(s) {
+		for _, h := range mayAct {
+			if h.ownership.Active(s) {
 				acting = append(acting, h.self.Host)
 			}
 		}
