--- a/app/catalog/catalog_test.go
+++ b/app/catalog/catalog_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -30,6 +32,7 @@
 	reads       int // of the configuration
 	changed     chan struct{}
 	moreTargets []ingress.Target // beside t
+	zones       []model.Zone     // with an evacuation order
 }
 
 func (s *source) readCount() int {
@@ -62,7 +65,7 @@
 	if s.unavailable {
 		return ingress.StoredDocument{}, store.ErrUnavailable
 	}
-	out := ingress.StoredDocument{Revision: s.revision, StoreRevision: s.revision}
+	out := ingress.StoredDocument{Revision: s.revision, StoreRevision: s.revision, Evacuated: s.zones}
 	if known != s.revision {
 		out.Document = s.document
 	}
@@ -93,7 +96,7 @@
 	if s.unavailable {
 		return ingress.TargetList{}, store.ErrUnavailable
 	}
-	return ingress.TargetList{Targets: append([]ingress.Target{{ID: "t", Service: "s", Address: "10.0.0.1:80", Slots: 1}}, s.moreTargets...)}, nil
+	return ingress.TargetList{Targets: append([]ingress.Target{{ID: "t", Service: "s", Address: "10.0.0.1:80", Slots: 1, Zone: "a"}}, s.moreTargets...)}, nil
 }
 
 // Guards against targets that are gone and that a keeper tells to other hosts after an
@@ -252,3 +255,31 @@
 		assert.ErrorIs(t, err, model.ErrUnavailable)
 	})
 }
+
+// Guards against an order that names no zone and is not noticed, and against one for the
+// last zone that is ignored.
+func TestProbableMistakesOfOrdersAreLoggedAndObeyed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		src := &source{changed: make(chan struct{}), zones: []model.Zone{}}
+		src.set(1, "first")
+		var logs strings.Builder
+		s := catalog.New(catalog.Options{Source: src, Clock: clockwork.NewRealClock(), Log: slog.New(slog.NewTextHandler(&logs, nil)), Lifetime: evidence.MaxAge(lifetime)})
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = s.Run(ctx) }()
+		for _, zones := range [][]model.Zone{{"typo"}, {"a", "typo"}, {}} {
+			time.Sleep(10 * time.Second)
+			src.mu.Lock()
+			src.zones = zones
+			src.mu.Unlock()
+			src.set(1, "first")
+			time.Sleep(10 * time.Second)
+			target, _ := s.Latest().Target("t")
+			assert.Equal(t, target.Evacuated, slices.Contains(zones, "a"), "%v", zones)
+		}
+		stop()
+		<-done
+		assert.Equal(t, strings.Count(logs.String(), "evacuation order for a zone without targets"), 1, logs.String())
+		assert.Equal(t, strings.Count(logs.String(), "level=ERROR"), 1, logs.String())
+	})
+}
--- a/app/entry/entryhost.go
+++ b/app/entry/entryhost.go
@@ -75,8 +75,10 @@
 	})
 	pacer := pacing.NewClient(e.follow, h.peers, e.cold, o.Clock, o.Log)
 	h.catalog.OnTargets(e.cold.SetTargets)
+	evacuated := h.metrics.Scope.Gauge("evacuated_zones")
 	h.catalog.OnChange(func(v *coreingress.View) {
 		e.cold.ViewChanged(v)
+		evacuated.Update(float64(len(v.Evacuated())))
 		pacer.Retain(func(id model.TargetID) bool { _, ok := v.Target(id); return ok })
 	})
 	e.relay = relay.New(relay.Options{
--- a/app/placement/service.go
+++ b/app/placement/service.go
@@ -406,6 +406,18 @@
 	s.scheduler.EndProgram(key)
 }
 
+// exclusions returns the targets that get no new call, with the reasons. The caller
+// holds mu.
+func (s *Service) exclusions() map[model.TargetID]placement.Exclusion {
+	excluded := map[model.TargetID]placement.Exclusion{}
+	for _, t := range s.targets {
+		if reason := s.exclusion(t.ID); reason != placement.NotExcluded {
+			excluded[t.ID] = reason
+		}
+	}
+	return excluded
+}
+
 // Dump returns the state as shown to operators.
 func (s *Service) Dump() any {
 	s.mu.Lock()
@@ -415,8 +427,10 @@
 		Hosts   []model.HostID
 		Skipped []model.TargetID
 		Paused  []model.TargetID
-		Lent    int
-		Loans   int
+		// Excluded holds why targets get no new call, apart from the places.
+		Excluded map[model.TargetID]placement.Exclusion
+		Lent     int
+		Loans    int
 	}
 	d := dump{Dump: s.scheduler.Dump(), Hosts: slices.Clone(s.membership.current)}
 	d.Lent, d.Loans = s.loans.counts()
@@ -427,5 +441,6 @@
 	}
 	slices.Sort(d.Skipped)
 	d.Paused = slices.Sorted(maps.Keys(s.pauses))
+	d.Excluded = s.exclusions()
 	return d
 }
