--- a/app/entry/entryhost.go
+++ b/app/entry/entryhost.go
@@ -21,10 +21,20 @@
 	coreplacement "mimosarelay/core/placement"
 	"mimosarelay/core/presence"
 	"mimosarelay/core/store"
+	"mimosarelay/core/suspect"
 	"mimosarelay/io/ingress"
 	"mimosarelay/io/target"
 )
 
+const (
+	// harmlessRequests is the number of requests that are remembered as harmless, about
+	// 2 MB on the smallest hosts.
+	harmlessRequests = 1 << 13
+	// trialLifetime is how long the claim of a lost host keeps a request from its next
+	// trial. It is longer than the time limit of usual routes.
+	trialLifetime = time.Minute
+)
+
 // entryHost is the part of a Host that serves callers. It is not a member of the
 // fleet but gets the membership, the configuration and the targets from keepers.
 type entryHost struct {
@@ -43,11 +53,20 @@
 	o := h.options
 	control := o.Keyspace(controlPrefix)
 	e.targets = target.NewClient(target.Options{DialTimeout: dialTimeout})
+	var targetOutcomes follow.Outcomes
+	var targetLoads follow.Loads
+	var health *placement.HealthOptions
+	if o.Health {
+		targetOutcomes, health = placementOutcomes{e}, &placement.HealthOptions{Scope: h.metrics.Scope}
+		targetLoads = placementOutcomes{e}
+	}
 	e.follow = follow.NewClient(follow.Options{
 		Self: presence.Host{Host: o.Host, CallerAddress: o.CallerAddress, PeerAddress: o.PeerAddress},
 		Zone: o.Zone, Store: control, RecordKey: fleet.RecordKey, Peers: h.peers,
 		KnownLimit:      h.knownLimit,
 		SuspectsChanged: func(entries []store.Entry) { e.suspects.EntriesChanged(entries) },
+		Outcomes:        targetOutcomes,
+		Loads:           targetLoads,
 		StoreAway:       func() bool { return h.catalog.StoreAway() }, SettleWait: settleWait, Clock: o.Clock, Log: o.Log,
 	})
 	h.catalog = newCatalog(o, &follow.Source{Relays: e.follow, Peers: h.peers, Store: o.Source, Decode: o.Decode, Clock: o.Clock}, 0)
@@ -55,7 +74,8 @@
 	e.suspects = suspects.New(suspects.Options{
 		Host: o.Host, Self: o.PeerAddress, Peers: suspectPeers{h.peers, e}, Store: control, KeyPrefix: suspectPrefix,
 		Incarnation: func() model.Incarnation { return incarnation },
-		Clock:       o.Clock, Log: o.Log,
+		Bans:        suspect.ShortBans, Harmless: harmlessRequests, ClaimLifetime: trialLifetime,
+		Clock: o.Clock, Log: o.Log,
 	})
 	e.placement = placement.New(placement.Options{
 		Host: o.Host, Hosts: e.hosts, Snapshot: h.snapshot, Prober: e.targets,
@@ -64,6 +84,7 @@
 			Choice:    coreplacement.CacheAware{CallCost: requestCostTokens, Slack: requestCostTokens},
 			Retention: coreplacement.HoldThroughPause{TokenTime: prefillTokenTime},
 		},
+		Health:       health,
 		MinHostLimit: minHostLimit, QueueWait: queueWait, ChangeDelay: limitRaiseDelay, Clock: o.Clock, Log: o.Log,
 	})
 	var turnClient relay.Turns
--- a/app/follow/client.go
+++ b/app/follow/client.go
@@ -23,6 +23,7 @@
 	"mimosarelay/app/wait"
 	"mimosarelay/core/conversation"
 	"mimosarelay/core/evidence"
+	"mimosarelay/core/loadboard"
 	"mimosarelay/core/member"
 	"mimosarelay/core/model"
 	"mimosarelay/core/presence"
@@ -36,7 +37,8 @@
 	Admit(ctx context.Context, address string, r *peerpb.AdmitRequest) (*peerpb.AdmitResponse, error)
 }
 
-// Options configures a Client. All fields but SuspectsChanged, KnownLimit and SettleWait are required.
+// Options configures a Client. All fields but SuspectsChanged, KnownLimit, Outcomes, Loads
+// and SettleWait are required.
 type Options struct {
 	Self presence.Host
 	Zone model.Zone
@@ -51,6 +53,10 @@
 	// KnownLimit returns the limit of a workspace as this host knows it, which keepers
 	// may not have read yet; nil to tell them none.
 	KnownLimit func(model.WorkspaceID) *peerpb.KnownLimit
+	// Outcomes judges targets by the outcomes of requests; nil for none.
+	Outcomes Outcomes
+	// Loads is told the load of targets as other hosts heard it; nil for none.
+	Loads Loads
 	// SettleWait is how long a request waits for a keeper that may act. 0 means
 	// 1.2 s, in which a restarted fleet settles.
 	SettleWait time.Duration
@@ -88,6 +94,8 @@
 	// The keeper stores turns that continue a conversation, and first turns.
 	acceptsTurns, acceptsConversations bool
 	suspectsVersion                    uint64
+	heard                              loadboard.Outbox // that the keeper was not told yet
+	loadsVersion                       uint64
 
 	responsive context.Context // ends when unresponsive becomes true
 	lose       context.CancelFunc
@@ -293,6 +301,9 @@
 	self.Leaving = c.leaving
 	r := &peerpb.FollowRequest{Self: encodeHost(self), KnownEpoch: uint64(c.record.Epoch), KnownHosts: k.hostsVersion, KnownDisks: k.disksVersion, KnownSuspects: k.suspectsVersion}
 	c.mu.Unlock()
+	c.addOutcomes(r)
+	c.addLoads(r, address)
+	sentAt := c.options.Clock.Now()
 	sent := evidence.Now(c.options.Clock)
 	res, err := c.options.Peers.Follow(ctx, address, r)
 	c.mu.Lock()
@@ -323,6 +334,8 @@
 	if newSuspects && c.options.SuspectsChanged != nil {
 		c.options.SuspectsChanged(decodeEntries(res.GetSuspects()))
 	}
+	c.applyOutcomes(res)
+	c.applyLoads(k, res, sentAt)
 	c.applyEncodedRecord(res.GetRecord())
 }
 
--- a/app/relay/forward_stream.go
+++ b/app/relay/forward_stream.go
@@ -7,10 +7,12 @@
 	"fmt"
 	"io"
 	"strconv"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"mimosarelay/core/dispatch"
+	"mimosarelay/core/health"
 	"mimosarelay/core/model"
 	"mimosarelay/core/placement"
 	"mimosarelay/io/target"
@@ -30,6 +32,33 @@
 	eventCount  int    // number of forwarded events
 	output      []byte // data of the forwarded events, for a turn that is kept
 	finished    bool   // the target ended the stream regularly
+	pace        eventPace
+}
+
+// eventPace measures the time between the events of one response.
+type eventPace struct {
+	first, last time.Time
+	count       int
+}
+
+// minPaceEvents is the number of events below which the time between them is not
+// measured, because events that arrive together have no time between them.
+const minPaceEvents = 4
+
+func (p *eventPace) add(now time.Time) {
+	if p.count == 0 {
+		p.first = now
+	}
+	p.last = now
+	p.count++
+}
+
+// gap returns the mean time between two events; 0 if it is not measured.
+func (p *eventPace) gap() time.Duration {
+	if p.count < minPaceEvents {
+		return 0
+	}
+	return p.last.Sub(p.first) / time.Duration(p.count-1)
 }
 
 // forwardStream returns an answer whose body forwards the events of resp.
@@ -39,12 +68,14 @@
 		b.lastEventID = id
 	}
 	headers := endToEndHeaders(resp.Message())
+	recordOutcome(c.place, health.Answered)
 	b.setResponse(resp)
 	return &Answer{Status: resp.Status(), Headers: headers, Body: b, Length: -1}
 }
 
 func (b *forwardStreamBody) setResponse(resp *target.Response) {
 	b.resp = resp
+	b.pace = eventPace{}
 	b.events = target.NewEventReader(resp)
 }
 
@@ -75,6 +106,7 @@
 		if ok {
 			b.lastEventID = id
 			b.eventCount++
+			b.pace.add(b.service.Clock.Now())
 			if b.call.keeps() {
 				b.output = target.AppendData(b.output, event)
 			}
@@ -90,6 +122,7 @@
 // after which the stream is resumed if possible.
 func (b *forwardStreamBody) handleEnd(err error) {
 	if target.AtEnd(err) {
+		b.service.endRun(b.call, b.resp != nil && showsSurvival(b.resp))
 		b.release(false)
 		b.finished = true
 		if len(b.pending) == 0 {
@@ -99,7 +132,7 @@
 	}
 	s, c := b.service, b.call
 	b.closeResponse()
-	next := s.handleFailedAttempt(b.ctx, c, err)
+	next := s.handleFailedAttempt(b.ctx, c, fmt.Errorf("%w: %w", errStreamBroken, err))
 	for c.Route.Repeatable() && b.resumable() && c.prepareNext(b.ctx, next) {
 		if next, err = b.resume(); err == nil {
 			return
@@ -129,11 +162,10 @@
 // resume continues the stream with another attempt.
 func (b *forwardStreamBody) resume() (dispatch.Next, error) {
 	s, c := b.service, b.call
-	place, err := s.acquirePlace(b.ctx, c)
+	place, err := s.startAttempt(b.ctx, c)
 	if err != nil {
 		return nil, err
 	}
-	c.place = place
 	lastEvent := c.LastEvent
 	if b.lastEventID > 0 {
 		lastEvent = strconv.FormatUint(b.lastEventID, 10)
@@ -142,13 +174,16 @@
 	if err == nil && (resp.Status() != fasthttp.StatusOK || !isEventStream(resp.ContentType())) {
 		status := resp.Status()
 		_ = resp.Close()
+		recordOutcome(place, answerOutcome(status))
 		err = fmt.Errorf("%w: target %q answered %d", errNotResumed, place.Target().Name, status)
+		s.endRun(c, false)
 		place.Release(placement.Usage{})
 		return dispatch.GiveUp{}, err
 	}
 	if err != nil {
 		return s.handleFailedAttempt(b.ctx, c, err), err
 	}
+	recordOutcome(place, health.Answered)
 	s.metrics.resumes.Inc(1)
 	s.Log.Info("stream resumed", "request", c.ID, "target", place.Target().Name, "after", lastEvent, "events", b.eventCount)
 	b.setResponse(resp)
@@ -171,7 +206,9 @@
 func (b *forwardStreamBody) release(failed bool) {
 	b.closeResponse()
 	tokens := b.tokens()
-	b.call.place.Release(placement.Usage{Prompt: b.call.Prompt.Tokens, Completion: tokens, Failed: failed})
+	b.call.place.Release(placement.Usage{
+		Prompt: b.call.Prompt.Tokens, Completion: tokens, Failed: failed, Work: b.pace.gap(), Kind: b.call.workKind("\nstream"),
+	})
 }
 
 func (b *forwardStreamBody) tokens() model.Tokens {
@@ -188,6 +225,7 @@
 	if b.resp != nil {
 		b.release(false)
 	}
+	b.service.endRun(b.call, false)
 	b.call.endTurn(b.tokens())
 	b.service.logRequestEnded(b.call, fasthttp.StatusOK, b.complete(), b.eventCount)
 	return nil
--- a/app/relay/interfaces.go
+++ b/app/relay/interfaces.go
@@ -10,6 +10,7 @@
 	"mimosarelay/app/suspects"
 	"mimosarelay/core/config"
 	"mimosarelay/core/conversation"
+	"mimosarelay/core/health"
 	"mimosarelay/core/model"
 	"mimosarelay/core/pacing"
 	"mimosarelay/core/placement"
@@ -69,6 +70,14 @@
 	Release(u placement.Usage)
 }
 
+// OutcomeRecorder is implemented by places that judge their target by the outcomes of
+// requests.
+type OutcomeRecorder interface {
+	// Record counts how an attempt ended, or that a stream has started. It is called
+	// before Release.
+	Record(o health.Outcome)
+}
+
 // Placer chooses targets and limits the calls in flight at each.
 type Placer interface {
 	// Acquire waits for a place. Errors are *model.Refusal.
@@ -109,6 +118,12 @@
 	// Check returns a *model.Refusal if the request may not run at any target.
 	// exclusive means that it may run once more, without a second attempt.
 	Check(f model.Fingerprint) (exclusive bool, err error)
+	// OnTrial reports whether a run of the request must be claimed by Begin, because
+	// the request was banned before.
+	OnTrial(f model.Fingerprint) bool
+	// RecordSuccess records that a target survived a whole run of a request that was
+	// not claimed.
+	RecordSuccess(f model.Fingerprint)
 	// RecordCrash records a crash and notifies all peers before it returns.
 	RecordCrash(ctx context.Context, f model.Fingerprint, target model.TargetID)
 }
