--- a/core/health/tracker.go
+++ b/core/health/tracker.go
@@ -169,7 +169,7 @@
 
 const (
 	// reduceScore and ejectScore are the evidence from which a target gets less. With
-	// targets that fail 5 %, hosts with 24 targets reached 5 about once in 2 to 8 hours
+	// targets that fail 5 %, hosts with 24 targets reached 5 about once in 1.5 to 8 hours
 	// in simulations, and 6 not in 17 hours.
 	reduceScore = 6
 	ejectScore  = 8
