--- a/app/relay/forward.go
+++ b/app/relay/forward.go
@@ -287,10 +287,7 @@
 	}
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	req.Header.SetNoDefaultContentType(true)
-	req.Header.DisableNormalizing()
-	req.Header.SetMethod(c.Method)
-	req.Header.SetRequestURI(c.URI)
+	beginHead(req, c.Method, c.URI)
 	for _, h := range c.Headers {
 		addHeader(&req.Header, h)
 	}
@@ -332,19 +329,6 @@
 	return resp, nil
 }
 
-// addHeader adds a header field to a request. Add of fasthttp removes the quotes around
-// the values of cookies.
-func addHeader(r *fasthttp.RequestHeader, h Header) {
-	if h.Name != fasthttp.HeaderCookie || !strings.Contains(h.Value, `"`) {
-		r.Add(h.Name, h.Value)
-		return
-	}
-	for cookie := range strings.SplitSeq(h.Value, ";") {
-		name, value, _ := strings.Cut(strings.TrimSpace(cookie), "=")
-		r.SetCookie(name, value)
-	}
-}
-
 // workKind identifies the requests whose answers take comparable times.
 func (c *forwardCall) workKind(suffix string) placement.WorkKind {
 	return placement.WorkKind(xxhash.Sum64String(string(c.Service.ID) + "\n" + c.Route.Name + suffix))
