placement: a prefix that programs share does not bind them to a zone or a slow target

Calls counted as begun where a target kept half of the prompt, which the shared prefix alone can be. They then went to other zones without need, and stayed at slow targets.

A target keeps a program only with more than the first prefix, and a target in another zone only with more than those in the own zone. A call that may leave goes where its cost is lower.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -147,7 +147,7 @@
 	// others; one that waits for a slot waits for the end of another.
 	defaultQueueWork = 4
 	// keptTolerance is the factor up to which a slow target costs nothing for a program
-	// whose prompt it keeps. Moving the program for less would compute the prompt again
+	// that it keeps. Moving the program for less would compute the prompt again
 	// for each change of the speeds.
 	keptTolerance = 1.5
 )
@@ -160,7 +160,8 @@
 	own float64
 	// meanCall is the mean time of a call in prompt tokens; 0 if it is not known.
 	meanCall float64
-	begun    bool // a target keeps at least half of the prompt
+	shared   model.Tokens // part of the prompt that other programs have too
+	begun    bool         // a target keeps the program
 }
 
 // workOf returns the work of a call of a pool.
@@ -221,11 +222,12 @@
 // count only as reachOf decides, unless no other target is available.
 func (s *Scheduler) chooseByCost(c *class, k *call, p CacheAware, now time.Time) *target {
 	s.findCached(k, now)
+	work := s.workOf(c.pool, s.expectedPrompt(&k.request), p.CallCost)
+	work.shared = k.request.sharedPrefix()
 	r := s.reachOf(c, k)
 	home := s.creditHomes(c, k, &r)
-	r.kept = s.mostKept(c, s.options.Zone)
-	work := s.workOf(c.pool, s.expectedPrompt(&k.request), p.CallCost)
-	work.begun = work.prompt > 0 && s.keptBy(c, work.prompt)
+	r.kept = s.mostKept(c, r.own)
+	work.begun = s.isKept(c, &work)
 	if lowest := s.scoreTargets(c, &work, &r, home, now); len(s.scored) > 0 {
 		return s.drawTarget(lowest + p.Slack)
 	}
@@ -234,9 +236,8 @@
 }
 
 // scoreTargets sets scored to the available targets that the call may use and returns
-// their lowest cost. A target that keeps at least half of the prompt, and more than those
-// in the zone of the host, may be used in any zone: the program began there. Without the
-// second condition a prefix that many programs share would lead to any zone.
+// their lowest cost. A target that keeps the program, and more of it than those in the zone
+// of the host, may be used in any zone: the program began there.
 func (s *Scheduler) scoreTargets(c *class, w *callWork, r *reach, home *target, now time.Time) float64 {
 	s.scored = s.scored[:0]
 	lowest := 0.0
@@ -249,7 +250,7 @@
 			continue
 		}
 		calls, factor := t.estimatedCalls(now), t.timeFactor(now)
-		cost := w.cost(cached, calls+s.heldLoad(t), t.slots(), factor) + r.pathTo(t, s.options.Zone)
+		cost := w.cost(cached, calls+s.heldLoad(t), t.slots(), factor) + r.pathTo(t)
 		if t == home {
 			cost -= homeBonusCalls * w.callCost
 		}
@@ -278,15 +279,27 @@
 	return a.target
 }
 
-// keeps reports whether a target with that part of the prompt keeps at least half of it.
-func (w *callWork) keeps(cached model.Tokens) bool { return w.prompt > 0 && 2*cached >= w.prompt }
+// keeps reports whether a target with that part of the prompt keeps the program: at least
+// half of the prompt, and more than other programs share.
+func (w *callWork) keeps(cached model.Tokens) bool {
+	return w.prompt > 0 && 2*cached >= w.prompt && cached > w.shared
+}
 
-// keptBy reports whether a target of the class keeps at least half of the prompt.
-func (s *Scheduler) keptBy(c *class, prompt model.Tokens) bool {
+// isKept reports whether a target of the class keeps the program.
+func (s *Scheduler) isKept(c *class, w *callWork) bool {
 	for _, t := range c.targets {
-		if 2*s.cachedTokens(t) >= prompt {
+		if w.keeps(s.cachedTokens(t)) {
 			return true
 		}
 	}
 	return false
 }
+
+// sharedPrefix returns the size of the first prefix, which programs share; 0 if it is not
+// known.
+func (r *Request) sharedPrefix() model.Tokens {
+	if len(r.PrefixTokens) == 0 || len(r.PrefixTokens) != len(r.Prefixes) {
+		return 0
+	}
+	return r.PrefixTokens[0]
+}
--- a/core/placement/zones.go
+++ b/core/placement/zones.go
@@ -129,21 +129,23 @@
 
 // reach is the set of targets that a call may use because of their zones.
 type reach struct {
-	all   bool
-	zone  model.Zone
-	also  model.Zone   // a second zone; the same as zone if there is none
-	home  model.Zone   // in which the prompt has its homes
-	extra float64      // cost of a target outside the zone of the host
-	kept  model.Tokens // most that an available target in the zone of the host keeps
+	all  bool
+	own  model.Zone   // of the host
+	also model.Zone   // a second zone, or own
+	home model.Zone   // in which the prompt has its homes; empty: in all
+	path float64      // cost of a target outside the own zone
+	kept model.Tokens // most that an available target in the own zone keeps
 }
 
-// reachOf decides whether a call leaves the zone of the host.
+// reachOf decides whether a call may leave the zone of the host. One that may leave goes
+// where its cost is lower.
 func (s *Scheduler) reachOf(c *class, k *call) reach {
+	own := s.options.Zone
 	if c.pool == nil || c.pool.spill == nil {
-		return reach{all: true}
+		return reach{all: true, own: own}
 	}
-	own, d := s.options.Zone, c.pool.spill
-	r := reach{zone: own, also: own, home: own, extra: s.pathCost()}
+	d := c.pool.spill
+	r := reach{own: own, also: own, home: own, path: s.pathCost()}
 	if d.Anywhere() {
 		r.all, r.home = true, ""
 		return r
@@ -152,14 +154,8 @@
 	if k.request.Program != "" {
 		hash = max(1, xxhash.Sum64String(string(k.request.Program)))
 	}
-	if d.Share() == 0 || !d.Leaves(hash) {
-		return r
-	}
-	r.zone, r.home = d.Zone(), d.Zone()
-	if prompt := s.expectedPrompt(&k.request); prompt > 0 && 2*s.mostKept(c, own) >= prompt {
-		r.also = own // the cost decides whether a kept prompt is worth the wait
-	} else {
-		r.also = r.zone
+	if d.Share() > 0 && d.Leaves(hash) {
+		r.also, r.home = d.Zone(), d.Zone()
 	}
 	return r
 }
@@ -177,12 +173,12 @@
 }
 
 // includes reports whether the call may use a target.
-func (r *reach) includes(t *target) bool { return r.all || t.Zone == r.zone || t.Zone == r.also }
+func (r *reach) includes(t *target) bool { return r.all || t.Zone == r.own || t.Zone == r.also }
 
 // pathTo returns the cost of the path to a target.
-func (r *reach) pathTo(t *target, own model.Zone) float64 {
-	if t.Zone == own {
+func (r *reach) pathTo(t *target) float64 {
+	if t.Zone == r.own {
 		return 0
 	}
-	return r.extra
+	return r.path
 }
