--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -23,6 +23,7 @@
 	"mimosarelay/core/evidence"
 	coreingress "mimosarelay/core/ingress"
 	"mimosarelay/core/model"
+	"mimosarelay/core/placement"
 	"mimosarelay/core/store"
 	"mimosarelay/io/ingress"
 	"mimosarelay/io/metrics"
@@ -38,8 +39,10 @@
 // Options configures a Host. Addresses are IP:port; those for callers are empty on
 // hosts that serve none.
 type Options struct {
-	Host             model.HostID
-	Zone             model.Zone
+	Host model.HostID
+	Zone model.Zone
+	// Zones configures which calls are kept in the zone.
+	Zones            placement.Zones
 	CallerAddress    string
 	ReadyAddress     string
 	DirectoryAddress string
--- a/app/entry/entryhost.go
+++ b/app/entry/entryhost.go
@@ -60,6 +60,7 @@
 		Host: o.Host, Hosts: e.hosts, Snapshot: h.snapshot, Prober: e.targets,
 		Policy: coreplacement.Options{
 			Zone:      o.Zone,
+			Zones:     o.Zones,
 			Choice:    coreplacement.CacheAware{CallCost: requestCostTokens, Slack: requestCostTokens},
 			Retention: coreplacement.HoldThroughPause{TokenTime: prefillTokenTime},
 		},
--- a/app/host/wire.go
+++ b/app/host/wire.go
@@ -185,7 +185,7 @@
 func (h *Host) wireTargets() error {
 	h.targets = target.NewClient(target.Options{})
 	engines := orders.Client{Targets: h.targets}
-	policies, err := h.settings.Placement.Policies()
+	policies, err := h.settings.Placement.Policies(h.settings.Host.Zone)
 	if err != nil {
 		return fmt.Errorf("settings section Placement: %w", err)
 	}
--- a/app/settings/settings_test.go
+++ b/app/settings/settings_test.go
@@ -112,6 +112,8 @@
 		"missing credential file":    {"CredentialFile: operator.credential", "CredentialFile: none", "Operator.CredentialFile", "must be a readable file"},
 		"empty credential":           {"CredentialFile: operator.credential", "CredentialFile: empty", "Operator.CredentialFile", "is empty"},
 		"short credential":           {"CredentialFile: operator.credential", "CredentialFile: short", "Operator.CredentialFile", "at least 16"},
+		"negative zone targets":      {"#Placement:\n", "Placement:\n  ZoneTargets: -1\n", "Placement.ZoneTargets", "between 0 and 10000"},
+		"huge path cost":             {"#Placement:\n", "Placement:\n  ZonePathCost: 1000000000000\n", "Placement.ZonePathCost", "between 0 and 1000000"},
 		"unknown policy":             {"#Placement:\n", "Placement:\n  Order: LastCome\n", "Placement.Order", "FirstCome"},
 		"invalid host name":          {"Name: host-1", "Name: host/1", "Host.Name", "is not a name"},
 		"certificate without key":    {"#TLS:\n    #CertFile: caller.crt", "TLS:\n    CertFile: caller.crt", "Caller.TLS.KeyFile", "needs both"},
