--- a/app/follow/client.go
+++ b/app/follow/client.go
@@ -36,7 +36,8 @@
 	Admit(ctx context.Context, address string, r *peerpb.AdmitRequest) (*peerpb.AdmitResponse, error)
 }
 
-// Options configures a Client. All fields but SuspectsChanged, KnownLimit and SettleWait are required.
+// Options configures a Client. All fields but SuspectsChanged, KnownLimit, Outcomes and
+// SettleWait are required.
 type Options struct {
 	Self presence.Host
 	Zone model.Zone
@@ -51,6 +52,8 @@
 	// KnownLimit returns the limit of a workspace as this host knows it, which keepers
 	// may not have read yet; nil to tell them none.
 	KnownLimit func(model.WorkspaceID) *peerpb.KnownLimit
+	// Outcomes judges targets by the outcomes of requests; nil for none.
+	Outcomes Outcomes
 	// SettleWait is how long a request waits for a keeper that may act. 0 means
 	// 1.2 s, in which a restarted fleet settles.
 	SettleWait time.Duration
@@ -293,6 +296,7 @@
 	self.Leaving = c.leaving
 	r := &peerpb.FollowRequest{Self: encodeHost(self), KnownEpoch: uint64(c.record.Epoch), KnownHosts: k.hostsVersion, KnownDisks: k.disksVersion, KnownSuspects: k.suspectsVersion}
 	c.mu.Unlock()
+	c.addOutcomes(r)
 	sent := evidence.Now(c.options.Clock)
 	res, err := c.options.Peers.Follow(ctx, address, r)
 	c.mu.Lock()
@@ -323,6 +327,7 @@
 	if newSuspects && c.options.SuspectsChanged != nil {
 		c.options.SuspectsChanged(decodeEntries(res.GetSuspects()))
 	}
+	c.applyOutcomes(res)
 	c.applyEncodedRecord(res.GetRecord())
 }
 
--- a/cmd/managed.go
+++ b/cmd/managed.go
@@ -37,7 +37,7 @@
 )
 
 // runManaged runs a host with the settings of the platform on which it is deployed.
-func runManaged(ctx context.Context, logs io.Writer) (runErr error) {
+func runManaged(ctx context.Context, logs io.Writer, standby bool) (runErr error) {
 	boot, err := platform.LoadBoot()
 	if err != nil {
 		return err
@@ -63,7 +63,9 @@
 		Evacuations:     client,
 		Quotas:          boot.Quotas,
 		Budgets:         boot.Programs,
+		Health:          boot.Health,
 		Keeper:          boot.CallerAddress == "",
+		Standby:         standby,
 		Lifetime:        boot.Bounds.Revoke - revokeMargin,
 		FinalRefusalAge: boot.Bounds.Config - configMargin,
 		Grace:           boot.Bounds.Grace,
