--- a/app/relay/forward_stream_test.go
+++ b/app/relay/forward_stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -42,3 +43,15 @@
 		})
 	}
 }
+
+// Guards against a pace that is measured from events which arrive together, or that counts
+// the time before the first event.
+func TestEventPace(t *testing.T) {
+	var p eventPace
+	now := time.Unix(1_800_000_000, 0)
+	for i := range 5 {
+		assert.Equal(t, p.gap(), map[bool]time.Duration{true: 20 * time.Millisecond}[i >= minPaceEvents])
+		p.add(now.Add(time.Duration(i) * 20 * time.Millisecond))
+	}
+	assert.Equal(t, p.gap(), 20*time.Millisecond)
+}
