--- a/core/placement/speed_test.go
+++ b/core/placement/speed_test.go
@@ -10,23 +10,26 @@
 	"mimosarelay/core/model"
 )
 
-// runMixedFleet plays 12 hosts with 24 engines at 0.55 or 1.2 of the usual speed. On 15 %
-// of the machines work takes 2.5 times as long, on other ones every 600 ms.
-func runMixedFleet(blind bool, programsPerSecond float64) zoneStats {
-	f := newFleetSim(1, 12, 24, 8, func(int) Options { return Options{} })
-	f.blind = blind
-	i := 0
-	for n := range 24 {
-		t := f.targets[f.hosts[0][0].scheduler.sortedTargets[n].ID]
-		t.speed = []float64{1 / 1.2, 1 / 0.55}[i%2]
-		i++
+// mixSpeeds sets every second engine to 0.55 and the others to 1.2 of the usual speed. On
+// 15 % of the machines work takes 2.5 times as long, on other ones every 600 ms.
+func (f *fleetSim) mixSpeeds() {
+	for n, x := range f.hosts[0][0].scheduler.sortedTargets {
+		t := f.targets[x.ID]
+		t.speed = []float64{1 / 1.2, 1 / 0.55}[n%2]
 		t.slow = func(now time.Duration) float64 {
-			if x := uint64(now/(600*time.Millisecond))*2654435761 + uint64(n)*40503; x>>4%100 < 15 {
+			if y := uint64(now/(600*time.Millisecond))*2654435761 + uint64(n)*40503; y>>4%100 < 15 {
 				return 2.5
 			}
 			return 1
 		}
 	}
+}
+
+// runMixedFleet plays 12 hosts with 24 engines.
+func runMixedFleet(blind bool, programsPerSecond float64) zoneStats {
+	f := newFleetSim(1, 12, 24, 8, func(int) Options { return Options{} })
+	f.blind = blind
+	f.mixSpeeds()
 	f.arrivals(0, func(time.Duration) float64 { return programsPerSecond }, 6)
 	f.runUntil(20 * time.Second)
 	f.stats[0] = zoneStats{overByPeriod: map[overKey]int{}}
--- a/core/placement/zones.go
+++ b/core/placement/zones.go
@@ -79,45 +79,79 @@
 		return
 	}
 	w := s.workOf(p, 0, s.options.Choice.(CacheAware).CallCost)
+	var all zoneReports
+	for _, z := range p.zones {
+		z.addReports(&all, now)
+	}
 	p.views = p.views[:0]
 	for _, z := range p.zones {
-		p.views = append(p.views, z.view(&w, now))
+		p.views = append(p.views, z.view(&w, &all, now))
 	}
 	p.spill.Update(now, p.views[0], p.views[1:])
 }
 
-// view returns what the reports say about the zone. Only a part of its targets may have
-// reported lately; their load stands for that of all.
-func (z *poolZone) view(w *callWork, now time.Time) spill.Zone {
-	v := spill.Zone{Name: z.name}
-	var slots, factors float64                 // of all usable targets
-	var load, known, weights, slowness float64 // of those that reported
+// zoneReports sums up what is known about the usable targets of a zone, or of all zones.
+type zoneReports struct {
+	usable         int
+	slots          float64
+	judged         float64 // targets whose speed was measured
+	factors        float64 // of the judged targets
+	weights        float64 // of the reports, by age
+	load, known    float64 // weighted calls and slots
+	states, slower float64 // weights and weighted slowness of the reports that state it
+}
+
+// addReports adds the usable targets of the zone to r.
+func (z *poolZone) addReports(r *zoneReports, now time.Time) {
 	for _, t := range z.targets {
 		if t.Skip || t.Limit <= 0 {
 			continue
 		}
-		v.Usable++
-		slots += float64(t.slots())
-		factors += t.speedFactor()
+		r.usable++
+		r.slots += float64(t.slots())
+		if t.speed.count >= minSpeedSamples {
+			r.judged++
+			r.factors += t.speedFactor()
+		}
 		weight := min(max(0, 1-float64(now.Sub(t.load.At))/float64(zoneMaxAge)), 1)
-		load += weight * t.lastCalls()
-		known += weight * float64(t.slots())
-		weights += weight
+		r.weights += weight
+		r.load += weight * t.lastCalls()
+		r.known += weight * float64(t.slots())
 		if t.load.Slowness > 0 {
-			slowness += weight * (min(max(t.load.Slowness, minSlowness), maxSlowness) - 1)
+			r.states += weight
+			r.slower += weight * min(max(t.load.Slowness, minSlowness), maxSlowness)
 		}
 	}
-	if v.Usable == 0 {
+}
+
+// usual returns the mean of a sum, or 1 if nothing was added up.
+func usual(sum, weight float64) float64 {
+	if weight == 0 {
+		return 1
+	}
+	return sum / weight
+}
+
+// view returns what the reports say about the zone. Only a part of its targets may have
+// reported lately; their load stands for that of all. Speeds that are not known count like
+// the mean of all zones: a zone of which nothing is known is not faster than the own one.
+func (z *poolZone) view(w *callWork, all *zoneReports, now time.Time) spill.Zone {
+	var r zoneReports
+	z.addReports(&r, now)
+	v := spill.Zone{Name: z.name, Usable: r.usable}
+	if r.usable == 0 {
 		return v
 	}
-	n := float64(v.Usable)
-	factor := factors / n * (1 + slowness/(weights+1))
-	if slots == 0 { // targets that don't state their slots
-		v.Cost = w.cost(0, load/(weights+1), 0, factor)
+	n := float64(r.usable)
+	factor := (r.factors + (n-r.judged)*usual(all.factors, all.judged)) / n
+	factor *= (r.slower + usual(all.slower, all.states)) / (r.states + 1)
+	if r.slots == 0 { // targets that don't state their slots
+		v.Cost = w.cost(0, r.load/(r.weights+1), 0, factor)
 		return v
 	}
-	v.Use = (load + usualUse*slots/n) / (known + slots/n)
-	v.Cost = w.cost(0, v.Use*slots/n, int(slots/n), factor)
+	slots := r.slots / n
+	v.Use = (r.load + usualUse*slots) / (r.known + slots)
+	v.Cost = w.cost(0, v.Use*slots, int(slots), factor)
 	return v
 }
 
--- a/core/placement/zones_test.go
+++ b/core/placement/zones_test.go
@@ -119,6 +119,20 @@
 	}
 }
 
+// Guards against calls that leave because the zone of the host is known to have slow
+// targets and slow moments, while nothing is known of the others.
+func TestEqualZonesWithMixedEnginesKeepTheirCalls(t *testing.T) {
+	f := newFleetSim(4, 9, 12, 16, func(z int) Options { return Options{Zone: zoneName(z)} })
+	f.mixSpeeds()
+	for z := range 4 {
+		f.arrivals(z, func(time.Duration) float64 { return 45 }, 6)
+	}
+	f.runUntil(20 * time.Second)
+	t.Logf("%v", f.sum())
+	assert.Assert(t, f.sum().overShare() < 0.005)
+	assert.Assert(t, f.sum().meanWait() < 15*time.Millisecond)
+}
+
 // Guards against a zone whose targets are slow but have places.
 func TestSlowZoneSendsCallsAway(t *testing.T) {
 	slow := func(f *fleetSim) {
