--- a/app/relay/outcome.go
+++ b/app/relay/outcome.go
@@ -35,7 +35,7 @@
 func failureOutcome(ctx context.Context, cause error) health.Outcome {
 	var refusal *model.Refusal
 	switch {
-	case errors.As(cause, &refusal):
+	case errors.As(cause, &refusal), errors.Is(cause, errWithheld):
 		return health.Unknown
 	case errors.Is(cause, errNotRun):
 		return health.Full
--- a/app/relay/outcome_test.go
+++ b/app/relay/outcome_test.go
@@ -28,6 +28,7 @@
 		want  health.Outcome
 	}{
 		"refused by this host":      {live, model.NewRefusal(model.ErrNoRight, model.RanNo, "x"), health.Unknown},
+		"withheld":                  {live, fmt.Errorf("%w: x", errWithheld), health.Unknown},
 		"full":                      {live, fmt.Errorf("%w: x", errNotRun), health.Full},
 		"connection refused":        {live, fmt.Errorf("%w: x", target.ErrNotSent), health.Disconnected},
 		"reset before the answer":   {live, fmt.Errorf("%w: x", target.ErrBroken), health.Disconnected},
--- a/app/relay/pace.go
+++ b/app/relay/pace.go
@@ -62,7 +62,11 @@
 	}
 }
 
-// checkTarget fails with errNotRun if the target of the current place must not get the
+// errWithheld reports that this host did not send a request to the target for which it
+// had a place.
+var errWithheld = fmt.Errorf("%w: it was not sent", errNotRun)
+
+// checkTarget fails with errWithheld if the target of the current place must not get the
 // request any more. Waiting and connecting may take most of a second.
 func (s *Service) checkTarget(c *forwardCall) error {
 	t := c.place.Target()
@@ -72,9 +76,9 @@
 	expires := c.granted.Expires
 	switch {
 	case expires.IsZero() && s.Pacer.Cold(t.Name):
-		return fmt.Errorf("%w: target %q became cold", errNotRun, t.Name)
+		return fmt.Errorf("%w: target %q became cold", errWithheld, t.Name)
 	case !expires.IsZero() && s.Clock.Now().After(expires):
-		return fmt.Errorf("%w: the grant for cold target %q expired", errNotRun, t.Name)
+		return fmt.Errorf("%w: the grant for cold target %q expired", errWithheld, t.Name)
 	}
 	return nil
 }
@@ -89,10 +93,10 @@
 	}
 }
 
-// checkZone fails with errNotRun if the zone of a target is evacuated.
+// checkZone fails with errWithheld if the zone of a target is evacuated.
 func (s *Service) checkZone(t config.Target) error {
 	if s.Zones != nil && slices.Contains(s.Zones.Evacuated(), t.Zone) {
-		return fmt.Errorf("%w: zone %q of target %q is evacuated", errNotRun, t.Zone, t.Name)
+		return fmt.Errorf("%w: zone %q of target %q is evacuated", errWithheld, t.Zone, t.Name)
 	}
 	return nil
 }
