--- a/app/relay/forward.go
+++ b/app/relay/forward.go
@@ -17,6 +17,7 @@
 	"mimosarelay/core/conversation"
 	"mimosarelay/core/dispatch"
 	"mimosarelay/core/ingress"
+	"mimosarelay/core/memory"
 	"mimosarelay/core/model"
 	"mimosarelay/core/pacing"
 	"mimosarelay/core/placement"
@@ -52,6 +53,8 @@
 	// Object names the object that the request concerns; empty on routes whose
 	// targets do not handle the same object faster.
 	Object string
+	// Memory reserves the memory of the answer; nil for no limit.
+	Memory *memory.Holder
 }
 
 // Prompt describes the input of a generation.
@@ -255,8 +258,7 @@
 
 // forwardOnce makes one attempt. On an error, Next is nil if no attempt was made.
 func (s *Service) forwardOnce(ctx context.Context, c *forwardCall) (*Answer, dispatch.Next, error) {
-	place, err := s.startAttempt(ctx, c)
-	if err != nil {
+	if err := s.startAttempt(ctx, c); err != nil {
 		return nil, nil, err
 	}
 	resp, err := s.dispatch(ctx, c, c.LastEvent)
@@ -267,24 +269,7 @@
 	if c.Route.Streaming() && resp.Status() == fasthttp.StatusOK && isEventStream(resp.ContentType()) {
 		return s.forwardStream(ctx, c, resp), nil, nil
 	}
-	headers := endToEndHeaders(resp.Message())
-	status, survived := resp.Status(), showsSurvival(resp)
-	body, err := resp.ReadAll(maxAnswer)
-	_ = resp.Close()
-	if err != nil {
-		next := s.handleFailedAttempt(ctx, c, err)
-		return nil, next, err
-	}
-	s.endRun(c, survived)
-	recordOutcome(place, answerOutcome(status))
-	usage := placement.Usage{Prompt: c.Prompt.Tokens}
-	if status < fasthttp.StatusBadRequest { // an error takes another time than an answer
-		usage.Work, usage.Kind = s.Clock.Since(c.sentAt), c.workKind("")
-	}
-	place.Release(usage)
-	c.endTurn(0)
-	s.logRequestEnded(c, status, true, 0)
-	return &Answer{Status: status, Headers: headers, Body: newBytesBody(body), Length: len(body)}, nil, nil
+	return s.forwardAnswer(ctx, c, resp)
 }
 
 // dispatch sends the request to the target of the current place and reads the
@@ -332,7 +317,7 @@
 	}
 	if reply.NotRun {
 		status := resp.Status()
-		_, _ = resp.ReadAll(maxAnswer)
+		_, _ = resp.ReadAll(maxNotRunAnswer)
 		_ = resp.Close()
 		return nil, fmt.Errorf("%w: target %q answered %d", errNotRun, t.Name, status)
 	}
--- a/app/relay/trial.go
+++ b/app/relay/trial.go
@@ -12,24 +12,24 @@
 // A request that was banned before runs only with a claim, because only one target
 // may be at risk. Other requests need none, because hosts could then serve nothing
 // while they do not reach each other.
-func (s *Service) startAttempt(ctx context.Context, c *forwardCall) (Place, error) {
+func (s *Service) startAttempt(ctx context.Context, c *forwardCall) error {
 	if _, err := s.Suspects.Check(c.fingerprint); err != nil {
-		return nil, err
+		return err
 	}
 	if s.Suspects.OnTrial(c.fingerprint) {
 		run, err := s.Suspects.Begin(ctx, c.fingerprint)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		c.trial = run
 	}
 	place, err := s.acquirePlace(ctx, c)
 	if err != nil {
 		s.endRun(c, false)
-		return nil, err
+		return err
 	}
 	c.place = place
-	return place, nil
+	return nil
 }
 
 // endRun ends an attempt. survived says that the target survived the whole run.
