--- a/app/catalog/peers.go
+++ b/app/catalog/peers.go
@@ -28,13 +28,19 @@
 	if maxAge := maxAge(r.GetMaxAgeUs()); maxAge > 0 && !s.readConfiguration(ctx, maxAge) {
 		return nil, storeAwayRefusal()
 	}
-	s.waitForChange(ctx, r.GetKnownRevision(), min(maxLongPollWait, time.Duration(r.GetWaitMs())*time.Millisecond), maxAge(r.GetUntilAgeUs()))
+	s.waitForChange(ctx, r, min(maxLongPollWait, time.Duration(r.GetWaitMs())*time.Millisecond), maxAge(r.GetUntilAgeUs()))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.document == nil {
 		return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "the configuration is not known yet")
 	}
 	res := &peerpb.ConfigurationResponse{Revision: s.documentRevision, StoreRevision: s.storeRevision, AgeUs: s.confirmed.AgeAt(arrived).Microseconds()}
+	if s.evacuations.zones != nil {
+		res.StatesEvacuations = true
+		for _, z := range s.evacuations.zones {
+			res.EvacuatedZones = append(res.EvacuatedZones, string(z))
+		}
+	}
 	if s.documentRevision != r.GetKnownRevision() && !r.GetWithoutValue() {
 		res.Value = s.value
 	}
@@ -48,21 +54,23 @@
 // maxAge decodes the highest age that a requesting host accepts.
 func maxAge(us int64) evidence.MaxAge { return evidence.MaxAge(us) * evidence.MaxAge(time.Microsecond) }
 
-// waitForChange waits until the configuration has a store revision other than
-// known, ctx ends or wait has passed. If until is not 0, it also ends when the store's
-// last confirmation is older: a host that goes on waiting would rely on a keeper that
-// may miss changes.
-func (s *Service) waitForChange(ctx context.Context, known uint64, wait time.Duration, until evidence.MaxAge) {
+// waitForChange waits until the configuration or the evacuation orders are others than
+// those which r names, ctx ends or wait has passed. If until is not 0, it also ends when
+// the store's last confirmation is older: a host that goes on waiting would rely on a
+// keeper that may miss changes.
+func (s *Service) waitForChange(ctx context.Context, r *peerpb.ConfigurationRequest, wait time.Duration, until evidence.MaxAge) {
 	end := s.options.Clock.Now().Add(wait)
 	for {
 		s.mu.Lock()
-		current, changed, confirmed := s.documentRevision, s.changed, s.confirmed
+		differs := s.documentRevision != r.GetKnownRevision() ||
+			r.GetStatesEvacuations() && s.evacuations.zones != nil && r.GetKnownEvacuations() != EvacuationsVersion(s.evacuations.zones)
+		changed, confirmed := s.changed, s.confirmed
 		s.mu.Unlock()
 		left := end.Sub(s.options.Clock.Now())
 		if until > 0 {
 			left = min(left, confirmed.Left(until))
 		}
-		if current != known || left <= 0 {
+		if differs || left <= 0 {
 			return
 		}
 		select {
@@ -80,14 +88,14 @@
 // grace period is over and the targets were read again.
 func (s *Service) HandleTargets(_ context.Context, r *peerpb.TargetsRequest) (*peerpb.TargetsResponse, error) {
 	s.mu.Lock()
-	listed, list := s.listed, s.targets.List()
+	listed, list, cold := s.listed, s.targets.List(), s.coldTargetsLocked()
 	unavailable := !listed.Known() || s.targetsUnavailable || s.targets.KeepsUnlisted() || s.targets.InGracePeriod(s.options.Clock.Now())
 	s.mu.Unlock()
 	if unavailable {
 		return nil, model.NewRefusal(model.ErrUnavailable, model.RanNo, "the store has not listed the targets for this host")
 	}
 	sortTargets(list)
-	res := &peerpb.TargetsResponse{Version: contentHash(list), AgeUs: listed.Age().Microseconds()}
+	res := &peerpb.TargetsResponse{Version: contentHash(list), AgeUs: listed.Age().Microseconds(), Cold: cold}
 	if res.Version == r.GetKnownVersion() {
 		return res, nil
 	}
--- a/app/placement/health.go
+++ b/app/placement/health.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -36,6 +37,7 @@
 	probes   tally.Counter
 	ejected  tally.Gauge
 	reduced  tally.Gauge
+	shared   sharedLoadMetrics
 
 	logTokens  int
 	logRefill  time.Time
@@ -53,7 +55,7 @@
 	t := &targetOutcomes{
 		tracker: health.NewTracker(o.Random), outcomes: map[health.Outcome]tally.Counter{}, steps: map[health.Step]tally.Counter{},
 		probes: scope.Counter("probes"), ejected: scope.Gauge("ejected_targets"), reduced: scope.Gauge("reduced_targets"),
-		logTokens: stepLogBurst,
+		shared: newSharedLoadMetrics(o.Scope), logTokens: stepLogBurst,
 	}
 	for _, x := range health.Outcomes() {
 		t.outcomes[x] = scope.Tagged(map[string]string{"outcome": x.String()}).Counter("outcomes")
@@ -181,22 +183,23 @@
 			s.deliverGrants(now, grants)
 		}
 	}
-	if s.outcomes == nil || r.Model == "" || len(r.Exclude) > 0 {
+	if s.outcomes == nil || r.Model == "" {
 		grants, err = s.scheduler.Add(now, id, r)
 		return grants, false, err
 	}
 	tracker := s.outcomes.tracker
 	if r.Repeatable {
-		if target, ok := tracker.NextProbe(now, r.Model); ok {
+		target, ok := tracker.NextProbe(now, r.Model)
+		if ok && len(r.Exclude) == 0 && s.otherExclusion(target) == placement.NotExcluded {
 			if grants, probe = s.scheduler.AddProbe(now, id, r, target); probe {
 				tracker.BeginProbe(now, target)
 				s.outcomes.probes.Inc(1)
 				return grants, true, nil
 			}
 		}
-	} else if doubtful := tracker.Doubtful(now, r.Model); len(doubtful) > 0 && s.scheduler.HasFree(r, doubtful) {
+	} else if doubtful := tracker.Doubtful(now, r.Model); len(doubtful) > 0 && s.scheduler.HasFree(r, slices.Concat(r.Exclude, doubtful)) {
 		careful := r
-		careful.Exclude = doubtful
+		careful.Exclude = slices.Concat(r.Exclude, doubtful)
 		if grants, err = s.scheduler.Add(now, id, careful); err == nil && !s.scheduler.Cancel(id) {
 			return grants, false, nil
 		}
