--- a/app/placement/health_test.go
+++ b/app/placement/health_test.go
@@ -136,3 +136,16 @@
 	o.logChange(logger, now.Add(stepLogInterval), health.Change{Target: "a", To: health.Reduced})
 	assert.Assert(t, strings.Contains(log.String(), "suppressed=450"))
 }
+
+// Guards against a probe of a target that must get no request for another reason, for
+// example because it is cold.
+func TestPausedTargetGetsNoProbe(t *testing.T) {
+	s, f, _, _ := healthService(8)
+	failAt(t, s, f, "a")
+	f.clock.Advance(5 * time.Second)
+	s.Pause("a", time.Minute)
+	for range 8 {
+		p := acquire(t, s, placement.Request{Workspace: "w", Model: "m", Repeatable: true})
+		assert.Assert(t, p.target.Name != "a")
+	}
+}
