placement: targets are chosen by the whole time of a call, among a sample

The own work of a call was bounded to 8 calls of load, so that an engine at 0.55 of the speed was preferred to computing 12,600 kept tokens. It counts up to 64 calls now, and a begun program moves when the gain exceeds the tokens to compute again and a tenth of the call. Hosts that share reports chose the same few engines; they choose among 3 random targets, the home and the targets of the program.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -152,20 +153,26 @@
 	target *target
 	calls  float64 // weighted by the time that they take
 	cost   float64
+	cached model.Tokens
+	kept   bool // the program has run here
 }
 
 const (
-	// maxCallWork bounds the work of a call after its prompt, in calls of load. With
-	// more, a difference in speed would outweigh any kept prefix.
-	maxCallWork = 8
+	// maxCallWork bounds the mean time of a call that counts, in calls of load: 384 ms
+	// where a call of load costs 6 ms. Turns take 300 to 1,000 ms on the platform. At 8
+	// calls, an engine at 0.55 of the speed was preferred to computing 12,600 tokens.
+	maxCallWork = 64
+	// maxQueueWork bounds the cost of a call beyond the slots, in calls of load.
+	maxQueueWork = 8
 	// defaultQueueWork is the cost of a call beyond the slots of a target, in calls of
 	// load, while the time that calls take is not known. A call that runs slows down the
 	// others; one that waits for a slot waits for the end of another.
 	defaultQueueWork = 4
-	// keptTolerance is the factor up to which a slow target costs nothing for a program
-	// whose prompt it keeps. Moving the program for less would compute the prompt again
-	// for each change of the speeds.
-	keptTolerance = 1.5
+	// moveMargin is the part of the mean time of a call by which another target must be
+	// better than computing the prompt again costs, before a program moves to it.
+	moveMargin = 0.1
+	// sampledTargets is the number of random targets among which a call chooses.
+	sampledTargets = 3
 )
 
 // callWork holds the parts of the cost that are the same for all targets of a decision.
@@ -176,7 +183,6 @@
 	own float64
 	// meanCall is the mean time of a call in prompt tokens; 0 if it is not known.
 	meanCall float64
-	begun    bool // a target keeps at least half of the prompt
 }
 
 // workOf returns the work of a call of a pool.
@@ -202,12 +208,6 @@
 // slot, at the speed of the target.
 func (w *callWork) cost(cached model.Tokens, load float64, slots int, factor float64) float64 {
 	cached = min(cached, w.prompt)
-	if w.begun {
-		if w.keeps(cached) {
-			factor /= keptTolerance
-		}
-		factor = max(factor, 1)
-	}
 	work := float64(w.prompt-cached) + w.own + load*w.callCost
 	if queue := load + 1 - float64(slots); slots > 0 && queue > 0 {
 		work += queue * w.queueCost(slots)
@@ -220,7 +220,7 @@
 	if w.meanCall == 0 {
 		return defaultQueueWork * w.callCost
 	}
-	return min(max(w.meanCall/float64(slots), w.callCost), maxCallWork*w.callCost)
+	return min(max(w.meanCall/float64(slots), w.callCost), maxQueueWork*w.callCost)
 }
 
 // slots returns the number of calls that the target runs at a time; 0 if it is not
@@ -241,21 +241,23 @@
 	home := s.creditHomes(c, k, &r)
 	r.kept = s.mostKept(c, s.options.Zone)
 	work := s.workOf(c.pool, s.expectedPrompt(&k.request), p.CallCost)
-	work.begun = work.prompt > 0 && s.keptBy(c, work.prompt)
-	if lowest := s.scoreTargets(c, &work, &r, home, now); len(s.scored) > 0 {
-		return s.drawTarget(lowest + p.Slack)
+	s.scoreTargets(c, &work, &r, home, now)
+	if len(s.scored) == 0 {
+		r.all = true
+		s.scoreTargets(c, &work, &r, home, now)
+	}
+	s.favorKept(&work)
+	if now.Sub(s.sharedAt) < loadMaxAge {
+		s.sampleTargets(home)
 	}
-	r.all = true
-	return s.drawTarget(s.scoreTargets(c, &work, &r, home, now) + p.Slack)
+	return s.drawTarget(s.lowestCost() + p.Slack)
 }
 
-// scoreTargets sets scored to the available targets that the call may use and returns
-// their lowest cost. A target that keeps at least half of the prompt, and more than those
+// scoreTargets sets scored to the available targets that the call may use. A target that keeps at least half of the prompt, and more than those
 // in the zone of the host, may be used in any zone: the program began there. Without the
 // second condition a prefix that many programs share would lead to any zone.
-func (s *Scheduler) scoreTargets(c *class, w *callWork, r *reach, home *target, now time.Time) float64 {
+func (s *Scheduler) scoreTargets(c *class, w *callWork, r *reach, home *target, now time.Time) {
 	s.scored = s.scored[:0]
-	lowest := 0.0
 	for _, t := range c.targets {
 		if !t.available {
 			continue
@@ -269,10 +271,15 @@
 		if t == home {
 			cost -= homeBonusCalls * w.callCost
 		}
-		if len(s.scored) == 0 || cost < lowest {
-			lowest = cost
-		}
-		s.scored = append(s.scored, scoredTarget{target: t, calls: calls * factor, cost: cost})
+		s.scored = append(s.scored, scoredTarget{target: t, calls: calls * factor, cost: cost, cached: cached})
+	}
+}
+
+// lowestCost returns the lowest cost of the scored targets.
+func (s *Scheduler) lowestCost() float64 {
+	lowest := math.Inf(1)
+	for _, st := range s.scored {
+		lowest = min(lowest, st.cost)
 	}
 	return lowest
 }
@@ -297,12 +304,47 @@
 // keeps reports whether a target with that part of the prompt keeps at least half of it.
 func (w *callWork) keeps(cached model.Tokens) bool { return w.prompt > 0 && 2*cached >= w.prompt }
 
-// keptBy reports whether a target of the class keeps at least half of the prompt.
-func (s *Scheduler) keptBy(c *class, prompt model.Tokens) bool {
-	for _, t := range c.targets {
-		if 2*s.cachedTokens(t) >= prompt {
-			return true
+// favorKept lowers the cost of the targets where the program has run: those that keep the
+// most of the prompt, and at least half. A prefix that most targets keep is one that many
+// programs share.
+func (s *Scheduler) favorKept(w *callWork) {
+	var most model.Tokens
+	n := 0
+	for _, st := range s.scored {
+		switch {
+		case st.cached > most:
+			most, n = st.cached, 1
+		case st.cached == most:
+			n++
+		}
+	}
+	if !w.keeps(most) || 2*n > len(s.scored) {
+		return
+	}
+	for i := range s.scored {
+		if st := &s.scored[i]; st.cached == most {
+			st.kept = true
+			st.cost -= moveMargin * w.own
+		}
+	}
+}
+
+// sampleTargets reduces the scored targets to sampledTargets random ones, the home of the
+// prompt and those where the program has run. Hosts that share their reports would
+// otherwise all send to the same few targets until the next reports.
+func (s *Scheduler) sampleTargets(home *target) {
+	if len(s.scored) <= sampledTargets {
+		return
+	}
+	for i := range sampledTargets {
+		j := i + s.random.IntN(len(s.scored)-i)
+		s.scored[i], s.scored[j] = s.scored[j], s.scored[i]
+	}
+	sampled := s.scored[:sampledTargets]
+	for _, st := range s.scored[sampledTargets:] {
+		if st.kept || st.target == home {
+			sampled = append(sampled, st)
 		}
 	}
-	return false
+	s.scored = sampled
 }
--- a/core/placement/fleet_test.go
+++ b/core/placement/fleet_test.go
@@ -21,6 +21,9 @@
 	lastCall CallID
 	blind    bool // hosts learn neither speeds nor slowness
 	stats    []zoneStats
+	// batchDelay is the part by which each other running call makes events slower.
+	batchDelay float64
+	calls      []*simCall // that ended, with batchDelay
 }
 
 // zoneStats counts the calls of the callers of one zone.
@@ -87,6 +90,7 @@
 	started  time.Duration
 	uncached model.Tokens
 	gap      time.Duration
+	took     time.Duration
 	done     func() // runs when the caller has the answer
 }
 
@@ -204,7 +208,7 @@
 	c.started = f.now
 	c.uncached = c.request.Prompt - max(t.kept[c.request.Program], t.kept[""])
 	t.kept[""], t.kept[c.request.Program] = 8000, c.request.Prompt
-	c.gap = time.Duration(t.factor() * float64(simGap))
+	c.gap = time.Duration(t.factor() * float64(simGap) * (1 + f.batchDelay*float64(t.running-1)))
 	took := time.Duration(t.factor()*float64(c.uncached)*float64(simToken)) + simEvents*c.gap
 	latency := simLatency(h.zone, t.zone)
 	load := Load{Running: t.running, Waiting: len(t.queue), Slots: t.slots}
@@ -231,7 +235,11 @@
 	z := &f.stats[h.zone]
 	z.calls++
 	z.wait += c.started - c.arrived
-	z.total += f.now - c.arrived
+	c.took = f.now - c.arrived
+	z.total += c.took
+	if f.batchDelay > 0 {
+		f.calls = append(f.calls, c)
+	}
 	z.computed += c.uncached
 	if t.zone != h.zone {
 		z.over++
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -73,6 +73,7 @@
 	decision     uint64         // number of calls of findCached so far
 	pools        map[classKey]*pool
 	lastJudgment time.Time // of the speeds of targets
+	sharedAt     time.Time // when reports of other hosts were last received
 }
 
 // NewScheduler returns a Scheduler without targets.
--- a/core/placement/shared.go
+++ b/core/placement/shared.go
@@ -47,6 +47,9 @@
 
 // SetSharedLoads applies what the hosts heard of targets. A load replaces an older one.
 func (s *Scheduler) SetSharedLoads(now time.Time, list []loadboard.Report) {
+	if len(list) > 0 {
+		s.sharedAt = now
+	}
 	for _, r := range list {
 		t := s.targetsByKey[r.Key]
 		if t == nil {
--- a/core/placement/zones.go
+++ b/core/placement/zones.go
@@ -31,6 +31,10 @@
 	// exceeds loadMaxAge, because the load of a zone changes more slowly than that of a
 	// target.
 	zoneMaxAge = 5 * time.Second
+	// maxZoneWork bounds the mean time of a call in the cost of a zone, in calls of load.
+	// With the bound of single targets, a share grows by differences in speed that the
+	// queues of the zone don't justify.
+	maxZoneWork = 8
 	// usualUse is the calls for each slot that a zone without reports is assumed to
 	// have: low enough to try it when the own zone has a queue, high enough not to
 	// prefer it otherwise. It counts like the report of one target.
@@ -79,6 +83,7 @@
 		return
 	}
 	w := s.workOf(p, 0, s.options.Choice.(CacheAware).CallCost)
+	w.own = min(w.own, maxZoneWork*w.callCost)
 	p.views = p.views[:0]
 	for _, z := range p.zones {
 		p.views = append(p.views, z.view(&w, now))
