--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -18,15 +18,19 @@
 
 	"mimosarelay/app/catalog"
 	"mimosarelay/app/conversations"
+	"mimosarelay/app/pacing"
 	"mimosarelay/app/relay"
 	"mimosarelay/app/turns"
+	"mimosarelay/core/cold"
 	"mimosarelay/core/evidence"
 	coreingress "mimosarelay/core/ingress"
+	"mimosarelay/core/memory"
 	"mimosarelay/core/model"
 	"mimosarelay/core/store"
 	"mimosarelay/io/ingress"
 	"mimosarelay/io/metrics"
 	"mimosarelay/io/peer"
+	"mimosarelay/io/target"
 )
 
 // Dialect reads and writes the header fields that callers and targets use.
@@ -48,6 +52,9 @@
 	// Keeper makes the host a keeper instead of an entry host. Keepers count the
 	// turns of programs for all entry hosts.
 	Keeper bool
+	// Standby makes a keeper with an empty disk wait until the fleet needs it. It is
+	// for deployments that run a keeper on each machine with a disk.
+	Standby bool
 
 	// Keyspace returns a view of the store that holds the keys under a prefix.
 	Keyspace func(prefix string) store.Store
@@ -70,6 +77,10 @@
 	TurnFolder   conversations.Folder
 	TurnCapacity int64
 	TurnCopies   int
+	// Cold bounds the requests to targets that are cold, and Prober asks such targets
+	// for their state.
+	Cold         cold.Bound
+	HealthProber func(*target.Client) pacing.HealthProber
 	// Quotas limits the rates of workspaces, and Budgets the tokens of each
 	// program.
 	Quotas  bool
@@ -82,6 +93,11 @@
 	// FinalRefusalAge is how old that confirmation may be when a request is refused
 	// in a way that callers do not retry.
 	FinalRefusalAge time.Duration
+	// Memory is the memory of the machine; 0 for no limit on the bytes of callers.
+	Memory memory.Bytes
+	// Descriptors is the limit of open descriptors of the process; 0 if it is not
+	// known.
+	Descriptors int
 	// Grace is the time within which the process must end after it was asked to.
 	Grace time.Duration
 
@@ -119,6 +135,12 @@
 	renewInterval   = 500 * time.Millisecond
 	renewTimeout    = 500 * time.Millisecond
 	minLeaseMissing = 300 * time.Millisecond
+	// awayLimit ends the right to act of the last one or two keepers while they
+	// cannot renew their leases. Hosts serve requests that need a key for 4.6 s after
+	// the last confirmation of the configuration (bound of 5 s less 400 ms), so that
+	// a longer time would serve few more. Another keeper that observes the loss of
+	// all earlier ones acts about 8 s after it, within recovery_s (12 s).
+	awayLimit = 5 * time.Second
 	// minStoreReachable covers a renewal that just failed (renewTimeout),
 	// renewInterval until the next one and the calls that acquire a lease.
 	minStoreReachable = renewInterval + renewTimeout + 200*time.Millisecond
@@ -188,8 +210,9 @@
 	catalog *catalog.Service
 	peers   *peer.Client
 	metrics *metrics.Root
-	keeper  *keeper    // nil on entry hosts
-	entry   *entryHost // nil on keepers
+	memory  *memory.Account // nil without a limit
+	keeper  *keeper         // nil on entry hosts
+	entry   *entryHost      // nil on keepers
 
 	draining   atomic.Bool
 	drainState atomic.Pointer[ingress.Drain]
@@ -198,7 +221,7 @@
 
 // New assembles a host. It starts nothing; Run does.
 func New(o Options) *Host {
-	h := &Host{options: o, log: o.Log, metrics: metrics.New()}
+	h := &Host{options: o, log: o.Log, metrics: metrics.New(), memory: newAccount(o)}
 	h.peers = peer.NewClient(peer.Options{DialTimeout: peerDialTimeout})
 	if o.Keeper {
 		h.keeper = newKeeper(h)
@@ -269,8 +292,8 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	run("peer server", func() error { return peer.Serve(ctx, peerListener, h.peerHandler()) })
-	listeners := []listener{{"metrics", h.options.MetricsAddress, serveAuxiliary(h.serveDiagnostics)}}
+	run("peer server", func() error { return peer.Serve(ctx, peer.LimitMessages(peerListener, h.memory), h.peerHandler()) })
+	listeners := []listener{{"metrics", h.options.MetricsAddress, h.serveAuxiliary(h.serveDiagnostics)}}
 	if h.entry != nil {
 		listeners = append(listeners, h.entry.listeners()...)
 	}
@@ -284,7 +307,16 @@
 		}
 		run(l.name, func() error { return l.serve(ln) })
 	}
-	run("catalog", func() error { return h.catalog.Run(ctx) })
+	run("catalog", func() error {
+		if h.keeper != nil && !h.keeper.awaitJoined(ctx) {
+			return nil
+		}
+		return h.catalog.Run(ctx)
+	})
+	if h.memory != nil {
+		r := &memoryReporter{account: h.memory, scope: h.metrics.Scope.SubScope("memory"), clock: h.options.Clock, log: h.log}
+		run("memory metrics", func() error { return r.run(ctx) })
+	}
 	if h.keeper != nil {
 		h.keeper.start(ctx, run)
 	} else {
@@ -299,20 +331,6 @@
 	serve         func(net.Listener) error
 }
 
-// auxiliaryTimeout limits a request to the directory, the readiness check or the
-// diagnostics.
-const auxiliaryTimeout = 5 * time.Second
-
-// serveAuxiliary returns a function that serves handler on a listener with short
-// timeouts.
-func serveAuxiliary(handler fasthttp.RequestHandler) func(net.Listener) error {
-	s := &fasthttp.Server{
-		Handler: handler, ReadTimeout: auxiliaryTimeout, WriteTimeout: auxiliaryTimeout, ReadBufferSize: 4096,
-		NoDefaultServerHeader: true, NoDefaultDate: true,
-	}
-	return s.Serve
-}
-
 // Ready reports whether this host is ready to serve, and otherwise the reason.
 func (h *Host) Ready() (bool, string) {
 	if h.draining.Load() {
--- a/app/relay/forward.go
+++ b/app/relay/forward.go
@@ -1,19 +1,23 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
+	"mimosarelay/app/suspects"
 	"mimosarelay/core/config"
 	"mimosarelay/core/conversation"
 	"mimosarelay/core/dispatch"
 	"mimosarelay/core/ingress"
+	"mimosarelay/core/memory"
 	"mimosarelay/core/model"
 	"mimosarelay/core/pacing"
 	"mimosarelay/core/placement"
@@ -49,6 +53,8 @@
 	// Object names the object that the request concerns; empty on routes whose
 	// targets do not handle the same object faster.
 	Object string
+	// Memory reserves the memory of the answer; nil for no limit.
+	Memory *memory.Holder
 }
 
 // Prompt describes the input of a generation.
@@ -119,7 +125,10 @@
 	fingerprint  model.Fingerprint
 	pinnedTarget model.TargetID // the only target to try, after dispatch.Again
 	place        Place
-	lease        TurnLease // nil without a program budget
+	granted      pacing.Granted   // of the current place
+	avoid        []model.TargetID // targets that are not tried as long as there are others
+	trial        *suspects.Run    // claim of the current attempt; nil for most requests
+	lease        TurnLease        // nil without a program budget
 	started      time.Time
 	sentAt       time.Time // when the present attempt was sent
 	// chain is the conversation of a turn that is kept.
@@ -132,7 +141,7 @@
 // fingerprint identifies the content that a target gets. The same input is another
 // content in another conversation.
 func (f *Forward) fingerprint() model.Fingerprint {
-	parts := [][]byte{[]byte(f.Workspace), []byte(f.URI), f.Body}
+	parts := [][]byte{[]byte(f.Workspace), []byte(f.Method), []byte(f.URI), f.Body}
 	if f.Route.Retention > 0 {
 		parts = append(parts, []byte(f.Previous))
 	}
@@ -234,6 +243,9 @@
 		Prefixes: c.Prompt.Prefixes, PrefixTokens: c.Prompt.PrefixTokens, Fingerprint: c.fingerprint,
 		Model: model.ModelID(c.Service.ID), Repeatable: c.Route.Repeatable(),
 	}
+	if len(c.avoid) > 0 {
+		r.Exclude = slices.Concat(r.Exclude, c.avoid)
+	}
 	if c.Object != "" {
 		r.Object = max(1, xxhash.Sum64String(c.Object))
 	}
@@ -246,11 +258,9 @@
 
 // forwardOnce makes one attempt. On an error, Next is nil if no attempt was made.
 func (s *Service) forwardOnce(ctx context.Context, c *forwardCall) (*Answer, dispatch.Next, error) {
-	place, err := s.acquirePlace(ctx, c)
-	if err != nil {
+	if err := s.startAttempt(ctx, c); err != nil {
 		return nil, nil, err
 	}
-	c.place = place
 	resp, err := s.dispatch(ctx, c, c.LastEvent)
 	if err != nil {
 		next := s.handleFailedAttempt(ctx, c, err)
@@ -259,23 +269,7 @@
 	if c.Route.Streaming() && resp.Status() == fasthttp.StatusOK && isEventStream(resp.ContentType()) {
 		return s.forwardStream(ctx, c, resp), nil, nil
 	}
-	headers := endToEndHeaders(resp.Message())
-	status := resp.Status()
-	body, err := resp.ReadAll(maxAnswer)
-	_ = resp.Close()
-	if err != nil {
-		next := s.handleFailedAttempt(ctx, c, err)
-		return nil, next, err
-	}
-	recordOutcome(place, answerOutcome(status))
-	usage := placement.Usage{Prompt: c.Prompt.Tokens}
-	if status < fasthttp.StatusBadRequest { // an error takes another time than an answer
-		usage.Work, usage.Kind = s.Clock.Since(c.sentAt), c.workKind("")
-	}
-	place.Release(usage)
-	c.endTurn(0)
-	s.logRequestEnded(c, status, true, 0)
-	return &Answer{Status: status, Headers: headers, Body: newBytesBody(body), Length: len(body)}, nil, nil
+	return s.forwardAnswer(ctx, c, resp)
 }
 
 // dispatch sends the request to the target of the current place and reads the
@@ -301,7 +295,7 @@
 		IdleTimeout:     left,
 		BeforeSend: func() error {
 			c.sentAt = s.Clock.Now()
-			return s.checkBeforeForward(ctx)
+			return cmp.Or(s.checkBeforeForward(ctx), s.checkTarget(c))
 		},
 		Match: func(m *fasthttp.Response) bool {
 			reply = s.Dialect.Decode(m)
@@ -323,7 +317,7 @@
 	}
 	if reply.NotRun {
 		status := resp.Status()
-		_, _ = resp.ReadAll(maxAnswer)
+		_, _ = resp.ReadAll(maxNotRunAnswer)
 		_ = resp.Close()
 		return nil, fmt.Errorf("%w: target %q answered %d", errNotRun, t.Name, status)
 	}
@@ -363,6 +357,7 @@
 func (s *Service) handleFailedAttempt(ctx context.Context, c *forwardCall, cause error) dispatch.Next {
 	t := c.place.Target()
 	recordOutcome(c.place, failureOutcome(ctx, cause))
+	defer s.endRun(c, false) // after the crash was recorded
 	var outcome dispatch.Outcome
 	failed := false
 	var refusal *model.Refusal
@@ -373,8 +368,10 @@
 	case errors.Is(cause, errNotRun):
 		outcome = dispatch.NotRun{}
 	case errors.Is(cause, target.ErrNotSent):
+		s.recordLost(ctx, t.Name, cause)
 		outcome, failed = dispatch.Unsent{}, ctx.Err() == nil
 	default:
+		s.recordLost(ctx, t.Name, cause)
 		s.Targets.DropIdle(t.Address)
 		gone := !errors.Is(cause, target.ErrIdle) && s.Targets.Unreachable(ctx, t.Address)
 		outcome, failed = dispatch.Lost{Gone: gone}, gone
--- a/cmd/managed.go
+++ b/cmd/managed.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -15,16 +16,14 @@
 	"github.com/valyala/fasthttp"
 
 	"mimosarelay/app/entry"
+	"mimosarelay/core/cold"
+	"mimosarelay/core/memory"
 	"mimosarelay/io/boottime"
 	"mimosarelay/io/logsink"
 	"mimosarelay/platform"
 )
 
 const (
-	// memoryLimitFraction is the soft memory limit of the Go runtime as a fraction
-	// of the process's memory. The rest is for buffers of the kernel and the C
-	// library.
-	memoryLimitFraction = 0.7
 	// storeTimeout limits one call to the store, which usually answers within
 	// milliseconds.
 	storeTimeout = time.Second
@@ -37,12 +36,12 @@
 )
 
 // runManaged runs a host with the settings of the platform on which it is deployed.
-func runManaged(ctx context.Context, logs io.Writer) (runErr error) {
+func runManaged(ctx context.Context, logs io.Writer, standby bool) (runErr error) {
 	boot, err := platform.LoadBoot()
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(int64(float64(boot.Memory) * memoryLimitFraction))
+	debug.SetMemoryLimit(int64(memory.Limit(memory.Bytes(boot.Memory))))
 	sink := logsink.New(logs, logsink.Options{})
 	defer sink.Close()
 	log := slog.New(slog.NewTextHandler(sink, nil))
@@ -60,11 +59,16 @@
 			return platform.Directory{Addresses: addresses, TTL: min(ttl, boot.Bounds.DirectoryTTL)}.Handle
 		},
 		Readiness:       func(ready func() (bool, string)) fasthttp.RequestHandler { return platform.Readiness(ready).Handle },
+		Memory:          memory.Bytes(boot.Memory),
+		Descriptors:     boot.Descriptors,
 		Evacuations:     client,
+		Cold:            cold.Bound{Over: cmp.Or(boot.Bounds.ColdOver, 1), Slack: boot.Bounds.ColdSlack},
+		HealthProber:    platform.NewHealthProber,
 		Quotas:          boot.Quotas,
 		Budgets:         boot.Programs,
 		Health:          boot.Health,
 		Keeper:          boot.CallerAddress == "",
+		Standby:         standby,
 		Lifetime:        boot.Bounds.Revoke - revokeMargin,
 		FinalRefusalAge: boot.Bounds.Config - configMargin,
 		Grace:           boot.Bounds.Grace,
