placement: small fleets choose among all targets, ages are rounded up

Ages in messages were rounded down, so that a report by way of a keeper could look newer than the answer of which it came and replace it.

--- a/app/follow/loads.go
+++ b/app/follow/loads.go
@@ -103,7 +103,8 @@
 		m.Samples[i] = encodeCount(r.Speed.Samples)
 		m.LogSums[i] = int32(math.Round(min(max(r.Speed.LogSum*logSumUnits, math.MinInt32), math.MaxInt32)))
 		if l := r.Load; !l.At.IsZero() {
-			m.Ages[i] = uint32(min(max(0, now.Sub(l.At)), maxReportAge).Milliseconds()) + 1
+			// Rounded up, so that a report never looks younger than the answer.
+			m.Ages[i] = uint32(min(max(0, now.Sub(l.At)+time.Millisecond-1), maxReportAge).Milliseconds()) + 1
 			m.Running[i], m.Waiting[i], m.Slots[i] = encodeCount(l.Running), encodeCount(l.Waiting), encodeCount(l.Slots)
 			m.Slowness[i] = encodeCount(int(min(l.Slowness*percent, math.MaxInt32)))
 		}
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -46,6 +46,7 @@
 	classes          []*class
 	available        bool // hasCapacity, as last counted in classes
 	load             Load
+	loadShared       bool        // load came from another host
 	sentSinceReport  int         // calls in flight that started after load.At
 	ended            []endedCall // calls that ended after load.At, oldest first
 	endedSinceReport int         // those of them that load includes
@@ -81,11 +82,11 @@
 }
 
 // setLoad replaces the load report unless the present one is newer.
-func (t *target) setLoad(l Load) {
+func (t *target) setLoad(l Load, shared bool) {
 	if l.At.Before(t.load.At) {
 		return
 	}
-	t.load = l
+	t.load, t.loadShared = l, shared
 	t.dropEnded(l.At)
 	t.endedSinceReport = 0
 	for _, c := range t.ended {
@@ -331,9 +332,16 @@
 
 // sampleTargets reduces the scored targets to sampledTargets random ones, the home of the
 // prompt and those where the program has run. Hosts that share their reports would
-// otherwise all send to the same few targets until the next reports.
+// otherwise all send to the same few targets until the next reports. A host that has most
+// loads from its own answers chooses among all targets.
 func (s *Scheduler) sampleTargets(home *target) {
-	if len(s.scored) <= sampledTargets {
+	shared := 0
+	for _, st := range s.scored {
+		if st.target.loadShared {
+			shared++
+		}
+	}
+	if len(s.scored) <= sampledTargets || 2*shared <= len(s.scored) {
 		return
 	}
 	for i := range sampledTargets {
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -605,7 +605,7 @@
 // Report records a target's report of its load.
 func (s *Scheduler) Report(id model.TargetID, l Load) {
 	if t := s.targets[id]; t != nil {
-		t.setLoad(l)
+		t.setLoad(l, false)
 		t.sharing.heard = l
 	}
 }
--- a/core/placement/shared.go
+++ b/core/placement/shared.go
@@ -56,7 +56,7 @@
 			continue
 		}
 		if l := r.Load; !l.At.IsZero() && !l.At.After(now) {
-			t.setLoad(Load{At: l.At, Running: l.Running, Waiting: l.Waiting, Slots: l.Slots, Slowness: l.Slowness})
+			t.setLoad(Load{At: l.At, Running: l.Running, Waiting: l.Waiting, Slots: l.Slots, Slowness: l.Slowness}, true)
 		}
 		t.sharing.speed, t.sharing.at = r.Speed, now
 	}
--- a/core/placement/shared_test.go
+++ b/core/placement/shared_test.go
@@ -121,6 +121,18 @@
 	}
 }
 
+// Guards against sharing that makes a smaller fleet slower, whose hosts hear enough of the
+// engines themselves.
+func TestSharedReportsKeepSmallFleetFast(t *testing.T) {
+	for rate, highest := range map[float64]float64{10: 1.05, 50: 1} {
+		t.Run(fmt.Sprint(rate), func(t *testing.T) {
+			own, shared := runMixedFleet(false, false, rate), runMixedFleet(false, true, rate)
+			t.Logf("own: %v; shared: %v", own, shared)
+			assert.Assert(t, float64(shared.meanTotal()) < highest*float64(own.meanTotal()))
+		})
+	}
+}
+
 func sharedLoad(id model.TargetID, at time.Time, running int, speed loadboard.Speed) loadboard.Report {
 	return loadboard.Report{Key: loadboard.KeyOf(id), Load: loadboard.Load{At: at, Running: running, Slots: 16}, Speed: speed}
 }
--- a/core/placement/speed_test.go
+++ b/core/placement/speed_test.go
@@ -12,7 +12,7 @@
 
 // runMixedFleet plays 12 hosts with 24 engines at 0.55 or 1.2 of the usual speed. On 15 %
 // of the machines work takes 2.5 times as long, on other ones every 600 ms.
-func runMixedFleet(blind bool, programsPerSecond float64) zoneStats {
+func runMixedFleet(blind, shared bool, programsPerSecond float64) zoneStats {
 	f := newFleetSim(1, 12, 24, 8, func(int) Options { return Options{} })
 	f.blind = blind
 	i := 0
@@ -27,6 +27,9 @@
 			return 1
 		}
 	}
+	if shared {
+		f.share()
+	}
 	f.arrivals(0, func(time.Duration) float64 { return programsPerSecond }, 6)
 	f.runUntil(20 * time.Second)
 	f.stats[0] = zoneStats{overByPeriod: map[overKey]int{}}
@@ -39,7 +42,7 @@
 func TestMixedEnginesAreUsedBySpeed(t *testing.T) {
 	for _, rate := range []float64{10, 30, 50} {
 		t.Run(fmt.Sprint(rate), func(t *testing.T) {
-			before, after := runMixedFleet(true, rate), runMixedFleet(false, rate)
+			before, after := runMixedFleet(true, false, rate), runMixedFleet(false, false, rate)
 			t.Logf("without speeds: %v; with: %v", before, after)
 			assert.Assert(t, float64(after.meanTotal()) < 0.93*float64(before.meanTotal()))
 			assert.Assert(t, after.meanComputed() < 1.15*before.meanComputed())
