--- a/core/placement/speed_test.go
+++ b/core/placement/speed_test.go
@@ -26,10 +26,13 @@
 }
 
 // runMixedFleet plays 12 hosts with 24 engines.
-func runMixedFleet(blind bool, programsPerSecond float64) zoneStats {
+func runMixedFleet(blind, shared bool, programsPerSecond float64) zoneStats {
 	f := newFleetSim(1, 12, 24, 8, func(int) Options { return Options{} })
 	f.blind = blind
 	f.mixSpeeds()
+	if shared {
+		f.share()
+	}
 	f.arrivals(0, func(time.Duration) float64 { return programsPerSecond }, 6)
 	f.runUntil(20 * time.Second)
 	f.stats[0] = zoneStats{overByPeriod: map[overKey]int{}}
@@ -40,9 +43,9 @@
 // Guards against work that goes to slow engines while fast ones have places, and against
 // programs that move between engines, which then compute their prompts again.
 func TestMixedEnginesAreUsedBySpeed(t *testing.T) {
-	for _, rate := range []float64{10, 50} {
+	for _, rate := range []float64{10, 30, 50} {
 		t.Run(fmt.Sprint(rate), func(t *testing.T) {
-			before, after := runMixedFleet(true, rate), runMixedFleet(false, rate)
+			before, after := runMixedFleet(true, false, rate), runMixedFleet(false, false, rate)
 			t.Logf("without speeds: %v; with: %v", before, after)
 			assert.Assert(t, float64(after.meanTotal()) < 0.93*float64(before.meanTotal()))
 			assert.Assert(t, after.meanComputed() < 1.15*before.meanComputed())
