--- a/app/follow/silentkeeper_test.go
+++ b/app/follow/silentkeeper_test.go
@@ -23,7 +23,7 @@
 )
 
 // configBound is the time after which a confirmed configuration must be in force on
-// each host that the store or a keeper with the store serves (config_ms).
+// each host that the store or a keeper with the store serves.
 const configBound = 2 * time.Second
 
 // pathToStore is a catalog.Source: the store as one host reaches it.
--- a/app/limits/evidence.go
+++ b/app/limits/evidence.go
@@ -89,7 +89,7 @@
 	if !k.Confirmed.Known() {
 		return nil
 	}
-	return &peerpb.KnownLimit{Revision: uint64(k.Revision), RatePerS: k.Rate, Burst: k.Burst, AgeUs: k.Confirmed.Age().Microseconds()}
+	return &peerpb.KnownLimit{Revision: uint64(k.Revision), Rate: k.Rate, Burst: k.Burst, AgeUs: k.Confirmed.Age().Microseconds()}
 }
 
 // LearnFrom is Learn for the limit in a message that has just arrived.
@@ -98,7 +98,7 @@
 		return
 	}
 	s.Learn(id, limit.Known{
-		Revision: model.Revision(m.GetRevision()), Rate: m.GetRatePerS(), Burst: m.GetBurst(),
+		Revision: model.Revision(m.GetRevision()), Rate: m.GetRate(), Burst: m.GetBurst(),
 		Confirmed: evidence.Now(s.options.Clock).Before(time.Duration(m.GetAgeUs()) * time.Microsecond),
 	})
 }
