--- a/app/limits/evidence.go
+++ b/app/limits/evidence.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"log/slog"
 	"time"
 
 	"mimosarelay/core/evidence"
@@ -66,6 +67,15 @@
 	return s.options.Confirmed == nil || evidence.Newer(own, ws.learned.Confirmed).Within(s.options.MaxAge)
 }
 
+// logNoEvidence logs once that the evidence for a limit is too old. The caller holds mu.
+func (s *Service) logNoEvidence(ws *workspace, id model.WorkspaceID, own evidence.Stamp) {
+	if ws.noEvidenceLogged {
+		return
+	}
+	ws.noEvidenceLogged = true
+	slog.Warn("requests are not admitted without evidence for their limit", "workspace", id, "revision", s.revision, "age", evidence.Newer(own, ws.learned.Confirmed).Age())
+}
+
 func noEvidenceRefusal(id model.WorkspaceID) error {
 	return model.NewRefusal(model.ErrUnavailable, model.RanNo, "the store has not confirmed the limit of workspace %q recently", id).Retry(evidenceRetryAfter)
 }
--- a/app/limits/limits.go
+++ b/app/limits/limits.go
@@ -148,6 +148,7 @@
 type workspace struct {
 	rate, burst         float64     // of the contract in the document
 	learned             limit.Known // newest limit that another host has told
+	noEvidenceLogged    bool        // since a request was last admitted by evidence
 	bucket              *limit.Bucket
 	demand              limit.Demand
 	waiters             []*waiter // first come, first served
@@ -384,8 +385,10 @@
 		return false, 0, noContractRefusal(id)
 	}
 	if !s.accepts(ws, confirmed) {
+		s.logNoEvidence(ws, id, confirmed)
 		return false, 0, noEvidenceRefusal(id)
 	}
+	ws.noEvidenceLogged = false
 	if len(ws.waiters) == 0 || ws.waiters[0] != w {
 		return false, 0, nil
 	}
@@ -517,6 +520,9 @@
 	Reserved    int64 // micro tokens
 	Waiting     int
 	Demand      float64 // requests per second
+	// Revision is the revision of the limit in force; above that of the configuration
+	// if another host has told it.
+	Revision model.Revision
 }
 
 // Dump returns the state of the service.
@@ -538,6 +544,7 @@
 			Reserved:    ws.bucket.Reserved(),
 			Waiting:     len(ws.waiters),
 			Demand:      ws.demand.Rate(now),
+			Revision:    max(s.revision, ws.learned.Revision),
 		}
 	}
 	return d
