follow: keepers with outdated data are not asked to read the store

A host whose only keepers had outdated data waited 300 ms for a keeper to read a store that did not answer it.

--- a/app/follow/silentkeeper_test.go
+++ b/app/follow/silentkeeper_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"maps"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -26,12 +27,16 @@
 // each host that the store or a keeper with the store serves.
 const configBound = 2 * time.Second
 
+// drainBound is the time after which a leaving target gets no request.
+const drainBound = 2 * time.Second
+
 // pathToStore is a catalog.Source: the store as one host reaches it.
 type pathToStore struct {
 	store   *sharedStore
 	silent  bool          // requests get no answer
 	latency time.Duration // of one request
 	calls   int
+	listed  uint64 // revision of the targets of the last read
 }
 
 // sharedStore is the store of a test in virtual time.
@@ -106,10 +111,17 @@
 	}
 }
 
-// ReadTargets implements catalog.Source.
-func (p *pathToStore) ReadTargets(ctx context.Context, _ time.Duration) (ingress.TargetList, error) {
-	_, err := p.call(ctx, 0)
-	return ingress.TargetList{Targets: []ingress.Target{{ID: "t", Service: "s", Address: "10.0.0.1:80", Slots: 1}}}, err
+// ReadTargets implements catalog.Source. The target has as many slots as the revision,
+// and a read waits for another one.
+func (p *pathToStore) ReadTargets(ctx context.Context, wait time.Duration) (ingress.TargetList, error) {
+	p.store.mu.Lock()
+	after := p.listed
+	p.store.mu.Unlock()
+	result, err := p.WatchConfiguration(ctx, after, wait)
+	if err == nil {
+		p.listed = result.StoreRevision
+	}
+	return ingress.TargetList{Targets: []ingress.Target{{ID: "t", Service: "s", Address: "10.0.0.1:80", Slots: int(result.StoreRevision)}}, Age: result.Age}, err
 }
 
 // catalogPeers holds keepers by address. It implements follow.CatalogPeers and
@@ -121,6 +133,12 @@
 	requests int
 }
 
+func (cp *catalogPeers) catalog(address string) *catalog.Service {
+	cp.mu.Lock()
+	defer cp.mu.Unlock()
+	return cp.catalogs[address]
+}
+
 func (cp *catalogPeers) count() {
 	cp.mu.Lock()
 	defer cp.mu.Unlock()
@@ -131,17 +149,21 @@
 func (cp *catalogPeers) Configuration(ctx context.Context, address string, r *peerpb.ConfigurationRequest) (*peerpb.ConfigurationResponse, error) {
 	cp.count()
 	time.Sleep(time.Millisecond)
-	return cp.catalogs[address].HandleConfiguration(ctx, r)
+	return cp.catalog(address).HandleConfiguration(ctx, r)
 }
 
 // Targets implements follow.CatalogPeers.
 func (cp *catalogPeers) Targets(ctx context.Context, address string, r *peerpb.TargetsRequest) (*peerpb.TargetsResponse, error) {
 	time.Sleep(time.Millisecond)
-	return cp.catalogs[address].HandleTargets(ctx, r)
+	return cp.catalog(address).HandleTargets(ctx, r)
 }
 
 // UsableKeepers implements follow.Relays.
-func (cp *catalogPeers) UsableKeepers() []string { return cp.order }
+func (cp *catalogPeers) UsableKeepers() []string {
+	cp.mu.Lock()
+	defer cp.mu.Unlock()
+	return cp.order
+}
 
 // WhileResponsive implements follow.Relays.
 func (cp *catalogPeers) WhileResponsive(ctx context.Context, _ string) (context.Context, context.CancelFunc) {
@@ -166,44 +188,81 @@
 		p := &pathToStore{store: rf.store, latency: latency}
 		address := fmt.Sprint("keeper-", i)
 		rf.paths, rf.peers.order = append(rf.paths, p), append(rf.peers.order, address)
-		rf.peers.catalogs[address] = rf.start(p)
+		rf.peers.catalogs[address] = rf.start(p, 800*time.Millisecond)
 		time.Sleep(290 * time.Millisecond) // so that the keepers do not watch in step
 	}
 	rf.direct = &pathToStore{store: rf.store, latency: latency}
-	rf.entry = rf.start(&follow.Source{Relays: rf.peers, Peers: rf.peers, Store: rf.direct, Decode: decode, Clock: clockwork.NewRealClock()})
+	rf.entry = rf.start(&follow.Source{Relays: rf.peers, Peers: rf.peers, Store: rf.direct, Decode: decode, Clock: clockwork.NewRealClock()}, 0)
 	return rf
 }
 
-func (rf *relayedFleet) start(source catalog.Source) *catalog.Service {
-	c := catalog.New(catalog.Options{Source: source, Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Lifetime: evidence.MaxAge(lifetime), Interval: 400 * time.Millisecond})
+// startRelay starts a keeper that watches the others and puts it first.
+func (rf *relayedFleet) startRelay() {
+	readers := &catalogPeers{catalogs: rf.peers.catalogs, order: rf.peers.order}
+	source := &follow.Source{
+		Relays: readers, Peers: readers, Store: &pathToStore{store: rf.store}, Decode: decode, Clock: clockwork.NewRealClock(),
+		StoreWithoutKeepers: true, MaxWait: 400 * time.Millisecond,
+	}
+	relay := rf.start(source, 800*time.Millisecond)
+	rf.peers.mu.Lock()
+	defer rf.peers.mu.Unlock()
+	rf.peers.catalogs = maps.Clone(rf.peers.catalogs)
+	rf.peers.catalogs["relay"], rf.peers.order = relay, append([]string{"relay"}, rf.peers.order...)
+}
+
+func (rf *relayedFleet) start(source catalog.Source, targetWait time.Duration) *catalog.Service {
+	c := catalog.New(catalog.Options{
+		Source: source, Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Lifetime: evidence.MaxAge(lifetime),
+		Interval: 400 * time.Millisecond, TargetWait: targetWait,
+	})
 	rf.running.Go(func() { _ = c.Run(rf.context) })
 	return c
 }
 
 // Guards against an old configuration through a keeper whose store fell silent: the
 // entry host relied on it for 1.5 s and one more watch of 1 s, although another keeper
-// knew the change.
+// knew the change. The same holds for targets.
 func TestKeeperWithSilentStoreDoesNotDelayChange(t *testing.T) {
-	for phase := time.Duration(0); phase < 1100*time.Millisecond; phase += 50 * time.Millisecond {
-		t.Run(phase.String(), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, stop := context.WithCancel(t.Context())
-				rf := newRelayedFleet(ctx, 2, 4*time.Millisecond)
-				time.Sleep(5*time.Second + phase)
-				rf.store.mu.Lock()
-				rf.paths[0].silent = true
-				rf.store.mu.Unlock()
-				rf.store.set(2)
-				confirmed := time.Now()
-				for rf.entry.Latest().Revision() < 2 && time.Since(confirmed) < 10*time.Second {
-					time.Sleep(time.Millisecond)
-				}
-				t.Logf("the change was in force after %v", time.Since(confirmed))
-				assert.Check(t, time.Since(confirmed) < configBound, "the change was in force after %v", time.Since(confirmed))
-				stop()
-				rf.running.Wait()
+	cases := map[string]struct {
+		keepers int
+		relay   bool // a keeper that watches the others is asked first
+	}{
+		"another keeper has the store": {keepers: 2},
+		"only the host has the store":  {keepers: 1},
+		"through a relaying keeper":    {keepers: 2, relay: true},
+	}
+	for name, c := range cases {
+		for phase := time.Duration(0); phase < 1100*time.Millisecond; phase += 50 * time.Millisecond {
+			t.Run(fmt.Sprint(name, phase), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, stop := context.WithCancel(t.Context())
+					rf := newRelayedFleet(ctx, c.keepers, 4*time.Millisecond)
+					if c.relay {
+						rf.startRelay()
+					}
+					time.Sleep(5*time.Second + phase)
+					rf.store.mu.Lock()
+					rf.paths[0].silent = true
+					rf.store.mu.Unlock()
+					rf.store.set(2)
+					confirmed := time.Now()
+					until := func(known func() bool) time.Duration {
+						for !known() && time.Since(confirmed) < 10*time.Second {
+							time.Sleep(time.Millisecond)
+						}
+						return time.Since(confirmed)
+					}
+					before := rf.entry.Latest().Document().Targets[0].MaxInFlight
+					configuration := until(func() bool { return rf.entry.Latest().Revision() == 2 })
+					targets := until(func() bool { return rf.entry.Latest().Document().Targets[0].MaxInFlight != before })
+					t.Logf("configuration %v, targets %v", configuration, targets)
+					assert.Check(t, configuration < configBound, "the configuration was in force after %v", configuration)
+					assert.Check(t, targets < drainBound, "the targets were known after %v", targets)
+					stop()
+					rf.running.Wait()
+				})
 			})
-		})
+		}
 	}
 }
 
--- a/app/follow/source.go
+++ b/app/follow/source.go
@@ -70,7 +70,8 @@
 	// Together with the time to the next request this stays below 2 s, after which a
 	// leaving target must not receive new requests.
 	maxTargetsAge = evidence.MaxAge(1300 * time.Millisecond)
-	// outdatedTime is how long a keeper that had outdated data is asked after the others.
+	// outdatedTime is how long a keeper that had outdated data is asked after the others,
+	// and not at all to ask the store, which takes 300 ms if the store does not answer it.
 	// It is asked first again soon, because only keepers of other zones may be left.
 	outdatedTime = time.Second
 	// answerGrace is how long an answer may take in addition to the requested wait.
@@ -87,7 +88,8 @@
 // keeper is asked to wait: the evidence of this host is old when that fails.
 func (s *Source) askKeepers(ctx context.Context, wait time.Duration, call func(ctx context.Context, address string, wait time.Duration) error) error {
 	lastErr := errNoKeeper
-	for _, address := range s.askedLastIfOutdated(s.Relays.UsableKeepers()) {
+	recent, outdated := s.splitOutdated(s.Relays.UsableKeepers())
+	for _, address := range append(recent, outdated...) {
 		keeperCtx, release := s.Relays.WhileResponsive(ctx, address)
 		callCtx, cancel := context.WithTimeout(keeperCtx, wait+answerGrace)
 		lastErr = call(callCtx, address, wait)
@@ -96,7 +98,7 @@
 		if lastErr == nil || ctx.Err() != nil {
 			return lastErr
 		}
-		if errors.Is(lastErr, errStale) || errors.Is(lastErr, model.ErrUnavailable) {
+		if errors.Is(lastErr, errStale) {
 			s.markOutdated(address)
 		}
 		wait = 0
@@ -104,12 +106,11 @@
 	return lastErr
 }
 
-// askedLastIfOutdated moves the keepers that had outdated data within outdatedTime to the
-// end. Otherwise each request that follows would wait until they have asked the store.
-func (s *Source) askedLastIfOutdated(addresses []string) []string {
+// splitOutdated returns the keepers that had outdated data within outdatedTime apart
+// from the others.
+func (s *Source) splitOutdated(addresses []string) (recent, outdated []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var recent, outdated []string
 	for _, a := range addresses {
 		if at, ok := s.outdated[a]; ok && s.Clock.Since(at) < outdatedTime {
 			outdated = append(outdated, a)
@@ -118,7 +119,7 @@
 		delete(s.outdated, a)
 		recent = append(recent, a)
 	}
-	return append(recent, outdated...)
+	return recent, outdated
 }
 
 func (s *Source) markOutdated(address string) {
@@ -188,7 +189,11 @@
 }
 
 func (s *Source) readFromKeeper(ctx context.Context, known uint64) (ingress.StoredDocument, error) {
-	res, err := s.requestConfiguration(ctx, 0, &peerpb.ConfigurationRequest{KnownRevision: known, MaxAgeUs: time.Duration(maxConfigurationAge).Microseconds()})
+	r := &peerpb.ConfigurationRequest{KnownRevision: known}
+	if recent, _ := s.splitOutdated(s.Relays.UsableKeepers()); len(recent) > 0 {
+		r.MaxAgeUs = time.Duration(maxConfigurationAge).Microseconds()
+	}
+	res, err := s.requestConfiguration(ctx, 0, r)
 	if err != nil {
 		return ingress.StoredDocument{}, err
 	}
