--- a/app/entry/keeper.go
+++ b/app/entry/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -51,7 +52,7 @@
 	k.limits = limits.New(limits.Options{
 		Host: o.Host, Clock: o.Clock, Store: control, Peers: h.peers, MayAct: k.fleet.MayAct, LimitWait: limitWait,
 		SettleWait: settleWait, BurstSlack: burstSlack, Isolated: k.fleet.Isolated,
-		Confirmed: func() evidence.Stamp { return h.catalog.Confirmed() }, MaxAge: evidence.MaxAge(o.Lifetime),
+		Confirmed: func() evidence.Stamp { return h.catalog.Confirmed() }, MaxAge: limitMaxAge(o),
 	})
 	k.turnOwner = turns.NewOwner(turns.OwnerOptions{
 		Host: o.Host, ShardOwnership: k.fleet, Store: o.Keyspace(budgetPrefix), Clock: o.Clock, Log: o.Log,
@@ -71,6 +72,19 @@
 	return k
 }
 
+// quotaWindow is the window of a rate limit. A lower limit binds one window after the
+// time in which a configuration must be in force.
+const quotaWindow = 5 * time.Second
+
+// limitMaxAge returns the highest age of the evidence for a limit by which requests are
+// admitted. Hosts use no configuration for longer than Lifetime either.
+func limitMaxAge(o Options) evidence.MaxAge {
+	if o.FinalRefusalAge == 0 {
+		return evidence.MaxAge(o.Lifetime)
+	}
+	return evidence.MaxAge(min(o.Lifetime, o.FinalRefusalAge+quotaWindow))
+}
+
 func (k *keeper) start(ctx context.Context, run func(string, func() error)) {
 	if k.options.Evacuations != nil {
 		run("evacuation", func() error { return k.runEvacuation(ctx) })
