turns: a first turn does not wait for a slow disk once it is recorded

One goroutine writes the notes, and turns wait for it, for their record or for the deadline of a reservation, whichever comes first.

--- a/app/turns/firstturn_test.go
+++ b/app/turns/firstturn_test.go
@@ -74,3 +74,16 @@
 	time.Sleep(1500 * time.Millisecond) // until the next write begins
 	assert.NilError(t, p.reserveFor("a", "loop", "1"))
 }
+
+// Guards against a first turn that waits for a disk that does not answer although its
+// record has been written, and against one that runs with neither.
+func TestFirstTurnDoesNotNeedDiskOnceRecorded(t *testing.T) {
+	p := newOwnerPair(t)
+	p.killAll("a")
+	p.disks["a"].mu.Lock() // no write ends
+	assert.NilError(t, p.reserveFor("a", "recorded", "1"))
+	p.cut(true)
+	assert.ErrorIs(t, p.reserveFor("a", "unrecorded", "1"), turns.ErrNotOwner)
+	p.disks["a"].mu.Unlock()
+	assert.NilError(t, p.reserveFor("a", "unrecorded", "2"), "the turn that did not run is not counted")
+}
--- a/app/turns/firstturns.go
+++ b/app/turns/firstturns.go
@@ -1,9 +1,10 @@
 package turns
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
-	"sync"
 	"time"
 
 	"mimosarelay/core/model"
@@ -14,14 +15,15 @@
 // firstTurns holds what this host notes on its disk about turns that run before their
 // record is written. After a loss of the process, the notes are read like the pages of
 // records. A note on the disk costs no store call and no message.
+// The fields are guarded by Owner.mu.
 type firstTurns struct {
-	writing sync.Mutex // held while the notes are written
-
-	// The fields below are guarded by Owner.mu.
 	current  map[model.ProgramKey]turn.Record // of this process
 	restored map[model.ProgramKey]turn.Record // of earlier processes of this host
 	added    uint64                           // number of turns added to current so far
 	written  uint64                           // value of added that the disk covers
+	failed   uint64                           // value of added at the last write that failed
+	writing  bool                             // writeFirstTurns runs
+	updated  chan struct{}                    // closed and replaced when a write has ended
 }
 
 // firstTurnsSuffix follows the name of a host in the name of the page that holds its
@@ -34,7 +36,7 @@
 // write of this one does not lose them.
 func (o *Owner) restoreFirstTurns() {
 	f := &o.firstTurns
-	f.current, f.restored = map[model.ProgramKey]turn.Record{}, map[model.ProgramKey]turn.Record{}
+	f.current, f.restored, f.updated = map[model.ProgramKey]turn.Record{}, map[model.ProgramKey]turn.Record{}, make(chan struct{})
 	m, ok := o.copies[o.firstTurnsName()]
 	if !ok {
 		return
@@ -51,61 +53,92 @@
 	o.sequence = max(o.sequence, m.GetSequence())
 }
 
-// noteFirstTurn returns once the disk holds a granted turn that no record covers. If
-// that fails, the turn is returned and must not run.
-func (o *Owner) noteFirstTurn(r turn.Reservation) error {
+// noteFirstTurn returns once the disk, or a record that was written meanwhile, covers a
+// granted turn. If that does not happen until ctx ends or deadline, the turn is
+// returned and must not run.
+func (o *Owner) noteFirstTurn(ctx context.Context, r turn.Reservation, deadline <-chan time.Time) error {
 	f := &o.firstTurns
 	o.mu.Lock()
-	uncovered, ok := o.ledger.Uncovered(r.Program)
-	if !ok {
+	defer o.mu.Unlock()
+	var n uint64
+	var err error
+	for {
+		uncovered, ok := o.ledger.Uncovered(r.Program)
+		switch {
+		case !o.ledger.IsOpen(r.Program, r.Turn):
+			return ErrNotOwner // another attempt for the same turn has returned it
+		case !ok || n > 0 && f.written >= n:
+			return nil
+		case n > 0 && f.failed >= n:
+			err = errNotNoted
+		case n == 0:
+			f.current[r.Program] = uncovered
+			f.added++
+			n = f.added
+		}
+		if err != nil {
+			o.ledger.End(o.options.Clock.Now(), r.Program, r.Turn, 0)
+			return fmt.Errorf("%w: %w", ErrNotOwner, err)
+		}
+		if !f.writing {
+			f.writing = true
+			go o.writeFirstTurns()
+		}
+		noted, recorded := f.updated, o.recordsUpdated
 		o.mu.Unlock()
-		return nil
-	}
-	f.current[r.Program] = uncovered
-	f.added++
-	n := f.added
-	o.mu.Unlock()
-	if err := o.writeFirstTurns(n); err != nil {
-		o.End(r.Program, r.Turn, 0)
-		o.options.Log.Error("failed to write the notes of first turns to the disk", "error", err)
-		return fmt.Errorf("%w: the first turn of the program could not be noted: %w", ErrNotOwner, err)
+		select {
+		case <-noted:
+		case <-recorded:
+		case <-ctx.Done():
+			err = ctx.Err()
+		case <-deadline:
+			err = errNotNoted
+		}
+		o.mu.Lock()
 	}
-	return nil
 }
 
-// writeFirstTurns writes the notes, unless a write that began after n turns had been
-// added has ended meanwhile.
-func (o *Owner) writeFirstTurns(n uint64) error {
+var errNotNoted = errors.New("the first turn of the program could not be noted on the disk")
+
+// writeFirstTurns writes the notes until the disk covers all turns that were added, or
+// a write fails. Turns that are added during a write share the next one.
+func (o *Owner) writeFirstTurns() {
 	f := &o.firstTurns
-	f.writing.Lock()
-	defer f.writing.Unlock()
 	o.mu.Lock()
-	if f.written >= n {
+	defer o.mu.Unlock()
+	defer func() { f.writing = false }()
+	for f.written < f.added {
+		added := f.added
+		m := o.firstTurnsPage()
 		o.mu.Unlock()
-		return nil
+		err := o.saveToDisk(m)
+		o.mu.Lock()
+		close(f.updated)
+		f.updated = make(chan struct{})
+		if err != nil {
+			f.failed = added
+			o.options.Log.Error("failed to write the notes of first turns to the disk", "error", err)
+			return
+		}
+		f.written = added
+		o.copies[o.firstTurnsName()] = m // for the next owner
 	}
-	added := f.added
+}
+
+// firstTurnsPage returns the notes as a page. The caller holds mu.
+func (o *Owner) firstTurnsPage() *peerpb.BudgetPage {
 	o.pruneFirstTurns()
 	p := page{Sequence: o.nextSequence()}
-	for _, notes := range []map[model.ProgramKey]turn.Record{f.restored, f.current} {
+	for _, notes := range []map[model.ProgramKey]turn.Record{o.firstTurns.restored, o.firstTurns.current} {
 		for _, r := range notes {
 			p.Programs = append(p.Programs, newPageEntry(r))
 		}
 	}
-	o.mu.Unlock()
 	value, err := json.Marshal(p)
 	if err != nil {
-		return err
-	}
-	m := &peerpb.BudgetPage{Host: string(o.firstTurnsName()), Sequence: p.Sequence, Value: value}
-	if err := o.saveToDisk(m); err != nil {
-		return err
+		panic(err) // strings and numbers always marshal
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	f.written = added
-	o.copies[o.firstTurnsName()] = m // for the next owner
-	return nil
+	return &peerpb.BudgetPage{Host: string(o.firstTurnsName()), Sequence: p.Sequence, Value: value}
 }
 
 // pruneFirstTurns removes the notes that a record covers, and those of earlier
--- a/app/turns/owner.go
+++ b/app/turns/owner.go
@@ -87,8 +87,8 @@
 // Owner counts the turns of the programs that this host owns. It is safe for
 // concurrent use.
 //
-// Lock order: copyMu, firstTurns.writing, mu. Of the interfaces in OwnerOptions except Clock and Log,
-// only ShardOwnership is called with mu held and only Disk with the others held.
+// Lock order: copyMu, mu. Of the interfaces in OwnerOptions except Clock and Log,
+// only ShardOwnership is called with mu held and only Disk with copyMu held.
 type Owner struct {
 	options              OwnerOptions
 	flushRequested       chan struct{} // a record is to be written
@@ -446,7 +446,7 @@
 		decision, updated := o.reserve(shard, r)
 		switch decision.(type) {
 		case turn.Granted:
-			return o.noteFirstTurn(r)
+			return o.noteFirstTurn(ctx, r, deadline.Chan())
 		case turn.Exhausted:
 			return model.ErrBudget
 		}
--- a/core/turn/ledger.go
+++ b/core/turn/ledger.go
@@ -180,6 +180,16 @@
 	delete(a.open, id)
 }
 
+// IsOpen reports whether a turn is granted and not settled.
+func (l *Ledger) IsOpen(key model.ProgramKey, id model.RequestID) bool {
+	a := l.accounts[key]
+	if a == nil {
+		return false
+	}
+	_, ok := a.open[id]
+	return ok
+}
+
 // Uncovered returns the tokens that a program may have spent, as a Record, if its last
 // written record does not cover them, as after its first turn.
 func (l *Ledger) Uncovered(key model.ProgramKey) (Record, bool) {
