--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -18,8 +18,10 @@
 
 	"mimosarelay/app/catalog"
 	"mimosarelay/app/conversations"
+	"mimosarelay/app/pacing"
 	"mimosarelay/app/relay"
 	"mimosarelay/app/turns"
+	"mimosarelay/core/cold"
 	"mimosarelay/core/evidence"
 	coreingress "mimosarelay/core/ingress"
 	"mimosarelay/core/model"
@@ -27,6 +29,7 @@
 	"mimosarelay/io/ingress"
 	"mimosarelay/io/metrics"
 	"mimosarelay/io/peer"
+	"mimosarelay/io/target"
 )
 
 // Dialect reads and writes the header fields that callers and targets use.
@@ -48,6 +51,9 @@
 	// Keeper makes the host a keeper instead of an entry host. Keepers count the
 	// turns of programs for all entry hosts.
 	Keeper bool
+	// Standby makes a keeper with an empty disk wait until the fleet needs it. It is
+	// for deployments that run a keeper on each machine with a disk.
+	Standby bool
 
 	// Keyspace returns a view of the store that holds the keys under a prefix.
 	Keyspace func(prefix string) store.Store
@@ -70,10 +76,16 @@
 	TurnFolder   conversations.Folder
 	TurnCapacity int64
 	TurnCopies   int
+	// Cold bounds the requests to targets that are cold, and Prober asks such targets
+	// for their state.
+	Cold         cold.Bound
+	HealthProber func(*target.Client) pacing.HealthProber
 	// Quotas limits the rates of workspaces, and Budgets the tokens of each
 	// program.
 	Quotas  bool
 	Budgets bool
+	// Health judges targets by the outcomes of requests.
+	Health bool
 	// Lifetime is how long a configuration may be used after the request to the
 	// store that last confirmed it.
 	Lifetime time.Duration
@@ -117,6 +129,12 @@
 	renewInterval   = 500 * time.Millisecond
 	renewTimeout    = 500 * time.Millisecond
 	minLeaseMissing = 300 * time.Millisecond
+	// awayLimit ends the right to act of the last one or two keepers while they
+	// cannot renew their leases. Hosts serve requests that need a key for 4.6 s after
+	// the last confirmation of the configuration (bound of 5 s less 400 ms), so that
+	// a longer time would serve few more. Another keeper that observes the loss of
+	// all earlier ones acts about 8 s after it, within recovery_s (12 s).
+	awayLimit = 5 * time.Second
 	// minStoreReachable covers a renewal that just failed (renewTimeout),
 	// renewInterval until the next one and the calls that acquire a lease.
 	minStoreReachable = renewInterval + renewTimeout + 200*time.Millisecond
@@ -282,7 +300,12 @@
 		}
 		run(l.name, func() error { return l.serve(ln) })
 	}
-	run("catalog", func() error { return h.catalog.Run(ctx) })
+	run("catalog", func() error {
+		if h.keeper != nil && !h.keeper.awaitJoined(ctx) {
+			return nil
+		}
+		return h.catalog.Run(ctx)
+	})
 	if h.keeper != nil {
 		h.keeper.start(ctx, run)
 	} else {
--- a/app/entry/entryhost.go
+++ b/app/entry/entryhost.go
@@ -21,10 +21,20 @@
 	coreplacement "mimosarelay/core/placement"
 	"mimosarelay/core/presence"
 	"mimosarelay/core/store"
+	"mimosarelay/core/suspect"
 	"mimosarelay/io/ingress"
 	"mimosarelay/io/target"
 )
 
+const (
+	// harmlessRequests is the number of requests that are remembered as harmless, about
+	// 2 MB on the smallest hosts.
+	harmlessRequests = 1 << 13
+	// trialLifetime is how long the claim of a lost host keeps a request from its next
+	// trial. It is longer than the time limit of usual routes.
+	trialLifetime = time.Minute
+)
+
 // entryHost is the part of a Host that serves callers. It is not a member of the
 // fleet but gets the membership, the configuration and the targets from keepers.
 type entryHost struct {
@@ -35,6 +45,7 @@
 	relay     *relay.Service
 	targets   *target.Client
 	callers   *ingress.Server
+	cold      *pacing.ColdTargets
 }
 
 func newEntryHost(h *Host) *entryHost {
@@ -42,11 +53,20 @@
 	o := h.options
 	control := o.Keyspace(controlPrefix)
 	e.targets = target.NewClient(target.Options{DialTimeout: dialTimeout})
+	var targetOutcomes follow.Outcomes
+	var targetLoads follow.Loads
+	var health *placement.HealthOptions
+	if o.Health {
+		targetOutcomes, health = placementOutcomes{e}, &placement.HealthOptions{Scope: h.metrics.Scope}
+		targetLoads = placementOutcomes{e}
+	}
 	e.follow = follow.NewClient(follow.Options{
 		Self: presence.Host{Host: o.Host, CallerAddress: o.CallerAddress, PeerAddress: o.PeerAddress},
 		Zone: o.Zone, Store: control, RecordKey: fleet.RecordKey, Peers: h.peers,
 		KnownLimit:      h.knownLimit,
 		SuspectsChanged: func(entries []store.Entry) { e.suspects.EntriesChanged(entries) },
+		Outcomes:        targetOutcomes,
+		Loads:           targetLoads,
 		StoreAway:       func() bool { return h.catalog.StoreAway() }, SettleWait: settleWait, Clock: o.Clock, Log: o.Log,
 	})
 	h.catalog = newCatalog(o, &follow.Source{Relays: e.follow, Peers: h.peers, Store: o.Source, Decode: o.Decode, Clock: o.Clock}, 0)
@@ -54,7 +74,8 @@
 	e.suspects = suspects.New(suspects.Options{
 		Host: o.Host, Self: o.PeerAddress, Peers: suspectPeers{h.peers, e}, Store: control, KeyPrefix: suspectPrefix,
 		Incarnation: func() model.Incarnation { return incarnation },
-		Clock:       o.Clock, Log: o.Log,
+		Bans:        suspect.ShortBans, Harmless: harmlessRequests, ClaimLifetime: trialLifetime,
+		Clock: o.Clock, Log: o.Log,
 	})
 	e.placement = placement.New(placement.Options{
 		Host: o.Host, Hosts: e.hosts, Snapshot: h.snapshot, Prober: e.targets,
@@ -63,21 +84,27 @@
 			Choice:    coreplacement.CacheAware{CallCost: requestCostTokens, Slack: requestCostTokens},
 			Retention: coreplacement.HoldThroughPause{TokenTime: prefillTokenTime},
 		},
+		Health:       health,
 		MinHostLimit: minHostLimit, QueueWait: queueWait, ChangeDelay: limitRaiseDelay, Clock: o.Clock, Log: o.Log,
 	})
 	var turnClient relay.Turns
 	if o.Budgets {
 		turnClient = &turns.Client{Owners: e.follow, Peers: h.peers, Isolated: e.follow.Isolated, Clock: o.Clock, Log: o.Log}
 	}
-	pacer := pacing.NewClient(e.follow, h.peers, o.Clock, o.Log)
+	e.cold = pacing.NewColdTargets(pacing.ColdOptions{
+		View: h.catalog.Latest, Bound: o.Cold, Prober: o.HealthProber(e.targets), Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
+	})
+	pacer := pacing.NewClient(e.follow, h.peers, e.cold, o.Clock, o.Log)
+	h.catalog.OnTargets(e.cold.SetTargets)
 	h.catalog.OnChange(func(v *coreingress.View) {
+		e.cold.ViewChanged(v)
 		pacer.Retain(func(id model.TargetID) bool { _, ok := v.Target(id); return ok })
 	})
 	e.relay = relay.New(relay.Options{
 		Conversations: conversations.NewClient(conversations.ClientOptions{
 			Zone: o.Zone, Keepers: e.follow.TurnKeepers, Copies: max(1, o.TurnCopies), Peers: h.peers, Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
 		}),
-		Turns: turnClient, Departures: h.catalog, Pacer: pacer, Pauser: e.placement,
+		Turns: turnClient, Departures: h.catalog, Pacer: pacer, Pauser: e.placement, Zones: h.catalog,
 		Limiter: limiter{e}, Rights: e.follow, Placer: placer{e.placement}, Suspects: e.suspects, Targets: e.targets,
 		Dialect: o.Dialect, Loads: e.placement, Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
 	})
@@ -99,6 +126,7 @@
 
 func (e *entryHost) start(ctx context.Context, run func(string, func() error)) {
 	run("placement", func() error { return e.placement.Run(ctx) })
+	run("cold targets", func() error { return e.cold.Run(ctx) })
 	run("follow", func() error { return e.follow.Run(ctx) })
 }
 
--- a/app/fleet/lease.go
+++ b/app/fleet/lease.go
@@ -42,6 +42,9 @@
 	if stopped {
 		return nil
 	}
+	if stays, err := s.waitAsStandby(ctx); stays || err != nil {
+		return err
+	}
 	if lease != "" {
 		err := s.renewLease(ctx, lease)
 		if err != nil && !errors.Is(err, store.ErrLeaseLapsed) {
@@ -49,7 +52,7 @@
 		}
 	}
 	s.mu.Lock()
-	lease, attached := s.lease, s.attached
+	lease, attached := s.lease, s.attached && s.limitStatedLocked()
 	s.mu.Unlock()
 	if lease == "" {
 		if err := s.acquireLease(ctx); err != nil {
@@ -59,7 +62,24 @@
 	if attached {
 		return nil
 	}
-	return s.joinFleet(ctx)
+	err := s.joinFleet(ctx)
+	switch {
+	case errors.Is(err, errNotNeeded):
+		s.returnToStandby(ctx)
+		return nil
+	case err == nil && s.wasJoined():
+		s.joinOnce.Do(func() { close(s.joined) })
+		s.releaseStandby(ctx)
+	}
+	return err
+}
+
+// limitStatedLocked reports whether the membership record states the AwayLimit of
+// this host, as far as it is known. A process of an earlier version that writes the
+// record drops it. mu is held.
+func (s *Service) limitStatedLocked() bool {
+	m, ok := s.latest.Member(s.self.Host)
+	return !ok || m.Incarnation != s.self.Incarnation || m.AwayLimit == s.self.AwayLimit
 }
 
 // renewLease renews the lease and records the result. A lapsed lease is dropped.
@@ -90,7 +110,7 @@
 	ctx, cancel := s.withCallTimeout(ctx)
 	defer cancel()
 	self := s.Self()
-	id, err := s.options.Store.Hold(ctx, s.leaseKey(self.Host), []byte(self.Incarnation), s.options.LeaseTTL)
+	id, err := s.options.Store.Hold(ctx, s.leaseKey(self.Host), []byte(leaseValuePrefix+self.PeerAddress), s.options.LeaseTTL)
 	s.recordStoreResult(err)
 	if err != nil {
 		return fmt.Errorf("acquire lease of host %q: %w", self.Host, err)
@@ -116,12 +136,18 @@
 	record, err := s.updateRecord(ctx, func(r member.Record) (member.Record, error) {
 		switch {
 		case r.Has(self.Host, self.Incarnation):
-			return r, nil
+			return r.Attached(self)
 		case joinedBefore || s.joinOutcomeUnknown():
 			return r, errIncarnationRemoved
+		case !s.joinsFleetOf(r):
+			return r, errNotNeeded
 		}
 		before = &r
-		return r.Join(self)
+		next, err := r.Join(self)
+		if errors.Is(err, member.ErrHostNameInUse) {
+			return s.replaceMember(ctx, r, self)
+		}
+		return next, err
 	})
 	s.recordStoreResult(err)
 	if errors.Is(err, errIncarnationRemoved) {
@@ -139,7 +165,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !joinedBefore {
-		s.joinEpoch = record.Epoch
+		s.joinEpoch, s.everJoined = record.Epoch, true
 		if before != nil {
 			s.right.Joined(*before, record.Epoch)
 		}
@@ -149,6 +175,41 @@
 	return nil
 }
 
+// replaceMember returns the record in which this host takes the place of a member of
+// the same name at another address. That member is gone or cut off: this host has
+// acquired the lease of the name. The lease is read after the record, as in
+// removeUnleased, because the member may have acquired it again.
+func (s *Service) replaceMember(ctx context.Context, r member.Record, self member.Member) (member.Record, error) {
+	old, _ := r.Member(self.Host)
+	held, err := s.leaseHeld(ctx, old)
+	if err != nil {
+		return r, err
+	}
+	if held {
+		return r, fmt.Errorf("member at %s holds its lease: %w", old.PeerAddress, member.ErrHostNameInUse)
+	}
+	next, err := r.Replace(s.silentFor(r), self)
+	if err == nil {
+		s.options.Log.Info("replacing a member of the same name", "host", self.Host, "address", self.PeerAddress, "replaced_address", old.PeerAddress, "epoch", next.Epoch)
+	}
+	return next, err
+}
+
+// wasJoined reports whether an incarnation of this process has joined.
+func (s *Service) wasJoined() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.everJoined
+}
+
+// joinsFleetOf reports whether this host should join the fleet of r. Another standby
+// may have joined since it decided to.
+func (s *Service) joinsFleetOf(r member.Record) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.options.Standby == nil || s.everJoined || s.shouldJoinLocked(r)
+}
+
 // joinOutcomeUnknown reports whether the answer to a join of this incarnation was
 // lost. The incarnation may have joined and been removed since.
 func (s *Service) joinOutcomeUnknown() bool {
--- a/app/follow/keeper.go
+++ b/app/follow/keeper.go
@@ -13,6 +13,8 @@
 
 	"mimosarelay/app/conversations"
 	"mimosarelay/core/conversation"
+	"mimosarelay/core/health"
+	"mimosarelay/core/loadboard"
 	"mimosarelay/core/member"
 	"mimosarelay/core/model"
 	"mimosarelay/core/presence"
@@ -59,6 +61,8 @@
 	suspects     []*peerpb.StoredEntry // requests that crash targets
 	// suspectsVersion is a hash of suspects.
 	suspectsVersion uint64
+	outcomes        *health.Aggregator // nil until a host reports outcomes
+	loads           *loadboard.Board   // nil until a host reports loads
 }
 
 // SuspectsChanged applies the stored requests that crash targets, which entry hosts
@@ -113,6 +117,8 @@
 	}
 	k.addDisks(res, r.GetKnownDisks())
 	k.addSuspects(res, r.GetKnownSuspects())
+	k.addOutcomes(k.Clock.Now(), r, res)
+	k.addLoads(k.Clock.Now(), r, res)
 	return res, nil
 }
 
--- a/app/relay/forward.go
+++ b/app/relay/forward.go
@@ -1,15 +1,18 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
+	"mimosarelay/app/suspects"
 	"mimosarelay/core/config"
 	"mimosarelay/core/conversation"
 	"mimosarelay/core/dispatch"
@@ -119,8 +122,12 @@
 	fingerprint  model.Fingerprint
 	pinnedTarget model.TargetID // the only target to try, after dispatch.Again
 	place        Place
-	lease        TurnLease // nil without a program budget
+	granted      pacing.Granted   // of the current place
+	avoid        []model.TargetID // targets that are not tried as long as there are others
+	trial        *suspects.Run    // claim of the current attempt; nil for most requests
+	lease        TurnLease        // nil without a program budget
 	started      time.Time
+	sentAt       time.Time // when the present attempt was sent
 	// chain is the conversation of a turn that is kept.
 	chain conversation.ChainID
 	// targetBody is the body for targets. It differs from Body for a turn that
@@ -131,7 +138,7 @@
 // fingerprint identifies the content that a target gets. The same input is another
 // content in another conversation.
 func (f *Forward) fingerprint() model.Fingerprint {
-	parts := [][]byte{[]byte(f.Workspace), []byte(f.URI), f.Body}
+	parts := [][]byte{[]byte(f.Workspace), []byte(f.Method), []byte(f.URI), f.Body}
 	if f.Route.Retention > 0 {
 		parts = append(parts, []byte(f.Previous))
 	}
@@ -231,7 +238,10 @@
 		Workspace: c.Workspace, Program: c.Program, Exclude: c.attempts.Exclude,
 		Prompt: c.Prompt.Tokens, MaxTokens: c.Prompt.MaxTokens,
 		Prefixes: c.Prompt.Prefixes, PrefixTokens: c.Prompt.PrefixTokens, Fingerprint: c.fingerprint,
-		Model: model.ModelID(c.Service.ID),
+		Model: model.ModelID(c.Service.ID), Repeatable: c.Route.Repeatable(),
+	}
+	if len(c.avoid) > 0 {
+		r.Exclude = slices.Concat(r.Exclude, c.avoid)
 	}
 	if c.Object != "" {
 		r.Object = max(1, xxhash.Sum64String(c.Object))
@@ -245,11 +255,10 @@
 
 // forwardOnce makes one attempt. On an error, Next is nil if no attempt was made.
 func (s *Service) forwardOnce(ctx context.Context, c *forwardCall) (*Answer, dispatch.Next, error) {
-	place, err := s.acquirePlace(ctx, c)
+	place, err := s.startAttempt(ctx, c)
 	if err != nil {
 		return nil, nil, err
 	}
-	c.place = place
 	resp, err := s.dispatch(ctx, c, c.LastEvent)
 	if err != nil {
 		next := s.handleFailedAttempt(ctx, c, err)
@@ -259,14 +268,20 @@
 		return s.forwardStream(ctx, c, resp), nil, nil
 	}
 	headers := endToEndHeaders(resp.Message())
-	status := resp.Status()
+	status, survived := resp.Status(), showsSurvival(resp)
 	body, err := resp.ReadAll(maxAnswer)
 	_ = resp.Close()
 	if err != nil {
 		next := s.handleFailedAttempt(ctx, c, err)
 		return nil, next, err
 	}
-	place.Release(placement.Usage{Prompt: c.Prompt.Tokens})
+	s.endRun(c, survived)
+	recordOutcome(place, answerOutcome(status))
+	usage := placement.Usage{Prompt: c.Prompt.Tokens}
+	if status < fasthttp.StatusBadRequest { // an error takes another time than an answer
+		usage.Work, usage.Kind = s.Clock.Since(c.sentAt), c.workKind("")
+	}
+	place.Release(usage)
 	c.endTurn(0)
 	s.logRequestEnded(c, status, true, 0)
 	return &Answer{Status: status, Headers: headers, Body: newBytesBody(body), Length: len(body)}, nil, nil
@@ -282,24 +297,20 @@
 	}
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	req.Header.SetNoDefaultContentType(true)
-	req.Header.DisableNormalizing()
-	req.Header.SetMethod(c.Method)
-	req.Header.SetRequestURI(c.URI)
+	beginHead(req, c.Method, c.URI)
 	for _, h := range c.Headers {
 		addHeader(&req.Header, h)
 	}
 	req.SetBodyRaw(c.targetBody)
 	s.Dialect.Encode(req, c.Forward, Dispatch{Target: t, TimeLeft: left, LastEvent: lastEvent})
 	var reply Reply // of the response that belongs to the request
-	var sentAt time.Time
 	resp, err := s.Targets.Do(ctx, t.Address, req, target.CallOptions{
 		Fresh:           c.attempts.Count() > 0,
 		MaxConnIdleTime: c.maxConnIdle(),
 		IdleTimeout:     left,
 		BeforeSend: func() error {
-			sentAt = s.Clock.Now()
-			return s.checkBeforeForward(ctx)
+			c.sentAt = s.Clock.Now()
+			return cmp.Or(s.checkBeforeForward(ctx), s.checkTarget(c))
 		},
 		Match: func(m *fasthttp.Response) bool {
 			reply = s.Dialect.Decode(m)
@@ -317,7 +328,7 @@
 		s.Departures.MarkLeaving(t.Name)
 	}
 	if s.Pacer != nil {
-		s.Pacer.Observe(t.Name, reply.StatedRate, reply.StatesRate, sentAt)
+		s.Pacer.Observe(t.Name, reply.StatedRate, reply.StatesRate, c.sentAt)
 	}
 	if reply.NotRun {
 		status := resp.Status()
@@ -328,17 +339,9 @@
 	return resp, nil
 }
 
-// addHeader adds a header field to a request. Add of fasthttp removes the quotes around
-// the values of cookies.
-func addHeader(r *fasthttp.RequestHeader, h Header) {
-	if h.Name != fasthttp.HeaderCookie || !strings.Contains(h.Value, `"`) {
-		r.Add(h.Name, h.Value)
-		return
-	}
-	for cookie := range strings.SplitSeq(h.Value, ";") {
-		name, value, _ := strings.Cut(strings.TrimSpace(cookie), "=")
-		r.SetCookie(name, value)
-	}
+// workKind identifies the requests whose answers take comparable times.
+func (c *forwardCall) workKind(suffix string) placement.WorkKind {
+	return placement.WorkKind(xxhash.Sum64String(string(c.Service.ID) + "\n" + c.Route.Name + suffix))
 }
 
 // errNotRun reports that the target rejected a request without running it.
@@ -368,6 +371,8 @@
 // returns the next step.
 func (s *Service) handleFailedAttempt(ctx context.Context, c *forwardCall, cause error) dispatch.Next {
 	t := c.place.Target()
+	recordOutcome(c.place, failureOutcome(ctx, cause))
+	defer s.endRun(c, false) // after the crash was recorded
 	var outcome dispatch.Outcome
 	failed := false
 	var refusal *model.Refusal
@@ -378,8 +383,10 @@
 	case errors.Is(cause, errNotRun):
 		outcome = dispatch.NotRun{}
 	case errors.Is(cause, target.ErrNotSent):
+		s.recordLost(ctx, t.Name, cause)
 		outcome, failed = dispatch.Unsent{}, ctx.Err() == nil
 	default:
+		s.recordLost(ctx, t.Name, cause)
 		s.Targets.DropIdle(t.Address)
 		gone := !errors.Is(cause, target.ErrIdle) && s.Targets.Unreachable(ctx, t.Address)
 		outcome, failed = dispatch.Lost{Gone: gone}, gone
--- a/app/relay/interfaces.go
+++ b/app/relay/interfaces.go
@@ -10,6 +10,7 @@
 	"mimosarelay/app/suspects"
 	"mimosarelay/core/config"
 	"mimosarelay/core/conversation"
+	"mimosarelay/core/health"
 	"mimosarelay/core/model"
 	"mimosarelay/core/pacing"
 	"mimosarelay/core/placement"
@@ -69,6 +70,14 @@
 	Release(u placement.Usage)
 }
 
+// OutcomeRecorder is implemented by places that judge their target by the outcomes of
+// requests.
+type OutcomeRecorder interface {
+	// Record counts how an attempt ended, or that a stream has started. It is called
+	// before Release.
+	Record(o health.Outcome)
+}
+
 // Placer chooses targets and limits the calls in flight at each.
 type Placer interface {
 	// Acquire waits for a place. Errors are *model.Refusal.
@@ -79,10 +88,12 @@
 type Pauser interface {
 	// Pause takes a target out of use for a time.
 	Pause(id model.TargetID, d time.Duration)
+	// PauseCold is like Pause for a target that is cold.
+	PauseCold(id model.TargetID, d time.Duration)
 }
 
 // Pacer limits the requests that all hosts together send to targets that state how
-// many they take.
+// many they take, and to cold targets.
 type Pacer interface {
 	// Observe records the rate that a target states in a response. stated is false
 	// if the response has none. sentAt is when its request was sent.
@@ -90,6 +101,13 @@
 	// Take decides whether a request may be sent to a target. It is denied if it
 	// would have to wait for longer than maxDelay.
 	Take(ctx context.Context, id model.TargetID, maxDelay time.Duration) pacing.Decision
+	// Cold reports whether a target is cold, or may be.
+	Cold(id model.TargetID) bool
+	// ColdTargets returns the targets that are cold, or may be.
+	ColdTargets() []model.TargetID
+	// Lost records that a target refused a connection or broke one. down says that its
+	// machine answered so, and not that it did not answer.
+	Lost(id model.TargetID, down bool)
 }
 
 // Suspects tracks requests that crash targets.
@@ -100,6 +118,12 @@
 	// Check returns a *model.Refusal if the request may not run at any target.
 	// exclusive means that it may run once more, without a second attempt.
 	Check(f model.Fingerprint) (exclusive bool, err error)
+	// OnTrial reports whether a run of the request must be claimed by Begin, because
+	// the request was banned before.
+	OnTrial(f model.Fingerprint) bool
+	// RecordSuccess records that a target survived a whole run of a request that was
+	// not claimed.
+	RecordSuccess(f model.Fingerprint)
 	// RecordCrash records a crash and notifies all peers before it returns.
 	RecordCrash(ctx context.Context, f model.Fingerprint, target model.TargetID)
 }
@@ -149,6 +173,12 @@
 	Report(id model.TargetID, l placement.Load)
 }
 
+// Zones knows which zones operators evacuate.
+type Zones interface {
+	// Evacuated returns the zones whose targets get no new request.
+	Evacuated() []model.Zone
+}
+
 // Departures learns which targets are leaving.
 type Departures interface {
 	// MarkLeaving records that a target said in a response that it is leaving. It
--- a/cmd/managed.go
+++ b/cmd/managed.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -15,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"mimosarelay/app/entry"
+	"mimosarelay/core/cold"
 	"mimosarelay/io/boottime"
 	"mimosarelay/io/logsink"
 	"mimosarelay/platform"
@@ -37,7 +39,7 @@
 )
 
 // runManaged runs a host with the settings of the platform on which it is deployed.
-func runManaged(ctx context.Context, logs io.Writer) (runErr error) {
+func runManaged(ctx context.Context, logs io.Writer, standby bool) (runErr error) {
 	boot, err := platform.LoadBoot()
 	if err != nil {
 		return err
@@ -61,9 +63,13 @@
 		},
 		Readiness:       func(ready func() (bool, string)) fasthttp.RequestHandler { return platform.Readiness(ready).Handle },
 		Evacuations:     client,
+		Cold:            cold.Bound{Over: cmp.Or(boot.Bounds.ColdOver, 1), Slack: boot.Bounds.ColdSlack},
+		HealthProber:    platform.NewHealthProber,
 		Quotas:          boot.Quotas,
 		Budgets:         boot.Programs,
+		Health:          boot.Health,
 		Keeper:          boot.CallerAddress == "",
+		Standby:         standby,
 		Lifetime:        boot.Bounds.Revoke - revokeMargin,
 		FinalRefusalAge: boot.Bounds.Config - configMargin,
 		Grace:           boot.Bounds.Grace,
--- a/core/config/diff.go
+++ b/core/config/diff.go
@@ -53,8 +53,9 @@
 
 func (d *differ) compareStructs(path string, a, b reflect.Value) {
 	for i := range a.NumField() {
-		name, _ := yamlTag(a.Type().Field(i))
-		d.compare(joinPath(path, name), a.Field(i), b.Field(i))
+		if name, _ := yamlTag(a.Type().Field(i)); name != notInFile {
+			d.compare(joinPath(path, name), a.Field(i), b.Field(i))
+		}
 	}
 }
 
--- a/core/placement/dump.go
+++ b/core/placement/dump.go
@@ -1,9 +1,12 @@
 package placement
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"mimosarelay/core/model"
+	"mimosarelay/core/spill"
 )
 
 // Dump is the state of a Scheduler for operators.
@@ -15,6 +18,16 @@
 	Held     int // programs held at a target during a pause
 	Targets  []TargetDump
 	Shares   []ShareDump
+	Zones    []ZonesDump // services whose calls are kept in the zone of the host
+}
+
+// ZonesDump is the decision on zones for one service.
+type ZonesDump struct {
+	Model    model.ModelID
+	Share    float64    // of the calls that leave the zone of the host
+	Zone     model.Zone // that gets them
+	Anywhere bool
+	Views    []spill.Zone // that of the host is the first
 }
 
 // TargetDump is a target's state at this host.
@@ -25,7 +38,9 @@
 	Skip       bool
 	Load       float64 // calls of all hosts: the last report and this host's changes since
 	ReportedAt time.Time
-	Held       int // programs held here during a pause
+	Held       int     // programs held here during a pause
+	Speed      float64 // learned time of work, relative to the other targets
+	Slowness   float64 // as last stated by the target; 0: not stated
 }
 
 // ShareDump is the fair-share state of a workspace that has calls.
@@ -47,6 +62,7 @@
 		d.Targets = append(d.Targets, TargetDump{
 			Target: t.ID, Limit: t.Limit, InFlight: len(t.inFlight), Skip: t.Skip,
 			Load: t.estimatedCalls(t.load.At), ReportedAt: t.load.At, Held: t.heldPrograms,
+			Speed: t.speedFactor(), Slowness: t.load.Slowness,
 		})
 	}
 	for _, sh := range s.shares {
@@ -54,5 +70,13 @@
 			d.Shares = append(d.Shares, ShareDump{Workspace: sh.workspace, Weight: sh.weight, Virtual: sh.virtualTime, Calls: sh.calls})
 		}
 	}
+	for key, p := range s.pools {
+		if p.spill != nil {
+			d.Zones = append(d.Zones, ZonesDump{
+				Model: key.model, Share: p.spill.Share(), Zone: p.spill.Zone(), Anywhere: p.spill.Anywhere(), Views: slices.Clone(p.views),
+			})
+		}
+	}
+	slices.SortFunc(d.Zones, func(a, b ZonesDump) int { return cmp.Compare(a.Model, b.Model) })
 	return d
 }
