buffer: a request without a body does not crash a slow host

When more than 100 ms pass between the header and the body, the request is decided on again and reads the content of its buffer, which is nil without a body; the process ended with a nil pointer dereference (seen in go test ./platform at a load of 45). TestNilBufferHasNoContent panics without the check and passes with it.

--- a/io/buffer/buffer.go
+++ b/io/buffer/buffer.go
@@ -154,8 +154,13 @@
 	return err
 }
 
-// Bytes returns the content. It is valid until Release.
-func (b *Buffer) Bytes() []byte { return b.data }
+// Bytes returns the content. It is valid until Release. A nil Buffer has none.
+func (b *Buffer) Bytes() []byte {
+	if b == nil {
+		return nil
+	}
+	return b.data
+}
 
 // Release returns the memory. A nil Buffer has none. The buffer must not be used afterwards.
 func (b *Buffer) Release() {
--- a/io/buffer/buffer_test.go
+++ b/io/buffer/buffer_test.go
@@ -69,3 +69,12 @@
 		})
 	}
 }
+
+// Guards against a crash of the process for a request without a body, whose buffer is
+// nil, that is decided on again because the host was slow.
+func TestNilBufferHasNoContent(t *testing.T) {
+	t.Parallel()
+	var b *buffer.Buffer
+	assert.Equal(t, len(b.Bytes()), 0)
+	b.Release()
+}
