--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -26,6 +26,7 @@
 	coreingress "mimosarelay/core/ingress"
 	"mimosarelay/core/memory"
 	"mimosarelay/core/model"
+	"mimosarelay/core/placement"
 	"mimosarelay/core/store"
 	"mimosarelay/io/ingress"
 	"mimosarelay/io/metrics"
@@ -42,8 +43,10 @@
 // Options configures a Host. Addresses are IP:port; those for callers are empty on
 // hosts that serve none.
 type Options struct {
-	Host             model.HostID
-	Zone             model.Zone
+	Host model.HostID
+	Zone model.Zone
+	// Zones configures which calls are kept in the zone.
+	Zones            placement.Zones
 	CallerAddress    string
 	ReadyAddress     string
 	DirectoryAddress string
