placement: speeds known from other hosts count for zones; settings: test skips fields outside documents

The decision on zones took only targets that this host had measured for known. A target that was judged by shared measurements now counts with its speed. TestSamplesNameEveryOption asked for an option named "-", the tag of fields that are not part of a document (config.Target.Slots); it skips them and checks all others as before.

--- a/app/settings/settings_test.go
+++ b/app/settings/settings_test.go
@@ -86,6 +86,9 @@
 	var names []string
 	for f := range t.Fields() {
 		name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+		if name == "-" {
+			continue // not part of the document
+		}
 		names = append(names, name)
 		e := f.Type
 		if e.Kind() == reflect.Slice {
--- a/core/placement/speed.go
+++ b/core/placement/speed.go
@@ -58,6 +58,7 @@
 	observedAt time.Time
 	class      int // speedStep to this power is the factor
 	factor     float64
+	judged     bool // factor is known; 0 stands for 1
 }
 
 func (v *speed) add(sample float64, now time.Time) {
@@ -80,6 +81,7 @@
 // judge sets the class of a target whose median differs from the usual one by ratio, a
 // logarithm.
 func (v *speed) judge(ratio float64, now time.Time) {
+	v.judged = true
 	age := max(0, now.Sub(v.observedAt))
 	ratio *= math.Exp2(-float64(age) / float64(speedHalfLife))
 	x := ratio / math.Log(speedStep)
--- a/core/placement/zones.go
+++ b/core/placement/zones.go
@@ -94,7 +94,7 @@
 type zoneReports struct {
 	usable         int
 	slots          float64
-	judged         float64 // targets whose speed was measured
+	judged         float64 // targets whose speed is known
 	factors        float64 // of the judged targets
 	weights        float64 // of the reports, by age
 	load, known    float64 // weighted calls and slots
@@ -109,7 +109,7 @@
 		}
 		r.usable++
 		r.slots += float64(t.slots())
-		if t.speed.count >= minSpeedSamples {
+		if t.speed.judged {
 			r.judged++
 			r.factors += t.speedFactor()
 		}
