placement: a speed without further measurements is forgotten

A target that was judged by the measurements of other hosts kept its class when these ended and this host had too few of its own. TestSpeedWithoutMeasurementsIsForgotten fails before and passes now.

--- a/core/placement/speed.go
+++ b/core/placement/speed.go
@@ -168,6 +168,8 @@
 			t.speed.judge(m-usual, now)
 		} else if m, enough := t.ownMedian(now); enough && ownOK {
 			t.speed.judge(m-ownUsual, now)
+		} else if t.speed.judged && now.Sub(t.speed.observedAt) >= speedHalfLife {
+			t.speed.judge(0, now)
 		}
 	}
 }
--- a/core/placement/speed_test.go
+++ b/core/placement/speed_test.go
@@ -139,3 +139,17 @@
 		})
 	}
 }
+
+// Guards against a target that stays slow for ever because nothing more is known of it.
+func TestSpeedWithoutMeasurementsIsForgotten(t *testing.T) {
+	s := speedTargets(t)
+	addCall(t, s, start, 1, Request{Workspace: "w"}) // makes the pool
+	a := s.targets["a"]
+	a.speed.observedAt = start
+	a.speed.judge(1, start) // as by shared measurements
+	assert.Assert(t, a.speedFactor() > 2)
+	s.Tick(start.Add(speedHalfLife / 2))
+	assert.Assert(t, a.speedFactor() > 2)
+	s.Tick(start.Add(speedHalfLife))
+	assert.Equal(t, a.speedFactor(), 1.0)
+}
