--- a/app/settings/settings_test.go
+++ b/app/settings/settings_test.go
@@ -87,7 +87,7 @@
 	for f := range t.Fields() {
 		name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
 		if name == "-" {
-			continue // not part of the file
+			continue // not part of the document
 		}
 		names = append(names, name)
 		e := f.Type
