--- a/app/entry/adapters.go
+++ b/app/entry/adapters.go
@@ -4,9 +4,13 @@
 	"context"
 	"errors"
 
+	"mimosarelay/app/limits"
 	"mimosarelay/app/placement"
 	"mimosarelay/app/relay"
 	"mimosarelay/core/config"
+	"mimosarelay/core/health"
+	"mimosarelay/core/limit"
+	"mimosarelay/core/loadboard"
 	"mimosarelay/core/model"
 	coreplacement "mimosarelay/core/placement"
 	"mimosarelay/io/peer"
@@ -23,6 +27,19 @@
 	return emptySnapshot
 }
 
+// knownLimit returns the limit of a workspace for the keepers that admit its requests.
+func (h *Host) knownLimit(id model.WorkspaceID) *peerpb.KnownLimit {
+	v, confirmed := h.catalog.Evidence()
+	if v == nil {
+		return nil
+	}
+	w, ok := v.Workspace(id)
+	if !ok {
+		return nil
+	}
+	return limits.EncodeKnown(limit.Known{Revision: v.Revision(), Rate: w.Rate, Burst: w.Burst, Confirmed: confirmed})
+}
+
 // limiter admits requests at the keepers if Options.Quotas is set.
 type limiter struct{ entry *entryHost }
 
@@ -46,6 +63,24 @@
 	return place, nil
 }
 
+// placementOutcomes adapts placement.Service to follow.Outcomes and follow.Loads. The service is made
+// after the follow client.
+type placementOutcomes struct{ entry *entryHost }
+
+// HealthReports implements follow.Outcomes.
+func (o placementOutcomes) HealthReports() []health.Report { return o.entry.placement.HealthReports() }
+
+// SetHealthHints implements follow.Outcomes.
+func (o placementOutcomes) SetHealthHints(h health.Hints) { o.entry.placement.SetHealthHints(h) }
+
+// HeardLoads implements follow.Loads.
+func (o placementOutcomes) HeardLoads() []loadboard.Report { return o.entry.placement.HeardLoads() }
+
+// SetSharedLoads implements follow.Loads.
+func (o placementOutcomes) SetSharedLoads(list []loadboard.Report) {
+	o.entry.placement.SetSharedLoads(list)
+}
+
 // suspectPeers adapts the peer client to suspects.Peers.
 type suspectPeers struct {
 	*peer.Client
--- a/app/entry/keeper.go
+++ b/app/entry/keeper.go
@@ -13,6 +13,7 @@
 	"mimosarelay/app/pacing"
 	"mimosarelay/app/turns"
 	"mimosarelay/core/conversation"
+	"mimosarelay/core/evidence"
 	coreingress "mimosarelay/core/ingress"
 	"mimosarelay/core/member"
 	"mimosarelay/core/model"
@@ -43,13 +44,15 @@
 		Holdings:       func(e model.Epoch) map[model.WorkspaceID]int64 { return k.limits.Holdings(e) },
 		ConfigRevision: h.revision,
 		Log:            o.Log, Scope: h.metrics.Scope,
-		LeaseTTL: leaseTTL, Margin: leaseMargin, RenewInterval: renewInterval, RenewTimeout: renewTimeout,
+		LeaseTTL: leaseTTL, Margin: leaseMargin, AwayLimit: awayLimit, RenewInterval: renewInterval, RenewTimeout: renewTimeout,
 		MinStoreReachable: minStoreReachable, MinLeaseMissing: minLeaseMissing,
+		Standby:           h.standbyOptions(),
 		HeartbeatInterval: heartbeatInterval, ConfirmationTTL: confirmationTTL, WatchPause: watchPause,
 	})
 	k.limits = limits.New(limits.Options{
 		Host: o.Host, Clock: o.Clock, Store: control, Peers: h.peers, MayAct: k.fleet.MayAct, LimitWait: limitWait,
 		SettleWait: settleWait, BurstSlack: burstSlack, Isolated: k.fleet.Isolated,
+		Confirmed: func() evidence.Stamp { return h.catalog.Confirmed() }, MaxAge: evidence.MaxAge(o.Lifetime),
 	})
 	k.turnOwner = turns.NewOwner(turns.OwnerOptions{
 		Host: o.Host, ShardOwnership: k.fleet, Store: o.Keyspace(budgetPrefix), Clock: o.Clock, Log: o.Log,
@@ -59,7 +62,8 @@
 		Relays: storeReaderRelays{k}, Peers: h.peers, Store: o.Source, Decode: o.Decode, Clock: o.Clock, StoreWithoutKeepers: true, MaxWait: relayedConfigWait,
 	}, targetWatchWait)
 	k.pacing = pacing.NewOwner(o.Clock)
-	k.followers = &follow.Keeper{Fleet: k.fleet, Limits: k.limits, Clock: o.Clock}
+	k.pacing.Shards = k.fleet
+	k.followers = &follow.Keeper{Fleet: k.fleet, Limits: k.limits, Learn: k.limits.LearnFrom, Clock: o.Clock}
 	k.openTurns(control)
 	k.fleet.Subscribe(suspectPrefix, k.followers.SuspectsChanged)
 	k.fleet.Subscribe(limits.EnterPrefix, k.limits.EntriesChanged)
@@ -74,9 +78,19 @@
 		run("evacuation", func() error { return k.runEvacuation(ctx) })
 	}
 	if k.turns != nil {
-		run("conversations", func() error { return k.turns.Run(ctx) })
+		run("conversations", func() error {
+			if !k.awaitJoined(ctx) {
+				return nil
+			}
+			return k.turns.Run(ctx)
+		})
 	}
-	run("budgets", func() error { return k.turnOwner.Run(ctx) })
+	run("budgets", func() error {
+		if !k.awaitJoined(ctx) {
+			return nil
+		}
+		return k.turnOwner.Run(ctx)
+	})
 	run("fleet", func() error { return k.fleet.Run(ctx) })
 }
 
--- a/app/follow/keeper.go
+++ b/app/follow/keeper.go
@@ -13,6 +13,8 @@
 
 	"mimosarelay/app/conversations"
 	"mimosarelay/core/conversation"
+	"mimosarelay/core/health"
+	"mimosarelay/core/loadboard"
 	"mimosarelay/core/member"
 	"mimosarelay/core/model"
 	"mimosarelay/core/presence"
@@ -45,6 +47,8 @@
 type Keeper struct {
 	Fleet  Fleet
 	Limits Limiter
+	// Learn receives the limits that entry hosts know; nil to ignore them.
+	Learn func(model.WorkspaceID, *peerpb.KnownLimit)
 	// Turns keeps turns of conversations; nil if this keeper does not.
 	Turns Turns
 	Clock clockwork.Clock
@@ -57,6 +61,8 @@
 	suspects     []*peerpb.StoredEntry // requests that crash targets
 	// suspectsVersion is a hash of suspects.
 	suspectsVersion uint64
+	outcomes        *health.Aggregator // nil until a host reports outcomes
+	loads           *loadboard.Board   // nil until a host reports loads
 }
 
 // SuspectsChanged applies the stored requests that crash targets, which entry hosts
@@ -111,6 +117,8 @@
 	}
 	k.addDisks(res, r.GetKnownDisks())
 	k.addSuspects(res, r.GetKnownSuspects())
+	k.addOutcomes(k.Clock.Now(), r, res)
+	k.addLoads(k.Clock.Now(), r, res)
 	return res, nil
 }
 
@@ -173,7 +181,11 @@
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, k.Clock, admitDecisionTimeout)
 	defer cancel()
-	err := k.Limits.Admit(ctx, model.WorkspaceID(r.GetWorkspace()))
+	workspace := model.WorkspaceID(r.GetWorkspace())
+	if k.Learn != nil {
+		k.Learn(workspace, r.GetKnown())
+	}
+	err := k.Limits.Admit(ctx, workspace)
 	if err == nil {
 		return &peerpb.AdmitResponse{Outcome: peerpb.AdmitResponse_GRANTED}, nil
 	}
--- a/app/relay/forward_answer.go
+++ b/app/relay/forward_answer.go
@@ -7,6 +7,8 @@
 	"io"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"mimosarelay/core/dispatch"
 	"mimosarelay/core/memory"
 	"mimosarelay/core/placement"
@@ -28,11 +30,11 @@
 // that, it is read at the pace of the caller, who then sees an incomplete answer.
 func (s *Service) forwardAnswer(ctx context.Context, c *forwardCall, resp *target.Response) (*Answer, dispatch.Next, error) {
 	answer := &Answer{Status: resp.Status(), Headers: endToEndHeaders(resp.Message())}
-	length := resp.Length()
+	length, survived := resp.Length(), showsSurvival(resp)
 	body, err := buffer.Read(ctx, c.Memory, resp, buffer.Options{Kind: memory.Answers, Length: length, Limit: maxAnswer, MaxWait: answerMemoryWait})
 	switch {
 	case errors.Is(err, memory.ErrFull):
-		answer.Body, answer.Length = &pacedAnswer{service: s, call: c, resp: resp, read: body, status: answer.Status}, length
+		answer.Body, answer.Length = &pacedAnswer{service: s, call: c, resp: resp, read: body, status: answer.Status, survived: survived}, length
 		return answer, nil, nil
 	case errors.Is(err, buffer.ErrTooLarge):
 		err = fmt.Errorf("%w: response body larger than %d bytes", target.ErrBroken, maxAnswer)
@@ -42,7 +44,13 @@
 		body.Release()
 		return nil, s.handleFailedAttempt(ctx, c, err), err
 	}
-	c.place.Release(placement.Usage{Prompt: c.Prompt.Tokens})
+	s.endRun(c, survived)
+	recordOutcome(c.place, answerOutcome(answer.Status))
+	usage := placement.Usage{Prompt: c.Prompt.Tokens}
+	if answer.Status < fasthttp.StatusBadRequest { // an error takes another time than an answer
+		usage.Work, usage.Kind = s.Clock.Since(c.sentAt), c.workKind("")
+	}
+	c.place.Release(usage)
 	c.endTurn(0)
 	s.logRequestEnded(c, answer.Status, true, 0)
 	answer.Body, answer.Length = &bufferedAnswer{body: body}, len(body.Bytes())
@@ -82,6 +90,8 @@
 	sent    int
 	whole   bool
 	status  int
+	// survived says that a whole answer shows that the target survived the run.
+	survived bool
 }
 
 // Read implements io.Reader.
@@ -110,6 +120,10 @@
 	a.read = nil
 	_ = a.resp.Close()
 	c := a.call
+	a.service.endRun(c, a.whole && a.survived)
+	if a.whole { // otherwise it is not known whether the caller or the target ended it
+		recordOutcome(c.place, answerOutcome(a.status))
+	}
 	c.place.Release(placement.Usage{Prompt: c.Prompt.Tokens})
 	c.endTurn(0)
 	a.service.logRequestEnded(c, a.status, a.whole, 0)
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"mimosarelay/core/loadboard"
 	"mimosarelay/core/model"
 )
 
@@ -50,6 +51,7 @@
 	sequence      uint64
 	targets       map[model.TargetID]*target
 	sortedTargets []*target // by ID
+	targetsByKey  map[loadboard.Key]*target
 	classes       map[classKey]*class
 	waiting       map[CallID]*call
 	running       map[CallID]*call
@@ -69,6 +71,8 @@
 	scored       []scoredTarget // reused by each decision
 	homes        []scoredHome   // reused by each decision
 	decision     uint64         // number of calls of findCached so far
+	pools        map[classKey]*pool
+	lastJudgment time.Time // of the speeds of targets
 }
 
 // NewScheduler returns a Scheduler without targets.
@@ -86,6 +90,7 @@
 		programs:      map[model.ProgramKey]*program{},
 		prefixes:      newPrefixIndex(),
 		fairLevel:     math.Inf(1),
+		pools:         map[classKey]*pool{},
 	}
 }
 
@@ -113,12 +118,16 @@
 	}
 	s.targets = targets
 	s.sortedTargets = slices.SortedFunc(maps.Values(targets), func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
+	s.indexKeys()
 	for _, t := range s.sortedTargets {
 		t.classes = nil
 	}
 	for _, c := range s.classes {
 		s.attachTargets(c)
 	}
+	for key, p := range s.pools {
+		s.attachPool(key, p)
+	}
 	return s.grantAllWaiting(now)
 }
 
@@ -172,6 +181,7 @@
 		}
 		s.classes[key] = c
 		s.attachTargets(c)
+		c.pool = s.poolFor(c)
 	}
 	return c
 }
@@ -391,6 +401,7 @@
 // grant starts a call at an available target of the class.
 func (s *Scheduler) grant(now time.Time, c *class, k *call) Grant {
 	t := s.chooseTarget(c, k, now)
+	k.pool = c.pool
 	s.dequeue(k)
 	delete(s.waiting, k.id)
 	s.running[k.id] = k
@@ -458,6 +469,9 @@
 		served = max(served, k.charged) // the target worked but did not report its usage
 	}
 	s.updatePromptScale(&k.request, u)
+	if k.pool != nil && !u.Failed {
+		k.pool.observe(t, u, now.Sub(k.started), now)
+	}
 	sh := s.shareOf(k.request.Workspace)
 	if k.request.Model != "" {
 		sh.engineCalls--
@@ -591,6 +605,7 @@
 func (s *Scheduler) Report(id model.TargetID, l Load) {
 	if t := s.targets[id]; t != nil {
 		t.setLoad(l)
+		t.sharing.heard = l
 	}
 }
 
@@ -635,6 +650,7 @@
 	if p, ok := s.options.Order.(FairShare); ok {
 		s.fairLevel = s.computeFairLevel(p)
 	}
+	s.updatePools(now)
 	s.releaseExpiredHolds(now)
 	moved := s.requeueExpiredPins(now)
 	if now.Sub(s.lastSweep) >= sweepInterval {
