--- a/app/relay/forward_answer.go
+++ b/app/relay/forward_answer.go
@@ -30,11 +30,11 @@
 // that, it is read at the pace of the caller, who then sees an incomplete answer.
 func (s *Service) forwardAnswer(ctx context.Context, c *forwardCall, resp *target.Response) (*Answer, dispatch.Next, error) {
 	answer := &Answer{Status: resp.Status(), Headers: endToEndHeaders(resp.Message())}
-	length := resp.Length()
+	length, survived := resp.Length(), showsSurvival(resp)
 	body, err := buffer.Read(ctx, c.Memory, resp, buffer.Options{Kind: memory.Answers, Length: length, Limit: maxAnswer, MaxWait: answerMemoryWait})
 	switch {
 	case errors.Is(err, memory.ErrFull):
-		answer.Body, answer.Length = &pacedAnswer{service: s, call: c, resp: resp, read: body, status: answer.Status}, length
+		answer.Body, answer.Length = &pacedAnswer{service: s, call: c, resp: resp, read: body, status: answer.Status, survived: survived}, length
 		return answer, nil, nil
 	case errors.Is(err, buffer.ErrTooLarge):
 		err = fmt.Errorf("%w: response body larger than %d bytes", target.ErrBroken, maxAnswer)
@@ -99,6 +99,8 @@
 	sent    int
 	whole   bool
 	status  int
+	// survived says that a whole answer shows that the target survived the run.
+	survived bool
 }
 
 // Read implements io.Reader.
