--- a/app/relay/forward_answer.go
+++ b/app/relay/forward_answer.go
@@ -39,7 +39,6 @@
 	case errors.Is(err, buffer.ErrTooLarge):
 		err = fmt.Errorf("%w: response body larger than %d bytes", target.ErrBroken, maxAnswer)
 	}
-	survived := showsSurvival(resp)
 	_ = resp.Close()
 	if err != nil {
 		body.Release()
@@ -127,8 +126,7 @@
 func (a *pacedAnswer) Close() error {
 	a.read.Release()
 	a.read = nil
-	survived := showsSurvival(a.resp)
 	_ = a.resp.Close()
-	a.service.settleAnswer(a.call, a.status, survived, a.whole)
+	a.service.settleAnswer(a.call, a.status, a.survived, a.whole)
 	return nil
 }
