--- a/io/rawhead/rawhead.go
+++ b/io/rawhead/rawhead.go
@@ -81,7 +81,7 @@
 			}
 		case strings.EqualFold(name, fasthttp.HeaderTransferEncoding):
 			encodings++
-			if value != chunked {
+			if !strings.EqualFold(value, chunked) { // names of codings ignore case, see RFC 9112 section 7
 				return framingError("the transfer encoding is not " + chunked)
 			}
 		}
