--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -25,24 +25,6 @@
 	Target model.TargetID
 }
 
-// share is the fair-share accounting of a workspace.
-type share struct {
-	workspace model.WorkspaceID
-	weight    float64
-	// virtualTime is the service received, in prompt tokens, divided by weight.
-	virtualTime  float64
-	calls        int // waiting and running
-	engineCalls  int // calls that run at engines
-	engineDemand int // calls that wait for engines or run there
-}
-
-// exceedsLevel reports whether one more call would exceed the workspace's share
-// of the places at engines, which is level times its weight. The first call of a
-// workspace never does.
-func (sh *share) exceedsLevel(level float64) bool {
-	return sh.engineCalls > 0 && float64(sh.engineCalls+1) > level*sh.weight
-}
-
 // Scheduler holds the waiting and running calls of one host. It is not safe
 // for concurrent use.
 type Scheduler struct {
@@ -199,24 +181,6 @@
 	}
 }
 
-// shareOf returns the share of a workspace, created on first use.
-func (s *Scheduler) shareOf(w model.WorkspaceID) *share {
-	sh := s.shares[w]
-	if sh == nil {
-		sh = &share{workspace: w, weight: 1, virtualTime: s.virtualTime}
-		s.shares[w] = sh
-	}
-	return sh
-}
-
-// queueShare returns the share whose queue holds the calls of a workspace.
-func (s *Scheduler) queueShare(w model.WorkspaceID) *share {
-	if _, ok := s.options.Order.(FairShare); ok {
-		return s.shareOf(w)
-	}
-	return s.allWorkspaces
-}
-
 // Add queues a call and returns the calls that are granted, which may include it.
 // It fails with ErrNoTarget if no target is configured for the call or the call
 // excludes all of them. IDs must be unique.
@@ -294,69 +258,6 @@
 	return p
 }
 
-// enginePlaces returns the number of places at engines that are not skipped and
-// the number of those that are taken.
-func (s *Scheduler) enginePlaces() (places, taken int) {
-	for _, t := range s.sortedTargets {
-		if len(t.Models) > 0 && !t.Skip {
-			places += t.Limit
-			taken += len(t.inFlight)
-		}
-	}
-	return places, taken
-}
-
-// currentLevel returns the number of places at engines per unit of weight that
-// workspaces may use now. It is infinite while the taken places are below
-// FairShare.UnreservedFraction.
-func (s *Scheduler) currentLevel() float64 {
-	p, ok := s.options.Order.(FairShare)
-	if !ok || math.IsInf(s.fairLevel, 1) {
-		return math.Inf(1)
-	}
-	places, taken := s.enginePlaces()
-	if float64(taken) < p.UnreservedFraction*float64(places) {
-		return math.Inf(1)
-	}
-	return s.fairLevel
-}
-
-// computeFairLevel divides the unreserved places at engines among the workspaces
-// by weight, with no workspace getting more than it demands (max-min fairness).
-// It returns the places per unit of weight of the workspaces whose demand is not
-// met, or infinity if all demands are met. The result is at least the number of
-// all places per unit of weight, so that no place stays reserved when every
-// workspace demands more than its share.
-func (s *Scheduler) computeFairLevel(p FairShare) float64 {
-	var active []*share
-	totalWeight := 0.0
-	for _, sh := range s.shares {
-		if sh.engineDemand > 0 {
-			active = append(active, sh)
-		}
-	}
-	slices.SortFunc(active, func(a, b *share) int {
-		return cmp.Or(
-			cmp.Compare(float64(a.engineDemand)/a.weight, float64(b.engineDemand)/b.weight),
-			cmp.Compare(a.workspace, b.workspace),
-		)
-	})
-	for _, sh := range active {
-		totalWeight += sh.weight
-	}
-	places, _ := s.enginePlaces()
-	minLevel := float64(places) / totalWeight
-	remaining := p.UnreservedFraction * float64(places)
-	for _, sh := range active {
-		if float64(sh.engineDemand)*totalWeight > remaining*sh.weight {
-			return max(remaining/totalWeight, minLevel)
-		}
-		remaining -= float64(sh.engineDemand)
-		totalWeight -= sh.weight
-	}
-	return math.Inf(1)
-}
-
 // grantWaiting grants waiting calls of the classes while targets are available.
 func (s *Scheduler) grantWaiting(now time.Time, classes []*class) []Grant {
 	var grants []Grant
@@ -494,15 +395,6 @@
 	return s.grantWaiting(now, t.classes)
 }
 
-// serviceCost returns the cost of a call in prompt tokens. Cached tokens are free.
-func (s *Scheduler) serviceCost(u Usage) float64 {
-	weight := float64(defaultOutputWeight)
-	if p, ok := s.options.Order.(FairShare); ok {
-		weight = p.OutputWeight
-	}
-	return float64(max(u.Prompt-u.Cached, 0)) + weight*float64(u.Completion)
-}
-
 // promptScaleWeight is the weight of the last call in the moving average.
 const promptScaleWeight = 0.02
 
@@ -531,76 +423,6 @@
 	return s.grantWaiting(now, t.classes)
 }
 
-// InFlight returns the number of calls from this host in flight at a target.
-func (s *Scheduler) InFlight(id model.TargetID) int {
-	if t := s.targets[id]; t != nil {
-		return len(t.inFlight)
-	}
-	return 0
-}
-
-// Awaited reports whether a waiting call may use the target.
-func (s *Scheduler) Awaited(id model.TargetID) bool {
-	t := s.targets[id]
-	if t == nil {
-		return false
-	}
-	for _, c := range t.classes {
-		if len(c.queues) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// Capacity is the capacity of the targets that a request may use.
-type Capacity struct {
-	Targets int // targets that serve the call and are not skipped
-	Places  int // places of this host at these targets
-	Taken   int // places that are taken by running calls
-	Waiting int // calls that wait for these targets
-}
-
-// Capacity returns the capacity of the targets that a request may use.
-func (s *Scheduler) Capacity(r Request) Capacity {
-	var capacity Capacity
-	c := s.classes[newClassKey(&r)]
-	if c == nil {
-		return capacity
-	}
-	for _, t := range c.targets {
-		if t.Skip {
-			continue
-		}
-		capacity.Targets++
-		capacity.Places += t.Limit
-		capacity.Taken += len(t.inFlight)
-	}
-	for _, q := range c.queues {
-		capacity.Waiting += q.waiting
-	}
-	return capacity
-}
-
-// Starved returns the targets at which this host needs a place: those with limit
-// 0 that a waiting call may use, if all other targets that it may use have limit 0
-// too or are skipped. They are sorted.
-func (s *Scheduler) Starved() []model.TargetID {
-	var list []model.TargetID
-	for _, c := range s.classes {
-		if len(c.queues) == 0 || !c.blocked() {
-			continue
-		}
-		for _, t := range c.targets {
-			if t.Limit <= 0 {
-				list = append(list, t.ID)
-			}
-		}
-	}
-	slices.Sort(list)
-	return slices.Compact(list)
-}
-
 // Report records a target's report of its load.
 func (s *Scheduler) Report(id model.TargetID, l Load) {
 	if t := s.targets[id]; t != nil {
