--- a/test/e2e/memory/ordinary_test.go
+++ b/test/e2e/memory/ordinary_test.go
@@ -69,17 +69,12 @@
 			size = largeOrdinaryBody
 		}
 		_ = c.SetDeadline(time.Now().Add(patience))
-		data := standin.RequestHead("POST", "/look/x", standin.CallerKey, fmt.Sprintf("o-%d-%d", caller, round), fmt.Sprint("Content-Length: ", size))
-		if _, err := c.Write(append(data, make([]byte, size)...)); err != nil {
-			return fmt.Errorf("round %d: write: %w", round, err)
-		}
-		resp, err := http.ReadResponse(r, nil)
+		status, body, err := sendOrdinary(c, r, fmt.Sprintf("o-%d-%d", caller, round), size)
 		if err != nil {
-			return fmt.Errorf("round %d: read: %w", round, err)
+			return fmt.Errorf("round %d: %w", round, err)
 		}
-		body, err := io.ReadAll(resp.Body)
-		if err != nil || resp.StatusCode != http.StatusOK {
-			return fmt.Errorf("round %d: status %d, %s: %w", round, resp.StatusCode, body, err)
+		if status != http.StatusOK {
+			return fmt.Errorf("round %d: status %d: %s", round, status, body)
 		}
 		served.Add(1)
 		time.Sleep(ordinaryPause - ordinaryPause*time.Duration(caller)/ordinaryCallers)
