--- a/review/.harness-2/main.go
+++ b/review/.harness-2/main.go
@@ -10,6 +10,7 @@
 	"evicted-streams":  evictedStreams,
 	"replaced-keepers": replacedKeepers,
 	"unread-bodies":    unreadBodies,
+	"full-queues":      fullQueues,
 }
 
 // Exit codes of a case.
