--- a/review/.harness-2/case_budget.go
+++ b/review/6/.harness/case_budget.go
@@ -19,7 +19,7 @@
 	otherPrograms   = 24               // that run one turn each, soon after the start and after each replacement
 	otherDelay      = 4 * time.Second
 	lossDelay       = 220 * time.Millisecond // from the start of the turns to the loss of a machine
-	spareDelay      = 2 * time.Second        // from the end of the turns to the start of the machine that replaces the lost one
+	spareDelay      = 2 * time.Second        // from the loss to the start of the machine that replaces the lost one
 	maxTurnsAttempt = 12                     // of a program, so that the case ends
 )
 
@@ -113,8 +113,8 @@
 			r.add("%s is gone for good", old.name)
 			old.signal(syscall.SIGKILL)
 		}
-		turns.Wait()
 		if !trouble {
+			turns.Wait()
 			time.Sleep(programPause)
 			continue
 		}
@@ -127,6 +127,7 @@
 		if err := d.start(spare); err != nil {
 			return false, err
 		}
+		turns.Wait()
 		time.Sleep(otherDelay - spareDelay)
 		runOthers()
 		time.Sleep(programPause - otherDelay)
--- a/review/.harness-2/deployment.go
+++ b/review/6/.harness/deployment.go
@@ -1,4 +1,4 @@
-// Command harness-2 runs the cases of the second review. Each case starts the
+// Command harness runs the cases of the second review. Each case starts the
 // project's own programs as separate processes, with the commands of the deploy file,
 // on loopback addresses.
 package main
@@ -165,6 +165,10 @@
 	}
 }
 
+// trafficLead is the time from the start of the machines to the traffic. It is that of the
+// installation, and above contact_ms, so that all machines are in touch.
+const trafficLead = 10 * time.Second
+
 // startAll starts all processes and waits until every entry host is ready.
 func (d *deployment) startAll() error {
 	for _, p := range append(append([]*process{}, d.keepers...), d.entries...) {
@@ -177,7 +181,7 @@
 			return err
 		}
 	}
-	time.Sleep(time.Second) // as the traffic starts later than the machines
+	time.Sleep(trafficLead)
 	return nil
 }
 
