--- a/review/6/.harness/main.go
+++ b/review/6/.harness/main.go
@@ -22,7 +22,7 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: harness-2 CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER")
 		os.Exit(exitFailed)
 	}
 	r, err := newRecord(os.Args[2])
