target: malformed responses are refused on the bytes received

Callers saw: an answer with status 000 as 200; an answer with a blank within the name of a field as it came, in a 200.

Cause: fasthttp repairs or ignores what is malformed in a head (status 000 reads as 200, other versions, folded lines, blanks in names and chunk sizes), and the client took its result for the server's.

Change: io/http1 checks head and framing after RFC 9112, sections 4 to 7, below the library, for all responses that io/target reads: plain answers, streams, resumed streams, probes. A body that ends with its connection fails after a reset.

An answer that a target resets while the request is still written failed before as well: TestAnswerBeforeEndOfRequestThenReset passes on both.

--- a/io/target/client.go
+++ b/io/target/client.go
@@ -17,7 +17,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sys/unix"
+
+	"mimosarelay/io/http1"
 )
 
 // Sentinel errors, tested with errors.Is.
@@ -164,8 +165,9 @@
 		return nil, err
 	}
 	cn := &conn{Conn: nc, maxIdle: maxIdleTime}
-	cn.reader = bufio.NewReaderSize(cn, readBufferSize)
-	cn.writer = bufio.NewWriterSize(cn, writeBufferSize)
+	cn.checked = http1.NewConn(cn)
+	cn.reader = bufio.NewReaderSize(cn.checked, readBufferSize)
+	cn.writer = bufio.NewWriterSize(cn.checked, writeBufferSize)
 	return cn, nil
 }
 
@@ -184,7 +186,7 @@
 		cns[len(cns)-1] = nil
 		cns = cns[:len(cns)-1]
 		c.setIdle(address, cns)
-		if age < cn.maxIdle && cn.reusable() {
+		if age < cn.maxIdle && cn.checked.Reusable() {
 			return cn
 		}
 		_ = cn.Close()
@@ -238,6 +240,7 @@
 // the bytes written, to distinguish ErrNotSent from ErrBroken.
 type conn struct {
 	net.Conn
+	checked      *http1.Conn // reads and writes through this conn
 	reader       *bufio.Reader
 	writer       *bufio.Writer
 	bytesWritten int64
@@ -279,21 +282,9 @@
 	cn.timedOut = cn.timedOut || errors.As(err, &ne) && ne.Timeout()
 }
 
-// reusable reports whether the target has neither closed the connection nor sent
-// anything on it since the last exchange.
-func (cn *conn) reusable() bool {
-	raw, err := cn.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	reusable := false
-	err = raw.Read(func(fd uintptr) bool {
-		var buf [1]byte
-		_, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		reusable = errors.Is(err, unix.EAGAIN)
-		return true
-	})
-	return err == nil && reusable
+// SyscallConn implements syscall.Conn.
+func (cn *conn) SyscallConn() (syscall.RawConn, error) {
+	return cn.Conn.(syscall.Conn).SyscallConn()
 }
 
 // maxStaleResponses is the number of responses to earlier requests that are
@@ -305,6 +296,7 @@
 	cn.idleTimeout = o.IdleTimeout
 	cn.stallTimeout, cn.progressAt = o.StallTimeout, time.Now()
 	cn.bytesWritten = 0
+	cn.checked.Begin(req.Header.IsHead())
 	if err := req.Write(cn.writer); err != nil {
 		return nil, err
 	}
--- a/io/target/response.go
+++ b/io/target/response.go
@@ -126,7 +126,8 @@
 	}
 	r.closed = true
 	stopped := r.stopAfterFunc()
-	reusable := r.complete && stopped && r.HasFraming() && !r.message.ConnectionClose() && r.conn.reader.Buffered() == 0
+	reusable := r.complete && stopped && r.HasFraming() && !r.message.ConnectionClose() &&
+		r.conn.reader.Buffered() == 0 && r.conn.checked.Clean()
 	if r.body != nil && r.complete {
 		_ = r.message.CloseBodyStream()
 	}
