storehttp: malformed responses and bytes after a response are refused

Hosts saw: a write as done after an answer with status 000 or a malformed head; the bytes that followed an answer as the answer to the next request on the connection.

Cause: the client of the store used what fasthttp made of the bytes, and its pool reused connections without a look at what had arrived on them.

Change: connections of the store go through io/http1; one that holds anything else than whole answers that were read, or that the store has closed, is not written to. Such a request was not sent, which the error says.

The reset while a request is written was an error before as well.

--- a/io/storehttp/storehttp.go
+++ b/io/storehttp/storehttp.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"mimosarelay/core/store"
+	"mimosarelay/io/http1"
 )
 
 const (
@@ -81,10 +82,10 @@
 		Dial: func(addr string) (net.Conn, error) {
 			conn, err := c.dialer().Dial("tcp", addr)
 			if err != nil {
-				return nil, &dialError{err}
+				return nil, &notSentError{err}
 			}
 			dialed(conn)
-			return conn, nil
+			return &exchangeConn{Conn: http1.NewConn(conn)}, nil
 		},
 		MaxConns:                  maxConns,
 		MaxIdleConnDuration:       maxIdleConnTime,
@@ -104,11 +105,11 @@
 	return d
 }
 
-// dialError marks a failed dial, after which no request was sent.
-type dialError struct{ err error }
+// notSentError marks a failure before any byte of the request was sent.
+type notSentError struct{ err error }
 
-func (e *dialError) Error() string { return e.err.Error() }
-func (e *dialError) Unwrap() error { return e.err }
+func (e *notSentError) Error() string { return e.err.Error() }
+func (e *notSentError) Unwrap() error { return e.err }
 
 // Request is one HTTP request.
 type Request struct {
@@ -234,8 +235,8 @@
 // classify returns the sentinel error for a failed request, depending on whether
 // it may have been executed.
 func (r Request) classify(err error) error {
-	var d *dialError
-	if errors.As(err, &d) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+	var notSent *notSentError
+	if errors.As(err, &notSent) || errors.Is(err, fasthttp.ErrNoFreeConns) {
 		return store.ErrUnavailable
 	}
 	return r.noResponseError()
