operator commands: an answer that was cut off by a reset is an error

Operators saw: a command that reports success with the beginning of an answer, when the host answers a long upload at once without a length and resets the connection.

Cause: net/http goes on reading after a write has failed. The failed write took the error of the socket, so that the read returned the end of the connection, which ends a body without a length.

Change: the connections of the commands go through io/http1, which fails such a read.

--- a/cmd/operator.go
+++ b/cmd/operator.go
@@ -20,6 +20,7 @@
 
 	"mimosarelay/core/config"
 	"mimosarelay/core/model"
+	"mimosarelay/io/http1"
 	"mimosarelay/io/operator"
 )
 
@@ -79,13 +80,16 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("flag --credential-file: %w", err)
 	}
-	transport := &http.Transport{DisableKeepAlives: true}
+	dial := (&net.Dialer{}).DialContext
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: checkedDial(dial)}
 	scheme := "http"
 	if o.caFile != "" {
 		scheme = "https"
-		if transport.TLSClientConfig, err = clientTLS(o.caFile); err != nil {
+		tlsConfig, err := clientTLS(o.caFile)
+		if err != nil {
 			return nil, nil, err
 		}
+		transport.DialTLSContext = checkedDial((&tls.Dialer{Config: tlsConfig}).DialContext)
 	}
 	req, err := http.NewRequestWithContext(ctx, method, scheme+"://"+o.address+path, bytes.NewReader(body))
 	if err != nil {
@@ -102,6 +106,18 @@
 	return req, client, nil
 }
 
+// checkedDial returns dial with connections that refuse malformed responses and those
+// that were cut off.
+func checkedDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return http1.NewConn(c), nil
+	}
+}
+
 // clientTLS returns a configuration that trusts the certificates in a file.
 func clientTLS(caFile string) (*tls.Config, error) {
 	data, err := os.ReadFile(caFile)
