storehttp: an idle connection that the store closed is replaced before a request is sent

Hosts saw: a failed request, for a write with an unknown outcome, for each idle connection that the store had closed.

Cause: the pool of fasthttp hands out such connections, and a write to one does not report that the other side has closed it.

Change: a connection that cannot be used again is dropped before a byte is written, and the request goes to the next one or to a new one.

--- a/io/storehttp/framing_test.go
+++ b/io/storehttp/framing_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -96,12 +97,31 @@
 			defer client.CloseIdle()
 			for range 3 {
 				res, err := client.Do(t.Context(), storehttp.Request{Method: "PUT", Path: "/v1/kv/x", Body: []byte("v")})
-				if err == nil {
-					assert.Equal(t, string(res.Body), "1")
-					continue
-				}
-				assert.ErrorIs(t, err, store.ErrUnavailable)
+				assert.NilError(t, err)
+				assert.Equal(t, string(res.Body), "1")
 			}
 		})
 	}
 }
+
+// Guards against a request that fails because the store has closed an idle connection,
+// and against one that is sent twice.
+func TestClosedIdleConnectionIsReplaced(t *testing.T) {
+	var requests atomic.Int64
+	closed := make(chan struct{}, 1)
+	address := newRawServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1", func(c *net.TCPConn) {
+		requests.Add(1)
+		time.Sleep(10 * time.Millisecond) // until the client keeps the connection
+		_ = c.Close()
+		closed <- struct{}{}
+	})
+	client, err := storehttp.New(storehttp.Options{Address: address, Timeout: 5 * time.Second})
+	assert.NilError(t, err)
+	defer client.CloseIdle()
+	for range 3 {
+		_, err := client.Do(t.Context(), storehttp.Request{Method: "PUT", Path: "/v1/kv/x", Body: []byte("v")})
+		assert.NilError(t, err)
+		<-closed
+	}
+	assert.Equal(t, requests.Load(), int64(3))
+}
--- a/io/storehttp/storehttp.go
+++ b/io/storehttp/storehttp.go
@@ -198,7 +198,14 @@
 	if timeout == 0 {
 		timeout = c.options.Timeout
 	}
-	if err := h.DoTimeout(req, res, timeout); err != nil {
+	err := h.DoTimeout(req, res, timeout)
+	for range maxConns {
+		if !errors.Is(err, errNotReusable) {
+			break
+		}
+		err = h.DoTimeout(req, res, timeout) // nothing was sent
+	}
+	if err != nil {
 		return Response{}, fmt.Errorf("%s %s: %w: %w", r.Method, r.Path, r.classify(err), err)
 	}
 	out := Response{Status: res.StatusCode(), Body: append([]byte(nil), res.Body()...)}
