edge: what waits in receive buffers fits into the memory of the machine

Callers saw: a host that ends when 900 callers send all of a large body but its last byte: each connection left up to 128 KiB in the kernel, which counts as memory of the machine, and no account had it.

Cause: the account of core/memory holds what a process has read; the receive buffers of its connections were neither bounded nor counted.

Change: all ports of a host listen with receive buffers of 16 KiB, in which the kernel keeps at most 24 KiB of data, and the number of connections is such that 32 KiB for each fit into the part of the machine that is not for the Go runtime (921 at 96 MB). The connections of callers move from io/ingress to io/edge, and the account to app/account, so that the product's own interface can use both; nothing else of them changes.

The tests of e2e/memory sample anonymous memory and unread bytes every 20 ms, from outside the process.

--- a/app/account/account.go
+++ b/app/account/account.go
@@ -1,6 +1,9 @@
-package entry
+// Package account creates the account of memory of a process and reports its state
+// to operators.
+package account
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"time"
@@ -24,43 +27,54 @@
 	minCallers = 64
 )
 
-// newAccount returns the account for the bytes of callers, or nil without a limit.
-func newAccount(o Options) *memory.Account {
+// Options configures New.
+type Options struct {
+	// Memory is the memory of the machine for this process; 0 means no limit.
+	Memory memory.Bytes
+	// Descriptors is the largest number of open files; 0 means that of the smallest
+	// hosts.
+	Descriptors int
+	// MaxConnections lowers the number of connections of callers that follows from
+	// Memory and Descriptors; 0 does not.
+	MaxConnections int
+	Clock          clockwork.Clock
+}
+
+// New returns the account for the bytes of callers, or nil without a limit.
+func New(o Options) *memory.Account {
 	if o.Memory == 0 {
 		return nil
 	}
-	descriptors := o.Descriptors
-	if descriptors == 0 {
-		descriptors = defaultDescriptors
+	descriptors := cmp.Or(o.Descriptors, defaultDescriptors)
+	connections := max(minCallers, min(memory.MaxConnections(o.Memory), (descriptors-reservedDescriptors)/descriptorsPerCaller))
+	if o.MaxConnections > 0 {
+		connections = min(connections, o.MaxConnections)
 	}
-	return memory.New(memory.Options{
-		Capacity:   memory.CapacityFor(o.Memory),
-		MaxHolders: max(minCallers, (descriptors-reservedDescriptors)/descriptorsPerCaller),
-		Clock:      o.Clock,
-	})
+	return memory.New(memory.Options{Capacity: memory.CapacityFor(o.Memory), MaxHolders: connections, Clock: o.Clock})
 }
 
 const (
-	// memoryReportInterval is the time between two updates of the metrics.
-	memoryReportInterval = time.Second
-	// memoryLogInterval limits the log lines about evictions to one in this time.
-	memoryLogInterval = 10 * time.Second
+	// reportInterval is the time between two updates of the metrics.
+	reportInterval = time.Second
+	// logInterval limits the log lines about evictions to one in this time.
+	logInterval = 10 * time.Second
 )
 
-// memoryReporter publishes the state of an account.
-type memoryReporter struct {
-	account  *memory.Account
-	scope    tally.Scope
-	clock    clockwork.Clock
-	log      *slog.Logger
+// Reporter publishes the state of an account. All exported fields are required.
+type Reporter struct {
+	Account *memory.Account
+	Scope   tally.Scope
+	Clock   clockwork.Clock
+	Log     *slog.Logger
+
 	last     memory.Stats // of the last update of the metrics
 	logged   memory.Stats // of the last log line
 	loggedAt time.Time
 }
 
-// run publishes until ctx ends.
-func (r *memoryReporter) run(ctx context.Context) error {
-	ticker := r.clock.NewTicker(memoryReportInterval)
+// Run publishes until ctx ends.
+func (r *Reporter) Run(ctx context.Context) error {
+	ticker := r.Clock.NewTicker(reportInterval)
 	defer ticker.Stop()
 	for {
 		r.report()
@@ -72,24 +86,24 @@
 	}
 }
 
-func (r *memoryReporter) report() {
-	s := r.account.Stats()
-	r.scope.Gauge("capacity_bytes").Update(float64(r.account.Capacity()))
-	r.scope.Gauge("connections").Update(float64(s.Holders))
+func (r *Reporter) report() {
+	s := r.Account.Stats()
+	r.Scope.Gauge("capacity_bytes").Update(float64(r.Account.Capacity()))
+	r.Scope.Gauge("connections").Update(float64(s.Holders))
 	for _, k := range memory.Kinds() {
-		r.scope.Tagged(map[string]string{"kind": k.String()}).Gauge("held_bytes").Update(float64(s.ByKind[k]))
+		r.Scope.Tagged(map[string]string{"kind": k.String()}).Gauge("held_bytes").Update(float64(s.ByKind[k]))
 	}
 	evicted := int64(0)
 	for _, p := range memory.Phases() {
-		r.scope.Tagged(map[string]string{"phase": p.String()}).Counter("evicted").Inc(s.Evicted[p] - r.last.Evicted[p])
+		r.Scope.Tagged(map[string]string{"phase": p.String()}).Counter("evicted").Inc(s.Evicted[p] - r.last.Evicted[p])
 		evicted += s.Evicted[p] - r.logged.Evicted[p]
 	}
 	r.last = s
-	now := r.clock.Now()
-	if evicted == 0 || now.Sub(r.loggedAt) < memoryLogInterval {
+	now := r.Clock.Now()
+	if evicted == 0 || now.Sub(r.loggedAt) < logInterval {
 		return
 	}
-	r.log.Warn("connections were closed under memory pressure", "count", evicted, "held", s.Held, "capacity", r.account.Capacity(), "connections", s.Holders,
+	r.Log.Warn("connections were closed under memory pressure", "count", evicted, "held", s.Held, "capacity", r.Account.Capacity(), "connections", s.Holders,
 		"bodies", s.ByKind[memory.Bodies], "answers", s.ByKind[memory.Answers],
 		"receiving", s.Evicted[memory.Receiving]-r.logged.Evicted[memory.Receiving], "answering", s.Evicted[memory.Answering]-r.logged.Evicted[memory.Answering],
 		"idle", s.Evicted[memory.Idle]-r.logged.Evicted[memory.Idle])
--- a/app/account/account_test.go
+++ b/app/account/account_test.go
@@ -1,4 +1,4 @@
-package entry
+package account
 
 import (
 	"bytes"
@@ -23,7 +23,7 @@
 	a := memory.New(memory.Options{Capacity: 10, MaxHolders: 100, Clock: clock})
 	scope := tally.NewTestScope("", nil)
 	var log bytes.Buffer
-	r := &memoryReporter{account: a, scope: scope, clock: clock, log: slog.New(slog.NewTextHandler(&log, nil))}
+	r := &Reporter{Account: a, Scope: scope, Clock: clock, Log: slog.New(slog.NewTextHandler(&log, nil))}
 	for range 5 {
 		h, err := a.Open(netip.Addr{}, 10, func(memory.Phase) {})
 		assert.NilError(t, err)
@@ -41,11 +41,16 @@
 // peers.
 func TestAccountFollowsSettings(t *testing.T) {
 	t.Parallel()
-	assert.Assert(t, newAccount(Options{}) == nil)
-	for name, c := range map[string]struct{ descriptors, want int }{
-		"smallest hosts": {3075, 1437}, "not stated": {0, 1437}, "few": {210, 64},
+	assert.Assert(t, New(Options{}) == nil)
+	const large = 1 << 40
+	for name, c := range map[string]struct {
+		memory                            memory.Bytes
+		descriptors, maxConnections, want int
+	}{
+		"smallest hosts": {large, 3075, 0, 1437}, "not stated": {large, 0, 0, 1437}, "few descriptors": {large, 210, 0, 64},
+		"small machine": {96 << 20, 3075, 0, 921}, "set": {large, 3075, 10, 10},
 	} {
-		a := newAccount(Options{Memory: 1 << 40, Descriptors: c.descriptors, Clock: clockwork.NewFakeClock()})
+		a := New(Options{Memory: c.memory, Descriptors: c.descriptors, MaxConnections: c.maxConnections, Clock: clockwork.NewFakeClock()})
 		for range c.want {
 			_, err := a.Open(netip.Addr{}, 1, func(memory.Phase) {})
 			assert.NilError(t, err, name)
--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/valyala/fasthttp"
 
+	"mimosarelay/app/account"
 	"mimosarelay/app/catalog"
 	"mimosarelay/app/conversations"
 	"mimosarelay/app/pacing"
@@ -28,6 +29,7 @@
 	"mimosarelay/core/model"
 	"mimosarelay/core/placement"
 	"mimosarelay/core/store"
+	"mimosarelay/io/edge"
 	"mimosarelay/io/ingress"
 	"mimosarelay/io/metrics"
 	"mimosarelay/io/peer"
@@ -224,7 +226,7 @@
 
 // New assembles a host. It starts nothing; Run does.
 func New(o Options) *Host {
-	h := &Host{options: o, log: o.Log, metrics: metrics.New(), memory: newAccount(o)}
+	h := &Host{options: o, log: o.Log, metrics: metrics.New(), memory: account.New(account.Options{Memory: o.Memory, Descriptors: o.Descriptors, Clock: o.Clock})}
 	h.peers = peer.NewClient(peer.Options{DialTimeout: peerDialTimeout})
 	if o.Keeper {
 		h.keeper = newKeeper(h)
@@ -291,7 +293,7 @@
 			}
 		})
 	}
-	peerListener, err := net.Listen("tcp", h.options.PeerAddress)
+	peerListener, err := edge.Listen(h.options.PeerAddress)
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
@@ -304,7 +306,7 @@
 		if l.address == "" {
 			continue
 		}
-		ln, err := net.Listen("tcp", l.address)
+		ln, err := edge.Listen(l.address)
 		if err != nil {
 			return fmt.Errorf("listen for %s: %w", l.name, err)
 		}
@@ -317,8 +319,8 @@
 		return h.catalog.Run(ctx)
 	})
 	if h.memory != nil {
-		r := &memoryReporter{account: h.memory, scope: h.metrics.Scope.SubScope("memory"), clock: h.options.Clock, log: h.log}
-		run("memory metrics", func() error { return r.run(ctx) })
+		r := &account.Reporter{Account: h.memory, Scope: h.metrics.Scope.SubScope("memory"), Clock: h.options.Clock, Log: h.log}
+		run("memory metrics", func() error { return r.Run(ctx) })
 	}
 	if h.keeper != nil {
 		h.keeper.start(ctx, run)
--- a/core/memory/size.go
+++ b/core/memory/size.go
@@ -10,6 +10,13 @@
 	// garbagePercent is the memory that the garbage collector needs for each
 	// reserved byte, in percent: released buffers stay until its next cycle.
 	garbagePercent = 50
+	// ReceiveBuffer is the receive buffer of a connection, as it is set on its socket. The
+	// kernel doubles it for its own records, and keeps up to 24 KiB of data.
+	ReceiveBuffer Bytes = 16 << 10
+	// SendBuffer is the send buffer of a connection, as it is set on its socket.
+	SendBuffer Bytes = 32 << 10
+	// kernelCopies is the factor by which the kernel enlarges ReceiveBuffer.
+	kernelCopies = 2
 	// minCapacity holds one body of 4 MiB while it grows.
 	minCapacity Bytes = 8 << 20
 )
@@ -21,3 +28,9 @@
 func CapacityFor(machine Bytes) Bytes {
 	return max(minCapacity, (Limit(machine)-runtimeReserve)*100/(100+garbagePercent))
 }
+
+// MaxConnections returns the number of connections whose receive buffers fit into the
+// part of a machine's memory that is not for the Go runtime.
+func MaxConnections(machine Bytes) int {
+	return int((machine - Limit(machine)) / (kernelCopies * ReceiveBuffer))
+}
--- a/io/edge/conn.go
+++ b/io/edge/conn.go
@@ -1,18 +1,47 @@
-package ingress
+// Package edge is the part of HTTP servers that faces clients without control over
+// their number or pace: it limits the time and the memory of their connections, and
+// reads bodies after the header was decided on.
+package edge
 
 import (
+	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
-	coreingress "mimosarelay/core/ingress"
+	"github.com/valyala/fasthttp"
+
 	"mimosarelay/core/memory"
 	"mimosarelay/io/buffer"
 	"mimosarelay/io/tcpclose"
 )
 
+// Limits are the time limits of connections.
+type Limits struct {
+	// IdleTimeout limits the time until the first byte of a request.
+	IdleTimeout time.Duration
+	// HeaderTimeout limits the time from the first byte of a request, or of a TLS
+	// handshake, to the end of the request's header.
+	HeaderTimeout time.Duration
+}
+
+// Listen opens a TCP listener on an IP:port address. What the kernel holds for each
+// connection is bounded, see memory.ReceiveBuffer.
+func Listen(address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		// Accepted connections inherit the sizes, with which their windows are negotiated.
+		return c.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, int(memory.ReceiveBuffer))
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, int(memory.SendBuffer))
+		})
+	}}
+	return config.Listen(context.Background(), "tcp", address)
+}
+
 // phase is what a connection reads next. It determines the read deadline.
 type phase int
 
@@ -22,44 +51,45 @@
 	phaseBody                // the body, with a deadline set by the server
 )
 
-// listener wraps each connection that it accepts in a conn.
-type listener struct {
+// Listener wraps each connection that it accepts in a Conn.
+type Listener struct {
 	net.Listener
-	limits       func() coreingress.Limits
-	writeTimeout time.Duration
-	memory       *memory.Account // nil for no limit
-	refused      func()          // called for each connection that is closed at once
+	Limits func() Limits
+	// WriteTimeout limits each write, so that an answer to a client that stops reading
+	// is aborted.
+	WriteTimeout time.Duration
+	Memory       *memory.Account // nil for no limit
+	// ConnectionBytes is the memory of an open connection.
+	ConnectionBytes memory.Bytes
+	// Refused is called for each connection that is closed at once.
+	Refused func()
 }
 
-// connectionBytes is the memory of an open connection: the buffers for reading and
-// writing, the request and response of fasthttp, and two stacks.
-const connectionBytes = headerBufferSize + 12<<10
-
 // Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		c := &conn{Conn: nc, limits: l.limits, writeTimeout: l.writeTimeout}
-		if l.memory == nil {
+		c := &Conn{Conn: nc, limits: l.Limits, writeTimeout: l.WriteTimeout}
+		if l.Memory == nil {
 			return c, nil
 		}
-		if c.holder, err = buffer.Admit(l.memory, nc, connectionBytes, c.evict); err == nil {
+		if c.holder, err = buffer.Admit(l.Memory, nc, l.ConnectionBytes, c.evict); err == nil {
 			return c, nil
 		}
 		_ = nc.Close()
-		l.refused()
+		l.Refused()
 	}
 }
 
-// conn limits how long a caller may take to send a request and to read the
-// answer, and detects that the caller disconnects while its request runs. Only
+// Conn limits how long a client may take to send a request and to read the
+// answer, and detects that the client disconnects while its request runs. Only
 // one goroutine at a time uses it, apart from the watcher.
-type conn struct {
+type Conn struct {
 	net.Conn
-	limits       func() coreingress.Limits
+	limits       func() Limits
 	writeTimeout time.Duration
 
 	phase          phase
@@ -82,7 +112,7 @@
 
 // evict ends a connection that has lost its memory. One that receives a request
 // still gets a refusal.
-func (c *conn) evict(p memory.Phase) {
+func (c *Conn) evict(p memory.Phase) {
 	if p == memory.Receiving {
 		c.evicted.Store(true)
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
@@ -92,7 +122,7 @@
 }
 
 // Read implements net.Conn.
-func (c *conn) Read(p []byte) (int, error) {
+func (c *Conn) Read(p []byte) (int, error) {
 	if len(c.unread) > 0 {
 		n := copy(p, c.unread)
 		c.unread = c.unread[n:]
@@ -117,7 +147,7 @@
 
 // startHeader starts the time limit for the header when the first byte of a
 // request was read.
-func (c *conn) startHeader() {
+func (c *Conn) startHeader() {
 	if c.phase == phaseIdle {
 		c.phase = phaseHeader
 		c.holder.SetPhase(memory.Receiving)
@@ -127,7 +157,7 @@
 
 // SetReadDeadline implements net.Conn. The server calls it with the deadline for
 // the body when the header is complete.
-func (c *conn) SetReadDeadline(t time.Time) error {
+func (c *Conn) SetReadDeadline(t time.Time) error {
 	if t.IsZero() {
 		return nil
 	}
@@ -136,7 +166,7 @@
 }
 
 // Write implements net.Conn.
-func (c *conn) Write(p []byte) (int, error) {
+func (c *Conn) Write(p []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
 		return 0, err
 	}
@@ -145,15 +175,56 @@
 	return n, err
 }
 
+// From returns the Conn of a request, also below TLS.
+func From(ctx *fasthttp.RequestCtx) *Conn { return unwrap(ctx.Conn()) }
+
+// unwrap returns the Conn of a connection; nil if it has none.
+func unwrap(nc net.Conn) *Conn {
+	if t, ok := nc.(*tls.Conn); ok {
+		nc = t.NetConn()
+	}
+	c, _ := nc.(*Conn)
+	return c
+}
+
+// ConnState prepares a connection for its next request. It is set as the ConnState of
+// a fasthttp.Server.
+func ConnState(nc net.Conn, state fasthttp.ConnState) {
+	if c := unwrap(nc); c != nil && state == fasthttp.StateIdle {
+		c.requestEnded()
+	}
+}
+
+// Holder returns the memory of the connection; nil without a limit.
+func (c *Conn) Holder() *memory.Holder { return c.holder }
+
+// Evicted reports whether the connection lost its memory while it received a request.
+func (c *Conn) Evicted() bool { return c.evicted.Load() }
+
+// Linger makes Close read on for a moment. Closing a connection with unread data
+// resets it, which could lose the answer.
+func (c *Conn) Linger() { c.lingerOnClose.Store(true) }
+
+// BeginAnswer records that the request gets an answer now, before its body was read if
+// that did not happen.
+func (c *Conn) BeginAnswer() {
+	c.holder.SetPhase(memory.Answering)
+	if c.bodyUnread {
+		c.Linger()
+		return
+	}
+	c.phase = phaseIdle
+}
+
 // requestEnded prepares the connection for its next request.
-func (c *conn) requestEnded() {
+func (c *Conn) requestEnded() {
 	c.phase, c.bodyUnread = phaseIdle, false
 	c.lingerOnClose.Store(false)
 	c.holder.SetPhase(memory.Idle)
 }
 
 // Close implements net.Conn.
-func (c *conn) Close() error {
+func (c *Conn) Close() error {
 	defer c.holder.Close()
 	if c.lingerOnClose.Load() {
 		return tcpclose.Linger(c.Conn)
@@ -161,9 +232,10 @@
 	return c.Conn.Close()
 }
 
-// onDisconnect calls disconnected if the caller closes the connection before stop
-// is called. The server must not read from the connection until then.
-func (c *conn) onDisconnect(disconnected func()) (stop func()) {
+// OnDisconnect calls disconnected if the client closes the connection before stop is
+// called. The server must not read from the connection until then, and it must not be
+// used below TLS.
+func (c *Conn) OnDisconnect(disconnected func()) (stop func()) {
 	_ = c.Conn.SetReadDeadline(time.Time{})
 	c.watcher.Go(func() {
 		n, err := c.Conn.Read(c.peeked[:])
--- a/io/ingress/body.go
+++ b/io/ingress/body.go
@@ -1,28 +1,18 @@
 package ingress
 
 import (
-	"bytes"
-	"context"
 	"errors"
-	"net"
-	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"mimosarelay/app/relay"
-	"mimosarelay/core/memory"
 	"mimosarelay/core/model"
 	"mimosarelay/io/buffer"
+	"mimosarelay/io/edge"
 )
 
 const (
-	// prefetchBytes is the part of a body that fasthttp reads before the handler
-	// runs. It cannot be 0.
-	prefetchBytes = 1
-	// memoryWait is how long a body waits for memory. Holders without progress are
-	// evicted within that time.
-	memoryWait = 2 * time.Second
 	// memoryRetryAfter is the Retry-After of requests that are refused for memory. It is
 	// at most a third of the time until the deadline (retryAfterDivisor), so that another
 	// attempt can complete in the rest.
@@ -30,24 +20,9 @@
 	retryAfterDivisor = 3
 )
 
-// requestConfig sets the limits for the body after the header was read. The body of
-// a request that announces too much is not read, so that it can be refused at once. Its
-// connection is closed, because its body would be taken for the next request.
+// requestConfig sets the limits for the body after the header was read.
 func (s *Server) requestConfig(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
-	if h.ContentLength() > s.options.Limits().BodyBytes {
-		h.SetContentLength(0)
-		h.SetConnectionClose()
-	}
-	return fasthttp.RequestConfig{ReadTimeout: bodyTimeout, MaxRequestBodySize: prefetchBytes}
-}
-
-// skippedLength returns the length of the body that requestConfig has not let fasthttp
-// read, or 0.
-func skippedLength(h *fasthttp.RequestHeader) int {
-	if h.ContentLength() != 0 {
-		return 0
-	}
-	return rawContentLength(h.RawHeaders())
+	return edge.Configure(h, s.options.Limits().BodyBytes, bodyTimeout)
 }
 
 // refuseSkipped returns the refusal of a request whose body was not read.
@@ -66,36 +41,19 @@
 	return fasthttp.StatusContinue
 }
 
-// connState prepares a connection for its next request.
-func connState(c net.Conn, state fasthttp.ConnState) {
-	if w, ok := c.(*conn); ok && state == fasthttp.StateIdle {
-		w.requestEnded()
-	}
-}
-
 // readBody reads the body of a request that was decided on. If it refuses the
 // request, ok is false.
 func (s *Server) readBody(ctx *fasthttp.RequestCtx, f *relay.Forward) (b *buffer.Buffer, ok bool) {
-	c := ctx.Conn().(*conn)
-	stream := ctx.RequestBodyStream()
-	if stream == nil {
-		return nil, true
-	}
-	c.holder.SetPhase(memory.Receiving)
-	limit := s.options.Limits().BodyBytes
-	b, err := buffer.Read(context.Background(), c.holder, stream, buffer.Options{
-		Kind: memory.Bodies, Length: ctx.Request.Header.ContentLength(), Limit: limit, MaxWait: memoryWait,
-	})
+	c := edge.From(ctx)
+	b, err := c.ReadBody(ctx, s.options.Limits().BodyBytes)
 	if err == nil {
-		c.bodyUnread = false
 		f.Body = b.Bytes()
 		return b, true
 	}
-	b.Release()
 	if errors.Is(err, buffer.ErrTooLarge) {
 		err = s.confirmTooLarge(errBodyTooLarge)
 	} else {
-		err = s.readError(c, err, f.Deadline.Sub(s.options.Clock.Now()))
+		err = s.readRefusal(c, err, f.Deadline.Sub(s.options.Clock.Now()))
 	}
 	s.refuse(ctx, f.ID, f, err)
 	ctx.SetConnectionClose()
@@ -104,33 +62,31 @@
 
 var errBodyTooLarge = model.NewRefusal(model.ErrTooLarge, model.RanNo, "the body is larger than the limit")
 
-// readError returns the refusal for a request that could not be read. left is the time
-// until its deadline, or 0 if that is not known.
-func (s *Server) readError(c *conn, err error, left time.Duration) *model.Refusal {
+// readRefusal returns the refusal for a request that could not be read from c. left is
+// the time until its deadline, or 0 if that is not known.
+func (s *Server) readRefusal(c *edge.Conn, err error, left time.Duration) *model.Refusal {
 	kind := model.ErrBadRequest
-	var netErr net.Error
-	var bufferErr *fasthttp.ErrSmallBuffer
 	switch {
-	case c.evicted.Load(), errors.Is(err, memory.ErrEvicted), errors.Is(err, memory.ErrFull):
-		reason := "evicted"
-		if errors.Is(err, memory.ErrFull) {
-			reason = "full"
+	case errors.Is(err, edge.ErrNoMemory):
+		reason := "full"
+		if c.Evicted() {
+			reason = "evicted"
 		}
 		s.options.Scope.Tagged(map[string]string{"reason": reason}).Counter("requests_refused_for_memory").Inc(1)
 		return model.NewRefusal(model.ErrUnavailable, model.RanNo, "this host has no memory for the request now").Retry(min(memoryRetryAfter, max(0, left)/retryAfterDivisor))
-	case errors.As(err, &bufferErr):
+	case errors.Is(err, edge.ErrHeaderTooLarge):
 		kind = ErrHeaderTooLarge
-	case errors.As(err, &netErr) && netErr.Timeout():
+	case errors.Is(err, edge.ErrTimeout):
 		kind = ErrRequestTimeout
 	}
-	return model.NewRefusal(kind, model.RanNo, "failed to read the request: %v", err)
+	return model.NewRefusal(kind, model.RanNo, "%v", err)
 }
 
 // handleParseError refuses a request that fasthttp failed to read.
 func (s *Server) handleParseError(ctx *fasthttp.RequestCtx, err error) {
-	c := ctx.Conn().(*conn)
-	c.lingerOnClose.Store(true)
-	s.refuse(ctx, "", nil, s.readError(c, err, 0))
+	c := edge.From(ctx)
+	c.Linger()
+	s.refuse(ctx, "", nil, s.readRefusal(c, c.ReadError(err), 0))
 	ctx.SetConnectionClose()
 }
 
@@ -138,16 +94,3 @@
 func (s *Server) countRefusedConnection() {
 	s.options.Scope.Counter("connections_refused_for_memory").Inc(1)
 }
-
-// rawContentLength returns the length in a header as it was received; 0 if it has
-// none.
-func rawContentLength(raw []byte) int {
-	for line := range bytes.Lines(raw) {
-		name, value, _ := bytes.Cut(line, []byte(":"))
-		if bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)) {
-			n, _ := strconv.Atoi(string(bytes.TrimSpace(value))) // fasthttp has checked it
-			return n
-		}
-	}
-	return 0
-}
--- a/io/ingress/server.go
+++ b/io/ingress/server.go
@@ -24,6 +24,7 @@
 	"mimosarelay/core/memory"
 	"mimosarelay/core/model"
 	"mimosarelay/io/buffer"
+	"mimosarelay/io/edge"
 	"mimosarelay/io/rawhead"
 	"mimosarelay/io/target"
 )
@@ -125,6 +126,9 @@
 	writeTimeout = 5 * time.Second
 	// bodyTimeout limits the time to receive a body.
 	bodyTimeout = 10 * time.Second
+	// connectionBytes is the memory of an open connection: the buffers for reading and
+	// writing, the request and response of fasthttp, and two stacks.
+	connectionBytes = headerBufferSize + 12<<10
 )
 
 // Server is the HTTP server for callers.
@@ -148,7 +152,7 @@
 		ErrorHandler:                 s.handleParseError,
 		HeaderReceived:               s.requestConfig,
 		ExpectHandler:                s.handleExpect,
-		ConnState:                    connState,
+		ConnState:                    edge.ConnState,
 		StreamRequestBody:            true, // keys are checked before the body is read
 		ReadBufferSize:               headerBufferSize,
 		CloseOnShutdown:              true,
@@ -171,7 +175,15 @@
 
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	return s.http.Serve(&listener{Listener: l, limits: s.options.Limits, writeTimeout: writeTimeout, memory: s.options.Memory, refused: s.countRefusedConnection})
+	return s.http.Serve(&edge.Listener{
+		Listener: l, Limits: s.connectionLimits, WriteTimeout: writeTimeout,
+		Memory: s.options.Memory, ConnectionBytes: connectionBytes, Refused: s.countRefusedConnection,
+	})
+}
+
+func (s *Server) connectionLimits() edge.Limits {
+	l := s.options.Limits()
+	return edge.Limits{IdleTimeout: l.IdleTimeout, HeaderTimeout: l.HeaderTimeout}
 }
 
 // Running returns the number of running requests.
@@ -213,9 +225,7 @@
 // decide decides on a request by its header, before its body is read. If it refuses
 // the request, ok is false.
 func (s *Server) decide(ctx *fasthttp.RequestCtx, received time.Time) (f *relay.Forward, fields Fields, ok bool) {
-	c := ctx.Conn().(*conn)
-	skipped := skippedLength(&ctx.Request.Header)
-	c.bodyUnread = ctx.RequestBodyStream() != nil || skipped > 0
+	skipped := edge.From(ctx).Begin(ctx)
 	if err := checkFraming(&ctx.Request); err != nil {
 		s.refuse(ctx, "", nil, err)
 		ctx.SetConnectionClose()
@@ -287,13 +297,13 @@
 // relayRequest passes a request to the relay and writes the answer.
 func (s *Server) relayRequest(ctx *fasthttp.RequestCtx, f *relay.Forward, body *buffer.Buffer) {
 	callCtx, cancel := context.WithDeadlineCause(context.Background(), time.Now().Add(f.Deadline.Sub(s.options.Clock.Now())), context.DeadlineExceeded)
-	c := ctx.Conn().(*conn)
-	c.holder.SetPhase(memory.Running)
-	f.Memory = c.holder
-	if c.evicted.Load() {
+	c := edge.From(ctx)
+	f.Memory = c.Holder()
+	f.Memory.SetPhase(memory.Running)
+	if c.Evicted() {
 		ctx.SetConnectionClose()
 	}
-	stop := c.onDisconnect(cancel)
+	stop := c.OnDisconnect(cancel)
 	s.running.Add(1)
 	start := s.options.Clock.Now()
 	done := func() {
@@ -309,7 +319,7 @@
 		s.refuse(ctx, f.ID, f, err)
 		return
 	}
-	c.holder.SetPhase(memory.Answering)
+	f.Memory.SetPhase(memory.Answering)
 	ctx.SetStatusCode(answer.Status)
 	for _, h := range answer.Headers {
 		ctx.Response.Header.Add(h.Name, h.Value)
@@ -354,13 +364,8 @@
 	if f != nil {
 		route, workspace = f.Route.Name, f.Workspace
 	}
-	if c, ok := ctx.Conn().(*conn); ok {
-		c.holder.SetPhase(memory.Answering)
-		if c.bodyUnread {
-			c.lingerOnClose.Store(true)
-		} else {
-			c.phase = phaseIdle
-		}
+	if c := edge.From(ctx); c != nil {
+		c.BeginAnswer()
 	}
 	var refusal *model.Refusal
 	if !errors.As(err, &refusal) {
--- a/test/e2e/memory/crowd_test.go
+++ b/test/e2e/memory/crowd_test.go
@@ -45,9 +45,14 @@
 	time.Sleep(settleTime)
 }
 
-// head returns the header of a request.
-func head(target, key string, n int, fields ...string) []byte {
-	return standin.RequestHead("POST", target, key, fmt.Sprint("crowd-", n), fields...)
+// request returns the header of request n of a crowd, with additional fields as lines.
+type request func(n int, fields ...string) []byte
+
+// post returns requests to a deployment.
+func post(target, key string) request {
+	return func(n int, fields ...string) []byte {
+		return standin.RequestHead("POST", target, key, fmt.Sprint("crowd-", n), fields...)
+	}
 }
 
 const (
@@ -64,12 +69,12 @@
 
 // sendBody returns a caller that announces a body and sends all but its last byte,
 // in pieces with a pause after each.
-func sendBody(target, key string, announced, sent, piece int, pause time.Duration) caller {
+func sendBody(head request, announced, sent, piece int, pause time.Duration) caller {
+	data := make([]byte, piece)
 	return func(c net.Conn, n int) error {
-		if _, err := c.Write(head(target, key, n, "Content-Length: "+strconv.Itoa(announced))); err != nil {
+		if _, err := c.Write(head(n, "Content-Length: "+strconv.Itoa(announced))); err != nil {
 			return err
 		}
-		data := make([]byte, piece)
 		for left := sent; left > 0; left -= piece {
 			if _, err := c.Write(data[:min(piece, left)]); err != nil {
 				return err
@@ -82,12 +87,12 @@
 
 // sendChunks returns a caller that sends a body in chunks without the last chunk.
 // Many small chunks are written together, so that the test's own time stays small.
-func sendChunks(target, key string, sent, chunk int) caller {
+func sendChunks(head request, sent, chunk int) caller {
 	one := append(append(fmt.Appendf(nil, "%x\r\n", chunk), make([]byte, chunk)...), "\r\n"...)
 	perWrite := max(1, largeChunk/chunk)
 	many := bytes.Repeat(one, perWrite)
 	return func(c net.Conn, n int) error {
-		if _, err := c.Write(head(target, key, n, "Transfer-Encoding: chunked")); err != nil {
+		if _, err := c.Write(head(n, "Transfer-Encoding: chunked")); err != nil {
 			return err
 		}
 		for left := sent; left > 0; left -= chunk * perWrite {
@@ -100,9 +105,9 @@
 }
 
 // sendSlowHeader returns a caller that sends a header one byte at a time.
-func sendSlowHeader(bytes int, pause time.Duration) caller {
+func sendSlowHeader(head request, bytes int, pause time.Duration) caller {
 	return func(c net.Conn, n int) error {
-		for _, b := range head("/look/x", "key-1", n, "X-Long: "+string(make([]byte, bytes)))[:bytes] {
+		for _, b := range head(n, "X-Long: "+string(make([]byte, bytes)))[:bytes] {
 			if _, err := c.Write([]byte{b}); err != nil {
 				return err
 			}
@@ -112,15 +117,20 @@
 	}
 }
 
-// sendRequests returns a caller that sends a number of complete requests at once
-// for answers of fullBody bytes, which it never reads.
-func sendRequests(requests int) caller {
+// postLarge returns requests for answers of fullBody bytes.
+func postLarge() request {
+	return post("/look/big?"+standin.SizeParameter+"="+strconv.Itoa(fullBody), "key-1")
+}
+
+// sendRequests returns a caller that sends a number of complete requests at once and
+// never reads their answers.
+func sendRequests(head request, requests int) caller {
 	return func(c net.Conn, n int) error {
 		if tcp, ok := c.(*net.TCPConn); ok {
 			_ = tcp.SetReadBuffer(4096)
 		}
 		for i := range requests {
-			if _, err := c.Write(head("/look/big?"+standin.SizeParameter+"="+strconv.Itoa(fullBody), "key-1", n*requests+i, "Content-Length: 0")); err != nil {
+			if _, err := c.Write(head(n*requests+i, "Content-Length: 0")); err != nil {
 				return err
 			}
 		}
--- a/test/e2e/memory/deployment_test.go
+++ b/test/e2e/memory/deployment_test.go
@@ -112,21 +112,33 @@
 	assert.NilError(d.t, os.WriteFile(file, m.Settings(d.store), 0o600))
 	p := &process{t: d.t, name: name, cmd: exec.Command(binary, "serve"), ended: make(chan struct{})}
 	p.cmd.Env = append(os.Environ(), standin.BootVariable+"="+file)
+	p.start()
+	return p
+}
+
+// start starts the process, which is killed when its test ends.
+func (p *process) start() {
+	p.t.Helper()
 	p.cmd.Stdout, p.cmd.Stderr = &p.output, &p.output
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	assert.NilError(d.t, p.cmd.Start())
+	assert.NilError(p.t, p.cmd.Start())
 	go func() {
 		_ = p.cmd.Wait()
 		close(p.ended)
 	}()
-	d.t.Cleanup(func() {
+	sampled := make(chan struct{})
+	go func() {
+		defer close(sampled)
+		p.sampleMemory()
+	}()
+	p.t.Cleanup(func() {
 		_ = p.cmd.Process.Kill()
 		<-p.ended
-		if text := p.output.Bytes(); d.t.Failed() {
-			d.t.Logf("--- %s\n%s", name, text[max(0, len(text)-4096):])
+		<-sampled
+		if text := p.output.Bytes(); p.t.Failed() {
+			p.t.Logf("--- %s\n%s", p.name, text[max(0, len(text)-4096):])
 		}
 	})
-	return p
 }
 
 // process is a child process.
@@ -136,6 +148,7 @@
 	cmd    *exec.Cmd
 	output bytes.Buffer
 	ended  chan struct{}
+	peak   atomic.Int64 // of the memory that sampleMemory has seen, in bytes
 }
 
 // status returns a field of /proc/PID/status, in bytes.
@@ -163,7 +176,7 @@
 		p.t.Fatalf("%s ended: %v", p.name, p.cmd.ProcessState)
 	default:
 	}
-	peak := p.status("VmHWM")
+	peak := max(p.status("VmHWM"), p.peak.Load())
 	fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
 	assert.NilError(p.t, err)
 	p.t.Logf("%s: peak memory %.1f MiB, %d descriptors", p.name, float64(peak)/(1<<20), len(fds))
--- a/test/e2e/memory/ordinary_test.go
+++ b/test/e2e/memory/ordinary_test.go
@@ -101,7 +101,7 @@
 // there is no memory to read it to its end first.
 func TestAnswersAreWholeUnderPressure(t *testing.T) {
 	d := newDeployment(t)
-	sendCrowd(t, d.callers, bigCrowd, sendRequests(1))
+	sendCrowd(t, d.callers, bigCrowd, sendRequests(postLarge(), 1))
 	whole := 0
 	for end := time.Now().Add(patience); whole < 10 && time.Now().Before(end); {
 		size, err := d.largeAnswer(whole)
