memory: a stream that waits for its target keeps its connection

Cause: a stream counts as answering from the head of the target's answer on, and a connection that answers without 8 KiB a second as one whose caller does not read. The time in which the target sends nothing counted.

Change: the time without progress runs only while bytes are being written to the caller. One that takes nothing, or a few bytes now and then, is still closed.

--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -149,6 +149,9 @@
 	progressAt  time.Time // end of the last window with progress, or the start of the phase
 	windowStart time.Time
 	windowBytes Bytes
+	// pausedAt is when the connection began to wait for its target; zero while its
+	// caller is expected to send or to take bytes.
+	pausedAt time.Time
 }
 
 // Open returns a holder for a connection from source that holds n bytes of
@@ -213,7 +216,10 @@
 	now := h.account.clock.Now()
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
-	h.phase, h.progressAt, h.windowStart, h.windowBytes = p, now, now, 0
+	h.phase, h.progressAt, h.windowStart, h.windowBytes, h.pausedAt = p, now, now, 0, time.Time{}
+	if p == Answering {
+		h.pausedAt = now
+	}
 	if p == Running && h.lost {
 		h.lost = false
 		h.account.leaving -= h.total
@@ -233,6 +239,37 @@
 	h.windowBytes += Bytes(n)
 }
 
+// BeginWrite records that bytes of an answer are ready for the caller. Only from here to
+// EndWrite can a connection in the phase Answering be without progress: in the rest of
+// the time it waits for its target.
+func (h *Holder) BeginWrite() {
+	if h == nil {
+		return
+	}
+	now := h.account.clock.Now()
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	if h.pausedAt.IsZero() {
+		return
+	}
+	paused := now.Sub(h.pausedAt)
+	h.progressAt, h.windowStart, h.pausedAt = h.progressAt.Add(paused), h.windowStart.Add(paused), time.Time{}
+}
+
+// EndWrite records that the caller took n bytes.
+func (h *Holder) EndWrite(n int) {
+	if h == nil {
+		return
+	}
+	h.Progress(n)
+	now := h.account.clock.Now()
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	if h.phase == Answering {
+		h.pausedAt = now
+	}
+}
+
 // roll begins a new window if the current one has ended.
 func (h *Holder) roll(now time.Time) {
 	if now.Sub(h.windowStart) < window {
@@ -246,6 +283,9 @@
 
 // stalled returns how long the connection has made no progress.
 func (h *Holder) stalled(now time.Time) time.Duration {
+	if !h.pausedAt.IsZero() {
+		now = h.pausedAt
+	}
 	h.roll(now)
 	if h.windowBytes >= minProgress {
 		return 0
--- a/io/edge/conn.go
+++ b/io/edge/conn.go
@@ -170,8 +170,9 @@
 	if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
 		return 0, err
 	}
+	c.holder.BeginWrite()
 	n, err := c.Conn.Write(p)
-	c.holder.Progress(n)
+	c.holder.EndWrite(n)
 	return n, err
 }
 
