operator: the credential is checked before a body is read, in the account of memory

Operators saw: a host whose port for operators takes bodies of any client into memory, with or without a credential: 60 clients with 4 MB each, 263 MiB (machine of 96 MB).

Cause: fasthttp read each body whole before the handler ran.

Change: the port uses io/edge: credential and announced length are decided on by the header, the body is then read in memory that the account has.

The tests of io/operator pass unchanged.

--- a/io/operator/handlers.go
+++ b/io/operator/handlers.go
@@ -69,7 +69,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, storeTimeout)
 	defer cancel()
-	revision, err := s.options.Backend.Apply(ctx, cloneBody(r.PostBody()), base)
+	revision, err := s.options.Backend.Apply(ctx, cloneBody(r.body), base)
 	if err != nil {
 		return changeProblem(err)
 	}
@@ -115,7 +115,7 @@
 }
 
 func (s *Server) validate(r *request) error {
-	next, err := config.Parse(r.PostBody(), "document")
+	next, err := config.Parse(r.body, "document")
 	if err != nil {
 		return err
 	}
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -17,16 +17,28 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/uber-go/tally/v4"
 	"github.com/valyala/fasthttp"
 
+	"mimosarelay/core/memory"
 	"mimosarelay/core/model"
 	"mimosarelay/core/store"
+	"mimosarelay/io/buffer"
+	"mimosarelay/io/edge"
 )
 
 const (
-	readTimeout  = 30 * time.Second
+	headerTimeout = 30 * time.Second
+	bodyTimeout   = 30 * time.Second
+	// writeTimeout limits each write of an answer.
 	writeTimeout = 30 * time.Second
 	idleTimeout  = 60 * time.Second
+	// connectionBytes is the memory of an open connection: the buffers for reading and
+	// writing, the request and response of fasthttp, and two stacks; with TLS also the
+	// largest record in each direction.
+	connectionBytes memory.Bytes = 20 << 10
+	tlsBytes        memory.Bytes = 2 * 17 << 10
+	memoryRetry                  = time.Second
 	// maxBodyBytes is larger than the largest configuration, so that a body which
 	// is slightly too large is read and answered. A client that is still sending
 	// when the connection is closed may not receive the answer.
@@ -47,6 +59,9 @@
 	// Wait limits the wait for the effect of a change; 0 means 15 s.
 	Wait time.Duration
 	Log  *slog.Logger // default: slog.Default
+	// Memory is the account for the bytes of clients; nil for no limit.
+	Memory *memory.Account
+	Scope  tally.Scope // default: none
 }
 
 // Server is the HTTP server for operators.
@@ -66,6 +81,9 @@
 	if o.Log == nil {
 		o.Log = slog.Default()
 	}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
 	if _, err := readCredential(o.CredentialFile); err != nil {
 		return nil, err
 	}
@@ -75,10 +93,10 @@
 	s.http = &fasthttp.Server{
 		Name:                  "mimosarelay",
 		Handler:               s.handle,
-		ReadTimeout:           readTimeout,
-		WriteTimeout:          writeTimeout + o.Wait,
-		IdleTimeout:           idleTimeout,
-		MaxRequestBodySize:    maxBodyBytes,
+		HeaderReceived:        requestConfig,
+		ExpectHandler:         s.handleExpect,
+		ConnState:             edge.ConnState,
+		StreamRequestBody:     true, // credentials are checked before the body is read
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
 		ErrorHandler:          s.handleParseError,
@@ -91,12 +109,25 @@
 
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
+	size := connectionBytes
+	if s.options.TLS != nil {
+		size += tlsBytes
+	}
+	refused := s.options.Scope.Counter("connections_refused_for_memory")
+	l = &edge.Listener{
+		Listener: l, Limits: connectionLimits, WriteTimeout: writeTimeout,
+		Memory: s.options.Memory, ConnectionBytes: size, Refused: func() { refused.Inc(1) },
+	}
 	if s.options.TLS != nil {
 		l = tls.NewListener(l, s.options.TLS)
 	}
 	return s.http.Serve(l)
 }
 
+func connectionLimits() edge.Limits {
+	return edge.Limits{IdleTimeout: idleTimeout, HeaderTimeout: headerTimeout}
+}
+
 // Shutdown stops the server after the running requests have ended. Requests that
 // wait for the effect of a change stop waiting.
 func (s *Server) Shutdown(ctx context.Context) error {
@@ -110,6 +141,7 @@
 	*fasthttp.RequestCtx
 	ctx        context.Context
 	pathParams map[string]string
+	body       []byte
 }
 
 // route is an operation of the API. Public routes need no credential.
@@ -124,6 +156,7 @@
 	id := model.RequestID(uuid.NewString())
 	start := time.Now()
 	err := s.dispatch(c)
+	edge.From(c).BeginAnswer()
 	if err != nil {
 		p := problemFromError(err)
 		p.RequestID = id
@@ -137,18 +170,6 @@
 		"status", c.Response.StatusCode(), "remote", c.RemoteAddr(), "duration", time.Since(start))
 }
 
-// handleParseError answers a request that fasthttp failed to read. The error may
-// contain headers with the credential and is neither logged nor returned.
-func (s *Server) handleParseError(c *fasthttp.RequestCtx, err error) {
-	p := problemf(fasthttp.StatusBadRequest, "the request is not valid HTTP or did not arrive in time")
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		p = problemf(fasthttp.StatusRequestEntityTooLarge, "the body exceeds %d bytes", maxBodyBytes)
-	}
-	p.RequestID = model.RequestID(uuid.NewString())
-	s.options.Log.Info("failed to read operator request", "request_id", p.RequestID, "status", p.Status, "remote", c.RemoteAddr())
-	writeJSON(c, p.Status, "application/problem+json", p)
-}
-
 // dispatch runs the handler of the request's route. A panic in a handler is
 // logged and answered as an internal error, so that it does not end the process.
 func (s *Server) dispatch(c *fasthttp.RequestCtx) (err error) {
@@ -158,6 +179,9 @@
 			err = problemf(fasthttp.StatusInternalServerError, "internal error")
 		}
 	}()
+	if skipped := edge.From(c).Begin(c); skipped > 0 {
+		return s.readProblem(c, buffer.ErrTooLarge)
+	}
 	var allowed []string
 	for _, t := range s.routes {
 		params, ok := matchPath(t.pattern, string(c.Path()))
@@ -171,7 +195,13 @@
 		if err := s.authorize(c, t); err != nil {
 			return err
 		}
-		return t.handler(&request{RequestCtx: c, ctx: s.baseContext, pathParams: params})
+		body, err := edge.From(c).ReadBody(c, maxBodyBytes)
+		if err != nil {
+			c.SetConnectionClose()
+			return s.readProblem(c, err)
+		}
+		defer body.Release()
+		return t.handler(&request{RequestCtx: c, ctx: s.baseContext, pathParams: params, body: body.Bytes()})
 	}
 	if allowed == nil {
 		return problemf(fasthttp.StatusNotFound, "no such path")
@@ -254,7 +284,7 @@
 
 // decode decodes a JSON body. Unknown members and data after the value are errors.
 func (r *request) decode(v any) error {
-	d := json.NewDecoder(bytes.NewReader(r.PostBody()))
+	d := json.NewDecoder(bytes.NewReader(r.body))
 	d.DisallowUnknownFields()
 	err := d.Decode(v)
 	if err == nil && d.More() {
