caller: the own interface reads bodies after the decision, in the account of memory

Callers saw: a host that runs out of memory when 60 callers send 4 MB each and stop just short of their end, with or without a key, whole, in pieces or in chunks, in 16-byte chunks (150 callers, 600 kB), over the limit in chunks, over TLS, or when they do not read their answers: 216 to 458 MiB. The port for other hosts took the same.

Cause: fasthttp read each body whole before keys were looked at, answers were held whole, and nothing limited their sum.

Change: the own interface uses the same connections (io/edge), account and reporter as the platform's. Keys and announced lengths are decided on by the header; a body is read in reserved memory and refused with 503, Ran "no" and Retry-After if there is none; the key is checked again after it. Answers are read in reserved memory, connections to targets have bounded receive buffers, and the port for other hosts is under LimitMessages. New settings Memory.Limit (default: the memory of the machine) and Memory.MaxConnections (default: what the memory and the open files allow), checked at start; GOMEMLIMIT follows from them.

--- a/app/host/host.go
+++ b/app/host/host.go
@@ -15,7 +15,9 @@
 
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/sys/unix"
 
+	"mimosarelay/app/account"
 	"mimosarelay/app/contracts"
 	"mimosarelay/app/fleet"
 	"mimosarelay/app/limits"
@@ -26,10 +28,12 @@
 	"mimosarelay/app/settings"
 	"mimosarelay/app/suspects"
 	"mimosarelay/app/wait"
+	"mimosarelay/core/memory"
 	"mimosarelay/core/model"
 	"mimosarelay/io/caller"
 	"mimosarelay/io/consul"
 	"mimosarelay/io/disk"
+	"mimosarelay/io/edge"
 	"mimosarelay/io/metrics"
 	"mimosarelay/io/operator"
 	"mimosarelay/io/peer"
@@ -51,6 +55,7 @@
 	clock       clockwork.Clock
 	incarnation model.Incarnation
 	metrics     *metrics.Root
+	memory      *memory.Account
 
 	controlStore *consul.Client // keys under controlPrefix, which are watched
 	dataStore    *consul.Client // records of programs, under dataPrefix
@@ -106,6 +111,9 @@
 		drainRequested: make(chan struct{}),
 		metrics:        metrics.New(),
 	}
+	h.memory = account.New(account.Options{
+		Memory: o.Settings.Memory.Bytes(), Descriptors: openFiles(), MaxConnections: o.Settings.Memory.MaxConnections, Clock: h.clock,
+	})
 	if err := h.listen(); err != nil {
 		h.listeners.close()
 		return nil, err
@@ -127,7 +135,7 @@
 		{"Peer", h.settings.Peer.Address, &h.listeners.peer},
 		{"Operator", h.settings.Operator.Address, &h.listeners.operator},
 	} {
-		listener, err := net.Listen("tcp", l.address)
+		listener, err := edge.Listen(l.address)
 		if err != nil {
 			return fmt.Errorf("settings %s.Address: %w", l.section, err)
 		}
@@ -136,6 +144,18 @@
 	return nil
 }
 
+// openFiles returns the limit of open files of the process.
+func openFiles() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return 0
+	}
+	return int(min(limit.Cur, maxOpenFiles))
+}
+
+// maxOpenFiles is above the number of connections that a host can use.
+const maxOpenFiles = 1 << 22
+
 // Run serves until ctx ends, an operator requests a drain or a background task
 // fails. It then shuts down gracefully: calls are cut only if the drain timeout
 // passes.
@@ -173,6 +193,8 @@
 	}
 	run("peer server", func() error { return peer.Serve(ctx, h.listeners.peer, peerHandler{host: h}) })
 	run("operator server", func() error { return h.operatorServer.Serve(h.listeners.operator) })
+	reporter := &account.Reporter{Account: h.memory, Scope: h.metrics.Scope.SubScope("memory"), Clock: h.clock, Log: h.log}
+	run("memory metrics", func() error { return reporter.Run(ctx) })
 	run("programs", func() error { return h.programs.Run(ctx) })
 	run("placement", func() error { return h.placement.Run(ctx) })
 	run("isolation", func() error { return h.watchIsolation(ctx) })
--- a/app/host/wire.go
+++ b/app/host/wire.go
@@ -119,6 +119,7 @@
 		o.TLSFor = files.Client
 		h.listeners.peer = tls.NewListener(h.listeners.peer, files.Server())
 	}
+	h.listeners.peer = peer.LimitMessages(h.listeners.peer, h.memory)
 	h.peers = peer.NewClient(o)
 	return nil
 }
@@ -220,6 +221,7 @@
 	h.callerServer = caller.New(caller.Options{
 		Relay: h.relay, Streams: h.calls, Hosts: h.owners, Snapshot: h.contracts.Current, Ready: h.Ready, Serves: h.acceptsCalls, Log: h.log,
 		Draining: h.draining.Load, TLS: tlsConfig, MaxBody: h.settings.Caller.MaxBody, WriteTimeout: h.settings.Caller.WriteTimeout,
+		Memory: h.memory, Scope: h.metrics.Scope.SubScope("caller"),
 	})
 	return nil
 }
@@ -242,7 +244,7 @@
 	}
 	h.operatorServer, err = operator.New(operator.Options{
 		Backend: backend{h.contracts, h}, CredentialFile: h.settings.Operator.CredentialFile, TLS: tlsConfig,
-		Metrics: h.metrics.Handler, Log: h.log,
+		Metrics: h.metrics.Handler, Log: h.log, Memory: h.memory, Scope: h.metrics.Scope.SubScope("operator"),
 	})
 	return err
 }
--- a/app/relay/chat.go
+++ b/app/relay/chat.go
@@ -296,7 +296,7 @@
 // returning it.
 func (s *Service) readAnswer(ctx context.Context, c *chatCall, resp *target.Response) (*Answer, error) {
 	c.ran = model.RanUnknown
-	body, err := resp.ReadAll(maxAnswer)
+	body, err := readWhole(ctx, c.request.Memory, resp)
 	_ = resp.Close()
 	if err != nil {
 		err = s.classifyChatError(ctx, c, err)
@@ -304,13 +304,14 @@
 		return nil, err
 	}
 	c.ran = model.RanYes
-	usage, _ := target.ParseUsage(body)
+	usage, _ := target.ParseUsage(body.Bytes())
 	s.releaseSucceeded(c, usage)
-	if err := s.finishChat(ctx, c, programs.Result{Answer: body, ContentType: resp.ContentType(), Status: resp.Status(), Used: usedTokens(usage)}); err != nil {
+	if err := s.finishChat(ctx, c, programs.Result{Answer: recordedBytes(c.run, body), ContentType: resp.ContentType(), Status: resp.Status(), Used: usedTokens(usage)}); err != nil {
+		body.Release()
 		return nil, err
 	}
 	headers := []Header{{Name: "Content-Type", Value: resp.ContentType()}}
-	return &Answer{Status: resp.Status(), Headers: headers, Body: newBytesBody(body), Length: len(body)}, nil
+	return &Answer{Status: resp.Status(), Headers: headers, Body: &bufferedAnswer{body: body}, Length: len(body.Bytes())}, nil
 }
 
 // finishChat commits the answer. It remembers the recorded messages, so that the
--- a/app/relay/request.go
+++ b/app/relay/request.go
@@ -6,6 +6,7 @@
 import (
 	"io"
 
+	"mimosarelay/core/memory"
 	"mimosarelay/core/model"
 )
 
@@ -48,6 +49,8 @@
 	Call    model.CallNumber
 	// IdempotencyKey identifies a call outside a program.
 	IdempotencyKey string
+	// Memory reserves the memory of the answer; nil for no limit.
+	Memory *memory.Holder
 }
 
 // Answer is the response to a call. The receiver must Close the body. Its Read
--- a/app/relay/service_call.go
+++ b/app/relay/service_call.go
@@ -142,7 +142,7 @@
 		return nil, s.classifyServiceError(c, t, err)
 	}
 	c.ran = model.RanUnknown
-	body, err := resp.ReadAll(maxAnswer)
+	body, err := readWhole(ctx, c.request.Memory, resp)
 	headers := allowedHeaders(resp)
 	status, contentType := resp.Status(), resp.ContentType()
 	_ = resp.Close()
@@ -150,13 +150,15 @@
 		return nil, s.classifyServiceError(c, t, err)
 	}
 	if status >= fasthttp.StatusInternalServerError && c.route.Repeatable {
+		body.Release()
 		return nil, errors.Join(errTryNext, model.NewRefusal(model.ErrTargetFailed, c.ran, "target %q answered %d", t.Name, status))
 	}
 	c.ran = model.RanYes
-	if err := s.finishRun(ctx, c.run, programs.Result{Answer: body, ContentType: contentType, Status: status}); err != nil {
+	if err := s.finishRun(ctx, c.run, programs.Result{Answer: recordedBytes(c.run, body), ContentType: contentType, Status: status}); err != nil {
+		body.Release()
 		return nil, err
 	}
-	return &Answer{Status: status, Headers: headers, Body: newBytesBody(body), Length: len(body)}, nil
+	return &Answer{Status: status, Headers: headers, Body: &bufferedAnswer{body: body}, Length: len(body.Bytes())}, nil
 }
 
 func (c *serviceCall) fillRequest(req *fasthttp.Request, address string) {
--- a/app/settings/settings.go
+++ b/app/settings/settings.go
@@ -16,6 +16,7 @@
 	Operator  Operator  `yaml:"Operator"`
 	Peer      Peer      `yaml:"Peer"`
 	Platform  Platform  `yaml:"Platform"`
+	Memory    Memory    `yaml:"Memory,omitempty"`
 	Limits    Limits    `yaml:"Limits,omitempty"`
 	Placement Placement `yaml:"Placement,omitempty"`
 	Data      Data      `yaml:"Data,omitempty"`
@@ -46,6 +47,7 @@
 	s.Operator.complete(folder, r)
 	s.Peer.complete(folder, r)
 	s.Platform.complete(folder, r)
+	s.Memory.complete(s.Caller, r)
 	s.Limits.complete(r)
 	s.Placement.complete(r)
 	s.Data.complete(folder, r)
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -6,13 +6,16 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/spf13/cobra"
 
 	"mimosarelay/app/host"
 	"mimosarelay/app/settings"
+	"mimosarelay/core/memory"
 	"mimosarelay/platform"
 )
 
@@ -54,6 +57,9 @@
 	if err != nil {
 		return fmt.Errorf("failed to load the settings: %w", err)
 	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(memory.Limit(s.Memory.Bytes())))
+	}
 	log := slog.New(slog.NewTextHandler(logs, &slog.HandlerOptions{Level: s.Log.SlogLevel()}))
 	h, err := host.New(host.Options{Settings: s, Log: log})
 	if err != nil {
--- a/io/caller/handlers.go
+++ b/io/caller/handlers.go
@@ -15,7 +15,9 @@
 
 	"mimosarelay/app/relay"
 	"mimosarelay/core/config"
+	"mimosarelay/core/memory"
 	"mimosarelay/core/model"
+	"mimosarelay/io/edge"
 	"mimosarelay/io/rawhead"
 	"mimosarelay/io/target"
 )
@@ -42,8 +44,8 @@
 	if s.options.Draining() {
 		defer ctx.SetConnectionClose()
 	}
-	if err := rawhead.Check(&ctx.Request); err != nil {
-		s.refuse(ctx, newRequestID(), model.NewRefusal(model.ErrBadRequest, model.RanNo, "%v", err))
+	if err := s.checkHead(ctx); err != nil {
+		s.refuse(ctx, newRequestID(), err)
 		ctx.SetConnectionClose()
 		return
 	}
@@ -163,11 +165,15 @@
 func (s *Server) handleChat(ctx *fasthttp.RequestCtx) {
 	id := newRequestID()
 	r, err := s.authenticate(ctx, id, false)
+	var body *callBody
 	if err == nil {
 		r.Method = fasthttp.MethodPost
-		err = s.readCall(ctx, r)
+		body, err = s.readCall(ctx, r, false)
+	}
+	if err == nil && body.reserveCopies(context.Background(), chatCopies) != nil {
+		err = s.noMemory()
 	}
-	s.relayCall(ctx, r, id, err)
+	s.relayCall(ctx, r, id, body, err)
 }
 
 // handleRoute relays a call of a route. rest is the request target after pathRoutes.
@@ -180,14 +186,15 @@
 		return
 	}
 	r, err := s.authenticate(ctx, id, route.Open)
+	var body *callBody
 	if err == nil {
 		r.Route, r.Method, r.Path = route.Name, string(ctx.Method()), path
-		err = s.readCall(ctx, r)
+		body, err = s.readCall(ctx, r, route.Open)
 	}
 	if err == nil {
 		s.ensureIdempotencyKey(ctx, r, route)
 	}
-	s.relayCall(ctx, r, id, err)
+	s.relayCall(ctx, r, id, body, err)
 }
 
 // splitRoute splits a request target after pathRoutes into the name of the route and
@@ -218,7 +225,7 @@
 	if err == nil {
 		err = parseProgramPath(ctx, r, rest)
 	}
-	s.relayCall(ctx, r, id, err)
+	s.relayCall(ctx, r, id, nil, err)
 }
 
 // handleOutcome returns the outcome of a call outside a program, which is
@@ -229,23 +236,36 @@
 	if err == nil {
 		err = parseIdempotencyPath(r, strings.TrimPrefix(string(ctx.Path()), pathCalls))
 	}
-	s.relayCall(ctx, r, id, err)
+	s.relayCall(ctx, r, id, nil, err)
 }
 
-// relayCall passes a request to the relay and writes the answer. It refuses the
-// request if err, the result of reading the request, is not nil.
-func (s *Server) relayCall(ctx *fasthttp.RequestCtx, r *relay.Request, id model.RequestID, err error) {
+// relayCall passes a request to the relay and writes the answer, after which it
+// releases the body of the request. It refuses the request if err, the result of reading
+// the request, is not nil.
+func (s *Server) relayCall(ctx *fasthttp.RequestCtx, r *relay.Request, id model.RequestID, body *callBody, err error) {
 	if err != nil {
-		s.refuse(ctx, id, s.confirmRefusal(err))
-		return
+		err = s.confirmRefusal(err)
+	} else {
+		err = s.checkServes()
 	}
-	if err := s.checkServes(); err != nil {
+	if err != nil {
+		body.release()
 		s.refuse(ctx, id, err)
 		return
 	}
+	c := edge.From(ctx)
+	r.Memory = c.Holder()
+	r.Memory.SetPhase(memory.Running)
+	if c.Evicted() {
+		ctx.SetConnectionClose()
+	}
 	// The context of fasthttp is cancelled at the start of a shutdown, which must
 	// not interrupt running calls.
-	callCtx, done := s.options.Streams.Add(context.Background(), r.Workspace, r.Key)
+	callCtx, removeCall := s.options.Streams.Add(context.Background(), r.Workspace, r.Key)
+	done := func() {
+		removeCall()
+		body.release()
+	}
 	answer, err := s.options.Relay.Handle(callCtx, r)
 	if err != nil {
 		done()
@@ -253,6 +273,7 @@
 		setIdempotencyHeader(ctx)
 		return
 	}
+	r.Memory.SetPhase(memory.Answering)
 	s.writeAnswer(ctx, r, answer, s.callEnder(r, answer.Status, done))
 }
 
--- a/io/caller/harness_test.go
+++ b/io/caller/harness_test.go
@@ -19,6 +19,7 @@
 	"mimosarelay/app/relay"
 	"mimosarelay/app/suspects"
 	"mimosarelay/core/config"
+	"mimosarelay/core/memory"
 	"mimosarelay/core/model"
 	"mimosarelay/core/placement"
 	"mimosarelay/core/program"
@@ -44,11 +45,15 @@
 	server       *caller.Server
 	setReady     func(bool)
 	draining     atomic.Bool // accepts calls although it is not ready
+	memory       *memory.Account
 }
 
+// harnessMemory is the memory for callers, in bytes.
+const harnessMemory = 4 << 20
+
 func newHarness(t testing.TB, engineOptions engine.Options) *harness {
 	t.Helper()
-	h := &harness{t: t}
+	h := &harness{t: t, memory: memory.New(memory.Options{Capacity: harnessMemory, MaxHolders: 1000, Clock: clockwork.NewRealClock()})}
 	for range 2 {
 		o := engineOptions
 		o.Listen = "127.0.0.1:0"
@@ -144,7 +149,7 @@
 			return serving || h.draining.Load(), "switched off"
 		},
 		// Low limits, so that tests can exceed them.
-		MaxBody: 64 << 10, WriteTimeout: 500 * time.Millisecond,
+		MaxBody: 64 << 10, WriteTimeout: 500 * time.Millisecond, Memory: h.memory,
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(h.t, err)
--- a/io/caller/problem.go
+++ b/io/caller/problem.go
@@ -4,13 +4,13 @@
 	"encoding/json"
 	"errors"
 	"math"
-	"net"
 	"strconv"
 
 	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
 	"mimosarelay/core/model"
+	"mimosarelay/io/edge"
 )
 
 // problem is the body of a refused call: problem details as of RFC 9457.
@@ -54,6 +54,7 @@
 // refuse answers a call with a problem. An error that is not a *model.Refusal is
 // logged, and its text is not shown to the caller.
 func (s *Server) refuse(ctx *fasthttp.RequestCtx, id model.RequestID, err error) {
+	edge.From(ctx).BeginAnswer()
 	refusal := &model.Refusal{Kind: model.ErrUnavailable, Ran: model.RanUnknown, Detail: "internal error"}
 	if !errors.As(err, &refusal) {
 		s.options.Log.Error("call failed with an internal error", "request", id, "error", err)
@@ -84,20 +85,4 @@
 	s.options.Log.Info("call refused", "request", id, "status", p.Status, "type", p.Type, "ran", p.Ran, "detail", p.Detail)
 }
 
-// classifyParseError returns the detail and the kind of the refusal for a request
-// that fasthttp failed to read.
-func classifyParseError(err error) (detail string, kind error) {
-	var bufferErr *fasthttp.ErrSmallBuffer
-	var netErr net.Error
-	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		return "request body is too large", model.ErrTooLarge
-	case errors.As(err, &bufferErr):
-		return "request header is larger than " + strconv.Itoa(maxHeaderBytes) + " bytes", model.ErrTooLarge
-	case errors.As(err, &netErr) && netErr.Timeout():
-		return "request was not received in time", model.ErrBadRequest
-	}
-	return "request is not valid HTTP", model.ErrBadRequest
-}
-
 func newRequestID() model.RequestID { return model.RequestID(uuid.NewString()) }
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -68,38 +68,40 @@
 	return key, true, nil
 }
 
-// checkKeyNotForwarded refuses requests that contain the caller's key in a part
-// that is forwarded to a target.
+var errKeyForwarded = model.NewRefusal(model.ErrBadRequest, model.RanNo, "the key may only be sent in the header Authorization")
+
+// checkKeyNotForwarded refuses requests that contain the caller's key in a part of the
+// header that is forwarded to a target.
 func checkKeyNotForwarded(ctx *fasthttp.RequestCtx, key []byte) error {
 	uri := rawhead.Target(&ctx.Request)
 	decoded, err := url.PathUnescape(string(uri))
 	if err != nil {
 		return model.NewRefusal(model.ErrBadRequest, model.RanNo, "the request path is not well formed")
 	}
-	parts := [][]byte{uri, []byte(decoded), ctx.PostBody()}
+	parts := [][]byte{uri, []byte(decoded)}
 	for _, h := range rawhead.Fields(&ctx.Request) {
 		if relay.PassRequestHeader(h.Name) {
 			parts = append(parts, []byte(h.Value))
 		}
 	}
 	if containsKey(key, parts...) {
-		return model.NewRefusal(model.ErrBadRequest, model.RanNo, "the key may only be sent in the header Authorization")
-	}
-	if len(ctx.Request.Header.PeekTrailerKeys()) > 0 {
-		return model.NewRefusal(model.ErrBadRequest, model.RanNo, "trailers are not accepted")
+		return errKeyForwarded
 	}
 	return nil
 }
 
-// readCall reads the body and the header fields of a call into r.
-func (s *Server) readCall(ctx *fasthttp.RequestCtx, r *relay.Request) error {
-	r.Body = bytes.Clone(ctx.PostBody())
+// readCall reads the header fields and the body of a call into r. The caller must
+// release the result.
+func (s *Server) readCall(ctx *fasthttp.RequestCtx, r *relay.Request, keyOptional bool) (*callBody, error) {
 	for _, h := range rawhead.Fields(&ctx.Request) {
 		if relay.PassRequestHeader(h.Name) {
 			r.Headers = append(r.Headers, relay.Header(h))
 		}
 	}
-	return readProgramHeaders(ctx, r)
+	if err := readProgramHeaders(ctx, r); err != nil {
+		return nil, err
+	}
+	return s.readBody(ctx, r, keyOptional)
 }
 
 // readProgramHeaders reads and validates the header fields that assign a call to a
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -8,15 +8,15 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"github.com/valyala/fasthttp"
 
 	"mimosarelay/app/relay"
 	"mimosarelay/core/config"
-	"mimosarelay/core/model"
-	"mimosarelay/io/tcpclose"
+	"mimosarelay/core/memory"
+	"mimosarelay/io/edge"
 )
 
 // Relay executes calls and queries.
@@ -31,8 +31,8 @@
 	Addresses() []string
 }
 
-// Options configures a Server. All fields but Serves, TLS, Draining, MaxBody
-// and WriteTimeout are required.
+// Options configures a Server. All fields but Serves, TLS, Draining, MaxBody,
+// WriteTimeout, Memory and Scope are required.
 type Options struct {
 	Relay    Relay
 	Streams  *relay.CallRegistry
@@ -54,16 +54,27 @@
 	// WriteTimeout limits each write, so that a response to a caller that stops
 	// reading is aborted; 0 means 20 s.
 	WriteTimeout time.Duration
+	// Memory is the account for the bytes of callers; nil for no limit.
+	Memory *memory.Account
+	// Scope may be nil.
+	Scope tally.Scope
 }
 
 const (
 	defaultMaxBody      = 8 << 20
 	defaultWriteTimeout = 20 * time.Second
-	// requestReadTimeout limits the time to receive a request.
-	requestReadTimeout = 30 * time.Second
-	keepAliveTimeout   = 75 * time.Second
+	// headerTimeout and bodyTimeout limit the time to receive the header and the body
+	// of a request.
+	headerTimeout    = 30 * time.Second
+	bodyTimeout      = 30 * time.Second
+	keepAliveTimeout = 75 * time.Second
 	// maxHeaderBytes limits the size of a request's header.
 	maxHeaderBytes = 16 << 10
+	// connectionBytes is the memory of an open connection: the buffers for reading and
+	// writing, the request and response of fasthttp, and two stacks. tlsBytes is what a
+	// TLS connection holds besides: the largest record in each direction.
+	connectionBytes memory.Bytes = maxHeaderBytes + 12<<10
+	tlsBytes        memory.Bytes = 2 * 17 << 10
 )
 
 // Server is the HTTP server for callers.
@@ -86,15 +97,19 @@
 	if o.Draining == nil {
 		o.Draining = func() bool { return false }
 	}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
 	s := &Server{options: o}
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
 		ErrorHandler:          s.handleParseError,
 		Name:                  "mimosarelay",
 		ReadBufferSize:        maxHeaderBytes,
-		ReadTimeout:           requestReadTimeout,
-		IdleTimeout:           keepAliveTimeout,
-		MaxRequestBodySize:    o.MaxBody,
+		HeaderReceived:        s.requestConfig,
+		ExpectHandler:         s.handleExpect,
+		ConnState:             edge.ConnState,
+		StreamRequestBody:     true, // keys are checked before the body is read
 		CloseOnShutdown:       true,
 		NoDefaultDate:         true,
 		SecureErrorLogMessage: true,
@@ -105,13 +120,25 @@
 
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(listener net.Listener) error {
-	listener = &deadlineListener{Listener: listener, timeout: s.options.WriteTimeout}
+	size := connectionBytes
+	if s.options.TLS != nil {
+		size += tlsBytes
+	}
+	refused := s.options.Scope.Counter("connections_refused_for_memory")
+	listener = &edge.Listener{
+		Listener: listener, Limits: connectionLimits, WriteTimeout: s.options.WriteTimeout,
+		Memory: s.options.Memory, ConnectionBytes: size, Refused: func() { refused.Inc(1) },
+	}
 	if s.options.TLS != nil {
 		listener = tls.NewListener(listener, s.options.TLS)
 	}
 	return s.http.Serve(listener)
 }
 
+func connectionLimits() edge.Limits {
+	return edge.Limits{IdleTimeout: keepAliveTimeout, HeaderTimeout: headerTimeout}
+}
+
 // Shutdown stops accepting connections and waits until all running calls have
 // ended or ctx is done.
 func (s *Server) Shutdown(ctx context.Context) error {
@@ -127,59 +154,10 @@
 	l.log.Debug("error on a connection of a caller", "detail", fmt.Sprintf(format, args...))
 }
 
-// deadlineListener sets a deadline for each write instead of one for the whole
-// response, so that a long stream continues as long as its caller reads.
-type deadlineListener struct {
-	net.Listener
-	timeout time.Duration
-}
-
-// Accept implements net.Listener.
-func (l *deadlineListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &deadlineConn{Conn: conn, timeout: l.timeout}, nil
-}
-
-type deadlineConn struct {
-	net.Conn
-	timeout time.Duration
-	linger  atomic.Bool // Close keeps reading for a moment
-}
-
-// Close implements net.Conn.
-func (c *deadlineConn) Close() error {
-	if c.linger.Swap(false) {
-		return tcpclose.Linger(c.Conn)
-	}
-	return c.Conn.Close()
-}
-
-// lingerOnClose makes Close of a connection keep reading for a moment. Closing a
-// connection with unread data resets it, which could lose the answer.
-func lingerOnClose(conn net.Conn) {
-	if t, ok := conn.(*tls.Conn); ok {
-		conn = t.NetConn()
-	}
-	if c, ok := conn.(*deadlineConn); ok {
-		c.linger.Store(true)
-	}
-}
-
-// Write implements net.Conn.
-func (c *deadlineConn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(p)
-}
-
 // handleParseError refuses a request that fasthttp failed to read.
 func (s *Server) handleParseError(ctx *fasthttp.RequestCtx, err error) {
-	lingerOnClose(ctx.Conn())
-	detail, kind := classifyParseError(err)
-	s.refuse(ctx, newRequestID(), model.NewRefusal(kind, model.RanNo, "%s", detail))
+	c := edge.From(ctx)
+	c.Linger()
+	s.refuse(ctx, newRequestID(), s.readRefusal(c.ReadError(err)))
 	ctx.SetConnectionClose()
 }
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -17,7 +17,9 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
+	"mimosarelay/core/memory"
 	"mimosarelay/io/http1"
 )
 
@@ -66,10 +68,18 @@
 	if o.DialTimeout == 0 {
 		o.DialTimeout = time.Second
 	}
-	c := &Client{dialer: net.Dialer{Timeout: o.DialTimeout}, idle: map[string][]*conn{}}
+	c := &Client{dialer: net.Dialer{Timeout: o.DialTimeout, Control: boundReceiveBuffer}, idle: map[string][]*conn{}}
 	return c
 }
 
+// boundReceiveBuffer bounds what the kernel holds of an answer that waits for memory or
+// for its caller.
+func boundReceiveBuffer(_, _ string, c syscall.RawConn) error {
+	return c.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, int(memory.ReceiveBuffer))
+	})
+}
+
 // CallOptions configures one exchange.
 type CallOptions struct {
 	// Fresh opens a new connection. The target may already have closed a reused
