peer: connections that have not sent a whole message yet hold memory of their own account

Operators saw: a host or a keeper that runs out of memory when 1,000 connections at the port for other hosts send 60,000 bytes of a message each and stop: 160 MiB on a machine of 96 MB.

Cause: only messages above 64 KiB are reserved, so that ordinary messages between hosts do not compete with callers. A stranger who opens the port sends any number of smaller ones.

Change: until the end of its first message, a connection reserves all that it holds in an account of one eighth of the size, which no other connection uses: callers lose nothing to such a crowd, and hosts that know each other lose nothing to callers. A connection that finds no room is closed at once, so that others do not queue behind it.

--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -104,6 +104,12 @@
 	return &Account{clock: o.Clock, capacity: o.Capacity, maxHolders: o.MaxHolders, holders: map[*Holder]struct{}{}, sources: map[netip.Addr]Bytes{}}
 }
 
+// Part returns an account of 1/n of the size, for holders that must neither take the
+// memory of the others nor lose theirs to them.
+func (a *Account) Part(n int) *Account {
+	return New(Options{Capacity: a.capacity / Bytes(n), MaxHolders: a.maxHolders, Clock: a.clock})
+}
+
 // Capacity returns the size of the account.
 func (a *Account) Capacity() Bytes { return a.capacity }
 
--- a/io/buffer/listener.go
+++ b/io/buffer/listener.go
@@ -12,12 +12,18 @@
 // It is short because it delays the next connection.
 const admitWait = 20 * time.Millisecond
 
-// Admit reserves n bytes for a new connection. It fails with memory.ErrFull.
-func Admit(a *memory.Account, c net.Conn, n memory.Bytes, evict func(memory.Phase)) (*memory.Holder, error) {
-	var source netip.Addr
+// Source returns the address of the other side of a connection; the zero address if it
+// is not a TCP connection.
+func Source(c net.Conn) netip.Addr {
 	if t, ok := c.RemoteAddr().(*net.TCPAddr); ok {
-		source = t.AddrPort().Addr()
+		return t.AddrPort().Addr()
 	}
+	return netip.Addr{}
+}
+
+// Admit reserves n bytes for a new connection. It fails with memory.ErrFull.
+func Admit(a *memory.Account, c net.Conn, n memory.Bytes, evict func(memory.Phase)) (*memory.Holder, error) {
+	source := Source(c)
 	limit := time.Now().Add(admitWait)
 	for {
 		freed := a.Freed()
--- a/io/peer/held.go
+++ b/io/peer/held.go
@@ -21,30 +21,46 @@
 	// messageMemoryWait is how long a message waits for memory before its connection is
 	// closed. Calls between hosts are repeated.
 	messageMemoryWait = 250 * time.Millisecond
+	// newcomerPart is the part of the account, as 1/n of it, for connections that have
+	// not sent a whole message yet. Anyone who reaches the port can open them.
+	newcomerPart = 8
+	// newcomerBytes is what such a connection holds before it has sent anything, and the
+	// step in which it reserves more.
+	newcomerBytes = 8 << 10
 )
 
 // LimitMessages returns a listener whose connections reserve the memory of messages
-// above 64 KiB while they arrive. A connection without memory is closed. a is nil for
-// no limit.
+// above 64 KiB while they arrive, and of all bytes before the end of their first message.
+// A connection without memory is closed. a is nil for no limit.
 func LimitMessages(l net.Listener, a *memory.Account) net.Listener {
 	if a == nil {
 		return l
 	}
-	return &heldListener{l, a}
+	return &heldListener{l, a, a.Part(newcomerPart)}
 }
 
 type heldListener struct {
 	net.Listener
-	account *memory.Account
+	account   *memory.Account
+	newcomers *memory.Account
 }
 
 // Accept implements net.Listener.
 func (l *heldListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		newcomer, err := l.newcomers.Open(buffer.Source(c), newcomerBytes, func(memory.Phase) { _ = c.Close() })
+		if err == nil {
+			newcomer.SetPhase(memory.Receiving)
+			return &heldConn{Conn: c, account: l.account, newcomer: newcomer, newcomerReserved: newcomerBytes}, nil
+		}
+		// Not waiting keeps the connections of other hosts from queueing behind a crowd;
+		// they are opened again.
+		_ = c.Close()
 	}
-	return &heldConn{Conn: c, account: l.account}, nil
 }
 
 // heldConn reserves memory for the largest message that it has received so far,
@@ -54,6 +70,11 @@
 	account  *memory.Account
 	meter    messageMeter
 	reserved memory.Bytes
+	// newcomer is closed at the end of the first message. newcomerReserved is what it
+	// holds.
+	newcomer         *memory.Holder
+	newcomerReserved memory.Bytes
+	established      bool // the first message has ended; used by Read only
 
 	mu     sync.Mutex     // guards holder and closed; Close may run while Read does
 	holder *memory.Holder // nil before the first message above smallMessage
@@ -64,6 +85,10 @@
 func (c *heldConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	size := c.meter.add(p[:n])
+	if newcomerErr := c.holdNewcomer(size, n); newcomerErr != nil {
+		_ = c.Conn.Close()
+		return 0, errors.Join(newcomerErr, err)
+	}
 	if size > smallMessage {
 		if holdErr := c.hold(size, n); holdErr != nil {
 			_ = c.Conn.Close()
@@ -75,6 +100,30 @@
 	return n, err
 }
 
+// holdNewcomer reserves the memory of the first message, of which size bytes have
+// arrived, the last n just now.
+func (c *heldConn) holdNewcomer(size uint64, n int) error {
+	if c.established {
+		return nil
+	}
+	if c.meter.whole {
+		c.established = true
+		c.newcomer.Close()
+		return nil
+	}
+	c.newcomer.Progress(n)
+	missing := memory.Bytes(copiesPerMessage*min(size, smallMessage)) - c.newcomerReserved
+	if missing <= 0 {
+		return nil
+	}
+	missing = (missing/newcomerBytes + 1) * newcomerBytes
+	if err := c.newcomer.Reserve(memory.Messages, missing); err != nil {
+		return err
+	}
+	c.newcomerReserved += missing
+	return nil
+}
+
 // current returns the holder and whether the connection is closed.
 func (c *heldConn) current() (h *memory.Holder, closed bool) {
 	c.mu.Lock()
@@ -134,6 +183,7 @@
 	defer c.mu.Unlock()
 	c.closed = true
 	c.holder.Close()
+	c.newcomer.Close()
 	return err
 }
 
@@ -147,6 +197,7 @@
 	length  uint64 // of the data that is missing
 	size    uint64 // of the incomplete message
 	started bool   // a message began, see heldConn.hold
+	whole   bool   // a message has ended
 }
 
 const (
@@ -207,6 +258,6 @@
 	}
 	m.field = fieldControl
 	if m.last {
-		m.size = 0
+		m.size, m.whole = 0, true
 	}
 }
--- a/test/e2e/memory/own_interface_test.go
+++ b/test/e2e/memory/own_interface_test.go
@@ -128,10 +128,13 @@
 
 // Guards against messages at the port for other hosts that stop short of their end.
 func TestOwnPeerPort(t *testing.T) {
-	for name, send := range map[string]caller{"one frame": sendFrames(fullBody), "many frames": sendFrames(largeChunk)} {
+	for name, c := range map[string]crowd{
+		"one frame": {bigCrowd, sendFrames(fullBody)}, "many frames": {bigCrowd, sendFrames(largeChunk)},
+		"small messages": {wideCrowd, sendPartialMessage},
+	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSite(t, false)
-			sendCrowd(t, s.peers, bigCrowd, send)
+			sendCrowd(t, s.peers, c.callers, c.send)
 			s.checkHeld()
 		})
 	}
--- a/test/e2e/memory/peer_test.go
+++ b/test/e2e/memory/peer_test.go
@@ -30,6 +30,30 @@
 	d.checkHeld()
 }
 
+// partialMessage is below the size from which messages between hosts are reserved, in
+// bytes.
+const partialMessage = 60_000
+
+// Guards against many messages that are small each and stop short of their end.
+func TestPeerSmallMessages(t *testing.T) {
+	d := newDeployment(t)
+	sendCrowd(t, d.peers, wideCrowd, sendPartialMessage)
+	d.checkHeld()
+}
+
+func TestKeeperPeerSmallMessages(t *testing.T) {
+	d := newDeployment(t)
+	sendCrowd(t, d.keeperPeers, wideCrowd, sendPartialMessage)
+	d.checkHeld()
+}
+
+// sendPartialMessage sends all but the last byte of a message.
+func sendPartialMessage(c net.Conn, _ int) error {
+	data := drpcwire.AppendFrame(nil, drpcwire.Frame{ID: drpcwire.ID{Stream: 1, Message: 1}, Kind: drpcwire.KindInvoke, Data: make([]byte, partialMessage)})
+	_, err := c.Write(data[:len(data)-1])
+	return err
+}
+
 // sendFrames returns a caller that sends fullBody bytes of a message in frames of a
 // given size, without the last byte.
 func sendFrames(size int) caller {
