--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -71,10 +71,8 @@
 	// maxHeaderBytes limits the size of a request's header.
 	maxHeaderBytes = 16 << 10
 	// connectionBytes is the memory of an open connection: the buffers for reading and
-	// writing, the request and response of fasthttp, and two stacks. tlsBytes is what a
-	// TLS connection holds besides: the largest record in each direction.
+	// writing, the request and response of fasthttp, and two stacks.
 	connectionBytes memory.Bytes = maxHeaderBytes + 12<<10
-	tlsBytes        memory.Bytes = 2 * 17 << 10
 )
 
 // Server is the HTTP server for callers.
@@ -120,19 +118,12 @@
 
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(listener net.Listener) error {
-	size := connectionBytes
-	if s.options.TLS != nil {
-		size += tlsBytes
-	}
 	refused := s.options.Scope.Counter("connections_refused_for_memory")
-	listener = &edge.Listener{
+	l := &edge.Listener{
 		Listener: listener, Limits: connectionLimits, WriteTimeout: s.options.WriteTimeout,
-		Memory: s.options.Memory, ConnectionBytes: size, Refused: func() { refused.Inc(1) },
-	}
-	if s.options.TLS != nil {
-		listener = tls.NewListener(listener, s.options.TLS)
+		Memory: s.options.Memory, ConnectionBytes: connectionBytes, Refused: func() { refused.Inc(1) },
 	}
-	return s.http.Serve(listener)
+	return s.http.Serve(l.WithTLS(s.options.TLS))
 }
 
 func connectionLimits() edge.Limits {
--- a/io/edge/conn.go
+++ b/io/edge/conn.go
@@ -59,12 +59,24 @@
 	// is aborted.
 	WriteTimeout time.Duration
 	Memory       *memory.Account // nil for no limit
-	// ConnectionBytes is the memory of an open connection.
+	// ConnectionBytes is the memory of an open connection without TLS.
 	ConnectionBytes memory.Bytes
 	// Refused is called for each connection that is closed at once.
 	Refused func()
 }
 
+// tlsBytes is what a TLS connection holds besides: the largest record in each direction.
+const tlsBytes memory.Bytes = 2 * 17 << 10
+
+// WithTLS returns the listener with TLS; the listener itself if config is nil.
+func (l *Listener) WithTLS(config *tls.Config) net.Listener {
+	if config == nil {
+		return l
+	}
+	l.ConnectionBytes += tlsBytes
+	return tls.NewListener(l, config)
+}
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -249,3 +249,28 @@
 		}
 	})
 }
+
+// Guards against allocations per response or event on a connection that is used again.
+func TestConnDoesNotAllocate(t *testing.T) {
+	data := []byte(chunked + "f\r\ndata: some text\r\n0\r\n\r\n")
+	offset := 0
+	c := NewConn(stream{Reader: readerFunc(func(p []byte) (int, error) {
+		n := copy(p, data[offset:])
+		offset = (offset + n) % len(data)
+		return n, nil
+	})})
+	p := make([]byte, 16<<10)
+	receive := func() {
+		for n := 0; n < len(data); {
+			read, err := c.Read(p)
+			assert.NilError(t, err)
+			n += read
+		}
+	}
+	receive()
+	assert.Equal(t, testing.AllocsPerRun(1000, receive), 0.0)
+}
+
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -34,11 +34,10 @@
 	writeTimeout = 30 * time.Second
 	idleTimeout  = 60 * time.Second
 	// connectionBytes is the memory of an open connection: the buffers for reading and
-	// writing, the request and response of fasthttp, and two stacks; with TLS also the
-	// largest record in each direction.
+	// writing, the request and response of fasthttp, and two stacks.
 	connectionBytes memory.Bytes = 20 << 10
-	tlsBytes        memory.Bytes = 2 * 17 << 10
-	memoryRetry                  = time.Second
+	// memoryRetry is the Retry-After of requests that are refused for memory.
+	memoryRetry = time.Second
 	// maxBodyBytes is larger than the largest configuration, so that a body which
 	// is slightly too large is read and answered. A client that is still sending
 	// when the connection is closed may not receive the answer.
@@ -109,19 +108,12 @@
 
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	size := connectionBytes
-	if s.options.TLS != nil {
-		size += tlsBytes
-	}
 	refused := s.options.Scope.Counter("connections_refused_for_memory")
-	l = &edge.Listener{
+	bounded := &edge.Listener{
 		Listener: l, Limits: connectionLimits, WriteTimeout: writeTimeout,
-		Memory: s.options.Memory, ConnectionBytes: size, Refused: func() { refused.Inc(1) },
-	}
-	if s.options.TLS != nil {
-		l = tls.NewListener(l, s.options.TLS)
+		Memory: s.options.Memory, ConnectionBytes: connectionBytes, Refused: func() { refused.Inc(1) },
 	}
-	return s.http.Serve(l)
+	return s.http.Serve(bounded.WithTLS(s.options.TLS))
 }
 
 func connectionLimits() edge.Limits {
