buffer: a connection does not wait in the queue when nothing is about to be released

Callers saw: ordinary callers behind a crowd wait in the queue of new connections: each connection for which there is no memory held up the next one for 20 ms.

Cause: Admit waited for memory also when no holder was being evicted, so that none could come within that time.

Change: it waits only while evicted holders are about to release theirs.

--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -139,6 +139,13 @@
 	return a.freed
 }
 
+// Leaving reports whether evicted holders have not released their memory yet.
+func (a *Account) Leaving() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.leavingHolders > 0
+}
+
 // Holder reserves bytes for one connection. A nil Holder reserves without a limit.
 type Holder struct {
 	account *Account
--- a/io/buffer/listener.go
+++ b/io/buffer/listener.go
@@ -31,6 +31,9 @@
 		if err == nil {
 			return h, nil
 		}
+		if !a.Leaving() {
+			return nil, err // nothing is about to be released
+		}
 		select {
 		case <-freed:
 		case <-time.After(time.Until(limit)):
--- a/test/e2e/memory/deployment_test.go
+++ b/test/e2e/memory/deployment_test.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -194,24 +195,36 @@
 }
 
 // checkServes checks that an ordinary request is answered.
-func (d *deployment) checkServes() {
-	d.t.Helper()
+func (d *deployment) checkServes() { waitServed(d.t, d.ordinaryRequest) }
+
+// waitServed waits until send, which sends an ordinary request, gets status 200.
+func waitServed(t *testing.T, send func() (status int, err error)) {
+	t.Helper()
 	var last string
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		status, err := d.ordinaryRequest()
+		status, err := send()
 		if err == nil && status == http.StatusOK {
 			return
 		}
 		last = fmt.Sprint(status, err)
 	}
-	d.t.Fatalf("no ordinary request is answered, the last one got %s", last)
+	t.Fatalf("no ordinary request is answered, the last one got %s", last)
 }
 
 var requestCount atomic.Int64
 
 // ordinaryRequest sends a request of the usual size on a connection of its own.
 func (d *deployment) ordinaryRequest() (status int, err error) {
-	c, err := net.DialTimeout("tcp", d.callers, ordinaryLimit)
+	id := fmt.Sprint("ordinary-", requestCount.Add(1))
+	return exchangeOrdinary(d.callers, nil, func(_ int, fields ...string) []byte {
+		return standin.RequestHead("POST", "/look/ordinary", standin.CallerKey, id, fields...)
+	})
+}
+
+// exchangeOrdinary sends a request of the usual size on a connection of its own, over TLS
+// if config is not nil.
+func exchangeOrdinary(address string, config *tls.Config, head request) (status int, err error) {
+	c, err := net.DialTimeout("tcp", address, ordinaryLimit)
 	if err != nil {
 		return 0, err
 	}
@@ -219,8 +232,10 @@
 	if err := c.SetDeadline(time.Now().Add(ordinaryLimit)); err != nil {
 		return 0, err
 	}
-	id := fmt.Sprint("ordinary-", requestCount.Add(1))
-	data := standin.RequestHead("POST", "/look/ordinary", standin.CallerKey, id, fmt.Sprint("Content-Length: ", ordinaryBody))
+	if config != nil {
+		c = tls.Client(c, config)
+	}
+	data := head(0, fmt.Sprint("Content-Length: ", ordinaryBody))
 	if _, err := c.Write(append(data, make([]byte, ordinaryBody)...)); err != nil {
 		return 0, err
 	}
--- a/test/e2e/memory/site_test.go
+++ b/test/e2e/memory/site_test.go
@@ -3,21 +3,17 @@
 package memory
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/pem"
 	"fmt"
-	"io"
 	"net"
-	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"testing"
 	"time"
 
@@ -171,40 +167,5 @@
 
 // checkServes checks that an ordinary request is answered.
 func (s *site) checkServes() {
-	s.t.Helper()
-	var last string
-	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		status, err := s.ordinaryRequest()
-		if err == nil && status == http.StatusOK {
-			return
-		}
-		last = fmt.Sprint(status, err)
-	}
-	s.t.Fatalf("no ordinary request is answered, the last one got %s", last)
-}
-
-// ordinaryRequest sends a request of the usual size on a connection of its own.
-func (s *site) ordinaryRequest() (status int, err error) {
-	c, err := net.DialTimeout("tcp", s.callers, ordinaryLimit)
-	if err != nil {
-		return 0, err
-	}
-	defer c.Close()
-	if err := c.SetDeadline(time.Now().Add(ordinaryLimit)); err != nil {
-		return 0, err
-	}
-	if s.tls != nil {
-		c = tls.Client(c, s.tls)
-	}
-	data := s.post("stock", s.key)(0, fmt.Sprint("Content-Length: ", ordinaryBody))
-	if _, err := c.Write(append(data, strings.Repeat("x", ordinaryBody)...)); err != nil {
-		return 0, err
-	}
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		return 0, err
-	}
-	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode, err
+	waitServed(s.t, func() (int, error) { return exchangeOrdinary(s.callers, s.tls, s.post("stock", s.key)) })
 }
