http1: the end of a body is judged after the state of the connection was read

Cause: Conn looked at the error of the last Write first and at the state of the socket second.

Change: the state is read first, and a connection that was closed on this side has no regular end either.

--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -150,13 +150,15 @@
 // io.EOF, or ErrCut if the connection was reset. After a Write has failed, the kernel
 // reports the reset to no other call, so that a read returns the end.
 func (c *Conn) resetError() error {
+	reset := c.closedByReset()
+	// Whoever closes the connection after a failed Write does so when writeErr is set.
 	c.mu.Lock()
 	err := c.writeErr
 	c.mu.Unlock()
-	if err != nil {
+	switch {
+	case err != nil:
 		return fmt.Errorf("%w: %w", ErrCut, err)
-	}
-	if c.closedByReset() {
+	case reset:
 		return fmt.Errorf("%w: connection was reset", ErrCut)
 	}
 	return io.EOF
@@ -166,8 +168,8 @@
 // after a regular end.
 const tcpClose = 7
 
-// closedByReset reports whether the connection was reset. It is false if that is not
-// known.
+// closedByReset reports whether the connection was reset, or closed on this side. It is
+// false if that is not known.
 func (c *Conn) closedByReset() bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
@@ -177,7 +179,7 @@
 	controlErr := raw.Control(func(fd uintptr) {
 		info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
-	return controlErr == nil && err == nil && info.State == tcpClose
+	return controlErr != nil || err == nil && info.State == tcpClose
 }
 
 // SyscallConn implements syscall.Conn.
