--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -297,7 +297,10 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	run("peer server", func() error { return peer.Serve(ctx, peer.LimitMessages(peerListener, h.memory), h.peerHandler()) })
+	refused := h.metrics.Scope.Counter("peer_connections_refused_for_memory")
+	run("peer server", func() error {
+		return peer.Serve(ctx, peer.LimitMessages(peerListener, h.memory, func() { refused.Inc(1) }), h.peerHandler())
+	})
 	listeners := []listener{{"metrics", h.options.MetricsAddress, h.serveAuxiliary(h.serveDiagnostics)}}
 	if h.entry != nil {
 		listeners = append(listeners, h.entry.listeners()...)
--- a/app/host/wire.go
+++ b/app/host/wire.go
@@ -119,7 +119,8 @@
 		o.TLSFor = files.Client
 		h.listeners.peer = tls.NewListener(h.listeners.peer, files.Server())
 	}
-	h.listeners.peer = peer.LimitMessages(h.listeners.peer, h.memory)
+	refused := h.metrics.Scope.Counter("peer_connections_refused_for_memory")
+	h.listeners.peer = peer.LimitMessages(h.listeners.peer, h.memory, func() { refused.Inc(1) })
 	h.peers = peer.NewClient(o)
 	return nil
 }
--- a/io/peer/held.go
+++ b/io/peer/held.go
@@ -31,18 +31,20 @@
 
 // LimitMessages returns a listener whose connections reserve the memory of messages
 // above 64 KiB while they arrive, and of all bytes before the end of their first message.
-// A connection without memory is closed. a is nil for no limit.
-func LimitMessages(l net.Listener, a *memory.Account) net.Listener {
+// A connection without memory is closed; refused is called for each that is closed at
+// once. a is nil for no limit.
+func LimitMessages(l net.Listener, a *memory.Account, refused func()) net.Listener {
 	if a == nil {
 		return l
 	}
-	return &heldListener{l, a, a.Part(newcomerPart)}
+	return &heldListener{l, a, a.Part(newcomerPart), refused}
 }
 
 type heldListener struct {
 	net.Listener
 	account   *memory.Account
 	newcomers *memory.Account
+	refused   func()
 }
 
 // Accept implements net.Listener.
@@ -60,6 +62,7 @@
 		// Not waiting keeps the connections of other hosts from queueing behind a crowd;
 		// they are opened again.
 		_ = c.Close()
+		l.refused()
 	}
 }
 
