programs: a program stays at its host until the commit that a caller waits for has ended

Callers saw 503 "call 2 of program p ran but is not committed: program is no longer at this host" although the call had ended and its record was whole: the takeover of another host could fall between the end of a call and its commit.

Cause: a program counted as busy only while it had an open call. Finish closes the call first and commits after that; a handover in between removed the program, and the commit failed.

Change: Finish, Abort and the replay of an uncommitted answer count the commits that they wait for, under the same lock as the change.

Evidence: TestHandoverWaitsForCommit holds the commit open and asks for the shard.

--- a/app/programs/call.go
+++ b/app/programs/call.go
@@ -237,9 +237,12 @@
 	e.mu.Lock()
 	c, err := e.tree.Get(r.Program, r.Call)
 	committed := err == nil && e.committed >= c.Written
+	if !committed {
+		e.awaitedCommits++
+	}
 	e.mu.Unlock()
 	if !committed {
-		if err := s.commit(ctx, e); err != nil {
+		if err := s.awaitCommit(ctx, e); err != nil {
 			return nil, model.NewRefusal(model.ErrUnavailable, model.RanYes, "answer of call %d of program %q is not committed yet: %v", r.Call, r.Program, err).Retry(retryAfter)
 		}
 	}
@@ -291,6 +294,11 @@
 func (r *Run) apply(f func(*program.Tree) error) error {
 	r.entry.mu.Lock()
 	defer r.entry.mu.Unlock()
+	return r.applyLocked(f)
+}
+
+// applyLocked is apply for callers that hold entry.mu.
+func (r *Run) applyLocked(f func(*program.Tree) error) error {
 	if r.entry.removed {
 		return errProgramRemoved
 	}
@@ -301,6 +309,28 @@
 	return nil
 }
 
+// applyEnd is apply for the end of the call. The program stays at this host until the
+// awaitCommit that must follow has returned.
+func (r *Run) applyEnd(f func(*program.Tree) error) error {
+	r.entry.mu.Lock()
+	defer r.entry.mu.Unlock()
+	if err := r.applyLocked(f); err != nil {
+		return err
+	}
+	r.entry.awaitedCommits++
+	return nil
+}
+
+// awaitCommit is commit for callers that have incremented e.awaitedCommits.
+func (s *Service) awaitCommit(ctx context.Context, e *entry) error {
+	defer func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.awaitedCommits--
+	}()
+	return s.commit(ctx, e)
+}
+
 // Finish records the result and returns when it is committed. Its refusals have
 // Ran set to RanYes. If only the commit failed, the result stays in memory, and a
 // retry of the call tries to commit it again.
@@ -313,11 +343,11 @@
 	}
 	r.ended = true
 	now := r.service.options.Clock.Now()
-	if err := r.apply(func(t *program.Tree) error { return t.Finish(r.program, r.call, res, now) }); err != nil {
+	if err := r.applyEnd(func(t *program.Tree) error { return t.Finish(r.program, r.call, res, now) }); err != nil {
 		return model.NewRefusal(model.ErrUnavailable, model.RanYes, "call %d of program %q ran but cannot be recorded: %v", r.call, r.program, err)
 	}
 	r.service.notifyEnded(r.entry)
-	if err := r.service.commit(ctx, r.entry); err != nil {
+	if err := r.service.awaitCommit(ctx, r.entry); err != nil {
 		return model.NewRefusal(model.ErrUnavailable, model.RanYes, "call %d of program %q ran but is not committed: %v", r.call, r.program, err).Retry(retryAfter)
 	}
 	return nil
@@ -332,11 +362,11 @@
 	}
 	r.ended = true
 	now := r.service.options.Clock.Now()
-	if err := r.apply(func(t *program.Tree) error { return t.Abort(r.program, r.call, ran, now) }); err != nil {
+	if err := r.applyEnd(func(t *program.Tree) error { return t.Abort(r.program, r.call, ran, now) }); err != nil {
 		return model.NewRefusal(model.ErrUnavailable, ran, "end of call %d of program %q cannot be recorded: %v", r.call, r.program, err)
 	}
 	r.service.notifyEnded(r.entry)
-	if err := r.service.commit(ctx, r.entry); err != nil {
+	if err := r.service.awaitCommit(ctx, r.entry); err != nil {
 		return model.NewRefusal(model.ErrUnavailable, ran, "end of call %d of program %q is not committed: %v", r.call, r.program, err)
 	}
 	return nil
--- a/app/programs/fault_test.go
+++ b/app/programs/fault_test.go
@@ -13,6 +13,7 @@
 	"mimosarelay/core/model"
 	"mimosarelay/core/program"
 	"mimosarelay/io/disk"
+	"mimosarelay/io/peer/peerpb"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -334,6 +335,46 @@
 	assert.Equal(t, len(turns), 3)
 }
 
+// Guards against a program that moves between the end of a call and its commit, after
+// which the caller is told that the call is not committed.
+func TestHandoverWaitsForCommit(t *testing.T) {
+	t.Parallel()
+	for name, end := range map[string]func(*Run) error{
+		"finish": func(r *Run) error { return r.Finish(context.Background(), answer(1)) },
+		"abort":  func(r *Run) error { return r.Abort(context.Background(), model.RanNo) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fl := newFleet(t, 4)
+			d, err := fl.hosts[0].service.Begin(context.Background(), callSpec(1, false))
+			assert.NilError(t, err)
+			assert.NilError(t, d.(*Run).Start(context.Background()))
+			fl.hosts[0].Leaving = true
+			fl.startEpoch()
+			takeShards := func() int {
+				shard := program.ShardOf(testKey)
+				r, err := fl.hosts[0].service.HandleTakeShards(context.Background(), &peerpb.TakeShardsRequest{
+					Sender: fl.topologies["b1"].sender(), Shards: []uint32{uint32(shard)},
+				})
+				assert.NilError(t, err)
+				return len(r.GetBusy())
+			}
+			fl.killPeers()
+			fl.store.update(func(m *memStore) { m.down = true })
+			ended := make(chan error, 1)
+			go func() { ended <- end(d.(*Run)) }()
+			waitFor(t, "end of the call", func() bool {
+				state, err := fl.hosts[0].service.State(testKey)
+				return err != nil || !state.Running
+			})
+			assert.Equal(t, takeShards(), 1)
+			fl.store.update(func(m *memStore) { m.down = false })
+			assert.NilError(t, <-ended)
+			assert.Equal(t, takeShards(), 0)
+		})
+	}
+}
+
 // Guards against accepting records from a host in an older epoch, or sending
 // records to it.
 func TestRequestsOfStaleEpochAreRejected(t *testing.T) {
--- a/app/programs/programs.go
+++ b/app/programs/programs.go
@@ -80,8 +80,15 @@
 	storePending      map[program.ContentID]bool
 	replicaGeneration int // incremented when all content becomes pending again
 	endNotified       map[model.ProgramID]bool
+	// Commits of ended calls that callers wait for. The program stays at this host
+	// until they have ended, because a commit fails once the program has moved.
+	awaitedCommits int
 }
 
+// isBusy reports whether the program must stay at this host. The caller must hold
+// e.mu, and e.tree must not be nil.
+func (e *entry) isBusy() bool { return e.awaitedCommits > 0 || e.tree.Busy() }
+
 // Service runs the programs of the shards that a host owns. Lock order:
 // Service.mu, then entry.mu, then replicaSet.mu, then journal.mu. No lock is held
 // during I/O, except that replicaSet.mu is held while io/disk starts or compacts
--- a/app/programs/query.go
+++ b/app/programs/query.go
@@ -240,7 +240,7 @@
 	}
 	for _, e := range entries {
 		e.mu.Lock()
-		busy := e.tree != nil && e.tree.Busy()
+		busy := e.tree != nil && e.isBusy()
 		e.mu.Unlock()
 		if busy {
 			return false
--- a/app/programs/takeover.go
+++ b/app/programs/takeover.go
@@ -428,7 +428,7 @@
 }
 
 // HandleTakeShards hands over the programs of shards that this host no longer
-// owns. Programs with an open call stay and are listed as busy. The records of
+// owns. Programs that are busy stay and are listed as such. The records of
 // the others become replicas, which HandleFetchRecords sends.
 func (s *Service) HandleTakeShards(_ context.Context, r *peerpb.TakeShardsRequest) (*peerpb.TakeShardsResponse, error) {
 	if err := s.checkEpoch(r.GetSender(), true); err != nil {
@@ -458,8 +458,7 @@
 	return out, nil
 }
 
-// handOver turns a program into a replica. It returns false if the program has
-// an open call.
+// handOver turns a program into a replica. It returns false if the program is busy.
 func (s *Service) handOver(e *entry) (bool, error) {
 	e.mu.Lock()
 	if e.tree == nil || e.removed {
@@ -467,7 +466,7 @@
 		s.removeEntry(e)
 		return true, nil
 	}
-	if e.tree.Busy() {
+	if e.isBusy() {
 		e.mu.Unlock()
 		return false, nil
 	}
