caller, operator: forms are read as any other body

What callers saw: a form of one byte, of type multipart/form-data, got 400 "request is not valid HTTP" at the own interface, although it was for a service that takes any body.

Cause: fasthttp parses forms up to the size that it prefetches, one byte here, before the handler runs, and refuses those that do not parse.

Change: both servers leave forms unparsed, as the platform's interface does, and so does the stand-in of services.

Evidence: TestSmallFormIsForwarded got 400 before and gets 200 now.

--- a/io/caller/body_test.go
+++ b/io/caller/body_test.go
@@ -118,6 +118,14 @@
 	assert.Equal(t, a.status, http.StatusOK)
 }
 
+// Guards against a form that fasthttp parses, so that the service gets no body of it.
+func TestSmallFormIsForwarded(t *testing.T) {
+	h := newHarness(t, engine.Options{})
+	a := exchangeRaw(t, h, rawHead(h.key, "Content-Type: multipart/form-data; boundary=x", "Content-Length: 1")+"y")
+	assert.Equal(t, a.status, http.StatusOK)
+	assert.Equal(t, h.service.Arrivals().Total, int64(1))
+}
+
 // Guards against memory that is not returned after calls of each kind.
 func TestMemoryIsReturned(t *testing.T) {
 	h := newHarness(t, engine.Options{})
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -100,18 +100,20 @@
 	}
 	s := &Server{options: o}
 	s.http = &fasthttp.Server{
-		Handler:               s.handle,
-		ErrorHandler:          s.handleParseError,
-		Name:                  "mimosarelay",
-		ReadBufferSize:        maxHeaderBytes,
-		HeaderReceived:        s.requestConfig,
-		ExpectHandler:         s.handleExpect,
-		ConnState:             edge.ConnState,
-		StreamRequestBody:     true, // keys are checked before the body is read
-		CloseOnShutdown:       true,
-		NoDefaultDate:         true,
-		SecureErrorLogMessage: true,
-		Logger:                debugLogger{o.Log},
+		Handler:           s.handle,
+		ErrorHandler:      s.handleParseError,
+		Name:              "mimosarelay",
+		ReadBufferSize:    maxHeaderBytes,
+		HeaderReceived:    s.requestConfig,
+		ExpectHandler:     s.handleExpect,
+		ConnState:         edge.ConnState,
+		StreamRequestBody: true, // keys are checked before the body is read
+		CloseOnShutdown:   true,
+		// Bodies are forwarded as received.
+		DisablePreParseMultipartForm: true,
+		NoDefaultDate:                true,
+		SecureErrorLogMessage:        true,
+		Logger:                       debugLogger{o.Log},
 	}
 	return s
 }
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -90,15 +90,17 @@
 	s.baseContext, s.stop = context.WithCancel(context.Background())
 	s.routes = s.routeTable()
 	s.http = &fasthttp.Server{
-		Name:                  "mimosarelay",
-		Handler:               s.handle,
-		HeaderReceived:        requestConfig,
-		ExpectHandler:         s.handleExpect,
-		ConnState:             edge.ConnState,
-		StreamRequestBody:     true, // credentials are checked before the body is read
-		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
-		ErrorHandler:          s.handleParseError,
+		Name:              "mimosarelay",
+		Handler:           s.handle,
+		HeaderReceived:    requestConfig,
+		ExpectHandler:     s.handleExpect,
+		ConnState:         edge.ConnState,
+		StreamRequestBody: true, // credentials are checked before the body is read
+		// A form could be parsed before the credential is checked.
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true,
+		CloseOnShutdown:              true,
+		ErrorHandler:                 s.handleParseError,
 		// Log messages of fasthttp may contain headers with the credential.
 		SecureErrorLogMessage: true,
 		Logger:                slog.NewLogLogger(o.Log.Handler(), slog.LevelDebug),
--- a/standin/fault/server.go
+++ b/standin/fault/server.go
@@ -107,9 +107,11 @@
 	srv := &fasthttp.Server{
 		Handler:               h,
 		NoDefaultServerHeader: true,
-		MaxRequestBodySize:    maxRequestBody,
-		ReadBufferSize:        readBufferSize,
-		Logger:                log.New(io.Discard, "", 0), // broken connections are expected
+		// Forms are read as any other body.
+		DisablePreParseMultipartForm: true,
+		MaxRequestBodySize:           maxRequestBody,
+		ReadBufferSize:               readBufferSize,
+		Logger:                       log.New(io.Discard, "", 0), // broken connections are expected
 	}
 	s.goroutines.Go(func() { s.acceptLoop(srv, l) })
 }
