--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -126,6 +126,7 @@
 					assert.NilError(t, err)
 					got, err := io.ReadAll(resp.Body)
 					assert.NilError(t, err)
+					assert.NilError(t, resp.Body.Close())
 					assert.Equal(t, resp.StatusCode, status)
 					assert.Equal(t, string(got), want)
 					if field == "Refuse: 1" { // the server reads the rest for the next request
