account: connections refused at the port for other hosts get a log line

What operators saw: a crowd at the port for other hosts moved a counter, and no line of the log told of it. Every other limit of memory has both.

Cause: the log line of the account is about evictions. Newcomers at that port are refused without one, by a part of the account of their own.

Change: the reporter takes their number and writes the line for them too, with the field refused_peers, at most once in 10 s.

Evidence: TestRefusedPeersAreLogged: 12 seconds with 2 refusals each give two lines, the second for 20 of them. The field did not exist before.

--- a/app/account/account.go
+++ b/app/account/account.go
@@ -60,16 +60,22 @@
 	logInterval = 10 * time.Second
 )
 
-// Reporter publishes the state of an account. All exported fields are required.
+// Reporter publishes the state of an account. All exported fields but RefusedPeers are
+// required.
 type Reporter struct {
 	Account *memory.Account
 	Scope   tally.Scope
 	Clock   clockwork.Clock
 	Log     *slog.Logger
+	// RefusedPeers returns the number of connections at the port for other hosts that
+	// were closed at once, since the start.
+	RefusedPeers func() int64
 
-	last     memory.Stats // of the last update of the metrics
-	logged   memory.Stats // of the last log line
-	loggedAt time.Time
+	last   memory.Stats // of the last update of the metrics
+	logged memory.Stats // of the last log line
+	// loggedRefused is the result of RefusedPeers at the last log line.
+	loggedRefused int64
+	loggedAt      time.Time
 }
 
 // Run publishes until ctx ends.
@@ -99,13 +105,17 @@
 		evicted += s.Evicted[p] - r.logged.Evicted[p]
 	}
 	r.last = s
+	refused := r.loggedRefused
+	if r.RefusedPeers != nil {
+		refused = r.RefusedPeers()
+	}
 	now := r.Clock.Now()
-	if evicted == 0 || now.Sub(r.loggedAt) < logInterval {
+	if evicted == 0 && refused == r.loggedRefused || now.Sub(r.loggedAt) < logInterval {
 		return
 	}
 	r.Log.Warn("connections were closed under memory pressure", "count", evicted, "held", s.Held, "capacity", r.Account.Capacity(), "connections", s.Holders,
 		"bodies", s.ByKind[memory.Bodies], "answers", s.ByKind[memory.Answers],
 		"receiving", s.Evicted[memory.Receiving]-r.logged.Evicted[memory.Receiving], "answering", s.Evicted[memory.Answering]-r.logged.Evicted[memory.Answering],
-		"idle", s.Evicted[memory.Idle]-r.logged.Evicted[memory.Idle])
-	r.logged, r.loggedAt = s, now
+		"idle", s.Evicted[memory.Idle]-r.logged.Evicted[memory.Idle], "refused_peers", refused-r.loggedRefused)
+	r.logged, r.loggedRefused, r.loggedAt = s, refused, now
 }
--- a/app/account/account_test.go
+++ b/app/account/account_test.go
@@ -37,6 +37,26 @@
 	assert.Equal(t, strings.Count(log.String(), "\n"), 1, log.String())
 }
 
+// Guards against a crowd at the port for other hosts that operators see only in metrics,
+// and against a log line for each connection of it.
+func TestRefusedPeersAreLogged(t *testing.T) {
+	t.Parallel()
+	clock := clockwork.NewFakeClock()
+	var log bytes.Buffer
+	refused := int64(0)
+	r := &Reporter{
+		Account: memory.New(memory.Options{Capacity: 10, MaxHolders: 100, Clock: clock}), Scope: tally.NoopScope, Clock: clock,
+		Log: slog.New(slog.NewTextHandler(&log, nil)), RefusedPeers: func() int64 { return refused },
+	}
+	for second, want := range []int{0, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 2, 2} {
+		r.report()
+		assert.Equal(t, strings.Count(log.String(), "\n"), want, "after %d s: %s", second, log.String())
+		refused += 2
+		clock.Advance(time.Second)
+	}
+	assert.Assert(t, strings.Contains(log.String(), "count=0 ") && strings.Contains(log.String(), "refused_peers=20"), log.String())
+}
+
 // Guards against a limit of connections that leaves no descriptors for targets and
 // peers.
 func TestAccountFollowsSettings(t *testing.T) {
--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -216,8 +216,10 @@
 	peers   *peer.Client
 	metrics *metrics.Root
 	memory  *memory.Account // nil without a limit
-	keeper  *keeper         // nil on entry hosts
-	entry   *entryHost      // nil on keepers
+	// refusedPeers counts connections of peers that were closed at once for memory.
+	refusedPeers atomic.Int64
+	keeper       *keeper    // nil on entry hosts
+	entry        *entryHost // nil on keepers
 
 	draining   atomic.Bool
 	drainState atomic.Pointer[ingress.Drain]
@@ -299,7 +301,10 @@
 	}
 	refused := h.metrics.Scope.Counter("peer_connections_refused_for_memory")
 	run("peer server", func() error {
-		return peer.Serve(ctx, peer.LimitMessages(peerListener, h.memory, func() { refused.Inc(1) }), h.peerHandler())
+		return peer.Serve(ctx, peer.LimitMessages(peerListener, h.memory, func() {
+			refused.Inc(1)
+			h.refusedPeers.Add(1)
+		}), h.peerHandler())
 	})
 	listeners := []listener{{"metrics", h.options.MetricsAddress, h.serveAuxiliary(h.serveDiagnostics)}}
 	if h.entry != nil {
@@ -322,7 +327,7 @@
 		return h.catalog.Run(ctx)
 	})
 	if h.memory != nil {
-		r := &account.Reporter{Account: h.memory, Scope: h.metrics.Scope.SubScope("memory"), Clock: h.options.Clock, Log: h.log}
+		r := &account.Reporter{Account: h.memory, Scope: h.metrics.Scope.SubScope("memory"), Clock: h.options.Clock, Log: h.log, RefusedPeers: h.refusedPeers.Load}
 		run("memory metrics", func() error { return r.Run(ctx) })
 	}
 	if h.keeper != nil {
--- a/app/host/host.go
+++ b/app/host/host.go
@@ -56,6 +56,8 @@
 	incarnation model.Incarnation
 	metrics     *metrics.Root
 	memory      *memory.Account
+	// refusedPeers counts connections of peers that were closed at once for memory.
+	refusedPeers atomic.Int64
 
 	controlStore *consul.Client // keys under controlPrefix, which are watched
 	dataStore    *consul.Client // records of programs, under dataPrefix
@@ -193,7 +195,7 @@
 	}
 	run("peer server", func() error { return peer.Serve(ctx, h.listeners.peer, peerHandler{host: h}) })
 	run("operator server", func() error { return h.operatorServer.Serve(h.listeners.operator) })
-	reporter := &account.Reporter{Account: h.memory, Scope: h.metrics.Scope.SubScope("memory"), Clock: h.clock, Log: h.log}
+	reporter := &account.Reporter{Account: h.memory, Scope: h.metrics.Scope.SubScope("memory"), Clock: h.clock, Log: h.log, RefusedPeers: h.refusedPeers.Load}
 	run("memory metrics", func() error { return reporter.Run(ctx) })
 	run("programs", func() error { return h.programs.Run(ctx) })
 	run("placement", func() error { return h.placement.Run(ctx) })
--- a/app/host/wire.go
+++ b/app/host/wire.go
@@ -120,7 +120,10 @@
 		h.listeners.peer = tls.NewListener(h.listeners.peer, files.Server())
 	}
 	refused := h.metrics.Scope.Counter("peer_connections_refused_for_memory")
-	h.listeners.peer = peer.LimitMessages(h.listeners.peer, h.memory, func() { refused.Inc(1) })
+	h.listeners.peer = peer.LimitMessages(h.listeners.peer, h.memory, func() {
+		refused.Inc(1)
+		h.refusedPeers.Add(1)
+	})
 	h.peers = peer.NewClient(o)
 	return nil
 }
