turn: the last use of a program that is refused is recorded

Callers: a program whose budget is spent and that asks again for longer than IdleRetention (3 min) got a whole new budget once its owner changed.

Cause: the record of a program states when it was last used, and records were written only when a program needed more tokens. A refused program needs none, so that its record grew old, and the next owner deleted it as idle. The same happened if the oldest of several records was loaded first, because Load took the time of the first one.

Change: Load keeps the latest use, and a use that was recorded more than 20 s ago is recorded again with the next write of the page (at most one write in 20 s for each owner with such programs).

TestRefusedProgramStaysRecorded and TestLoadKeepsLatestUse fail before (both granted a turn of a spent budget) and pass after.

--- a/core/turn/ledger.go
+++ b/core/turn/ledger.go
@@ -47,6 +47,10 @@
 	// that have started. It is more than one because sub-agents start several
 	// turns at the same time.
 	recordAheadTurns = 2
+	// useRecordInterval is the age at which the recorded time of the last use is
+	// written again. A program that only asks for turns and is refused would otherwise
+	// be idle for its next owner, and start again with a whole budget.
+	useRecordInterval = IdleRetention / 9
 	// expiryGrace is the time after its deadline when a turn without a reported
 	// end is settled with all the tokens that it reserved.
 	expiryGrace = time.Second
@@ -84,6 +88,7 @@
 	// process, any of them may be the one that is read.
 	guaranteedAllowance model.Tokens
 	lastUsed            time.Time
+	recordedUse         time.Time // Record.Used of the last record known to be written
 }
 
 // Record is the persistent state of a program: the number of tokens that it may
@@ -91,7 +96,7 @@
 type Record struct {
 	Program model.ProgramKey
 	Allowed model.Tokens
-	Used    time.Time // when the program last reserved or ended a turn
+	Used    time.Time // when the program last asked for a turn or ended one
 }
 
 // Ledger counts the tokens of programs. It is not safe for concurrent use.
@@ -113,6 +118,9 @@
 	}
 	a.lastUsed = now
 	a.budget = r.Budget
+	if a.wantedAllowance > 0 && now.Sub(a.recordedUse) > useRecordInterval {
+		l.unsaved = true
+	}
 	if _, ok := a.open[r.Turn]; ok {
 		return Granted{}
 	}
@@ -233,7 +241,7 @@
 func (l *Ledger) MarkSaved(list []Record) {
 	for _, r := range list {
 		if a := l.accounts[r.Program]; a != nil {
-			a.guaranteedAllowance = r.Allowed
+			a.guaranteedAllowance, a.recordedUse = r.Allowed, r.Used
 		}
 	}
 }
@@ -249,6 +257,12 @@
 		a = &account{open: map[model.RequestID]openTurn{}, lastUsed: r.Used}
 		l.accounts[r.Program] = a
 	}
+	if r.Used.After(a.lastUsed) {
+		a.lastUsed = r.Used
+	}
+	if r.Used.After(a.recordedUse) {
+		a.recordedUse = r.Used
+	}
 	a.spent = max(a.spent, r.Allowed)
 	a.wantedAllowance = max(a.wantedAllowance, r.Allowed)
 	a.guaranteedAllowance = max(a.guaranteedAllowance, r.Allowed)
--- a/core/turn/ledger_test.go
+++ b/core/turn/ledger_test.go
@@ -170,3 +170,40 @@
 	_, ok = l.Uncovered(key)
 	assert.Assert(t, !ok)
 }
+
+// Guards against a program that starts again with a whole budget at its next owner,
+// because the record of its last use was minutes old: it had only been refused since.
+func TestRefusedProgramStaysRecorded(t *testing.T) {
+	l := turn.NewLedger()
+	assert.Equal(t, l.Reserve(start, reservation("a", 100)), turn.Granted{})
+	saveRecords(l)
+	l.End(start, key, "a", 100)
+	now := start
+	var last []turn.Record
+	for range 10 {
+		now = now.Add(turn.IdleRetention / 4)
+		assert.Equal(t, l.Reserve(now, reservation("b", 100)), turn.Exhausted{})
+		if l.Unsaved() {
+			last = l.PrepareRecords(now)
+			l.MarkSaved(last)
+		}
+	}
+	next := turn.NewLedger()
+	for _, r := range last {
+		next.Load(r)
+	}
+	next.PrepareRecords(now.Add(time.Second)) // deletes idle accounts
+	assert.Equal(t, next.Reserve(now.Add(time.Second), reservation("c", 100)), turn.Exhausted{})
+}
+
+// Guards against a program that is deleted as idle because the oldest of its records
+// was loaded first.
+func TestLoadKeepsLatestUse(t *testing.T) {
+	l := turn.NewLedger()
+	now := start.Add(turn.IdleRetention)
+	for _, used := range []time.Time{start.Add(-time.Second), now} {
+		l.Load(turn.Record{Program: key, Allowed: 100, Used: used})
+	}
+	l.PrepareRecords(now.Add(time.Second))
+	assert.Equal(t, l.Reserve(now.Add(time.Second), reservation("a", 100)), turn.Exhausted{})
+}
