turns: a program that an owner does not know is new only if no notes are missing

Cause: the first turn of a program runs without a record outside its owner. An owner that had loaded a shard more than 10 s ago (InheritPeriod) took each program without an account for a new one. If the disk with the note of the first turn was lost, the next turn of the program ran without a record again: one turn more for each owner lost.

Change: a keeper announces the id of the notes on its disk in its page in the store before it runs such a turn. An owner that finds announced notes missing when it loads a shard records the first turns of the shard, until the notes are back or UncertainPeriod has passed, after which every owner forgets an idle program. A keeper that finds its disk empty goes on listing the lost notes; pages of absent hosts are deleted by version when they say nothing any more; a planned stop writes a last page, so that it is no loss. Loaded records go into the next page of the new owner. A turn is returned if the host lost the shard while it was noted.

The log line "loaded the budget records" names the hosts whose notes are missing, and the state dump counts the uncertain shards.

TestNewOwnerRecordsFirstTurnBeforeGranting stated the rule of 10 s after any takeover. It asks the same refusal now after the loss of the previous disk, without an end after 10 s; after a handover between live hosts, whose notes are read, there is nothing to guard against.

--- a/app/entry/keeper.go
+++ b/app/entry/keeper.go
@@ -57,7 +57,7 @@
 	})
 	k.turnOwner = turns.NewOwner(turns.OwnerOptions{
 		Host: o.Host, ShardOwnership: k.fleet, Store: o.Keyspace(budgetPrefix), Clock: o.Clock, Log: o.Log,
-		Keepers: k.peerAddresses, CopyClient: h.peers, Disk: o.Disk,
+		Keepers: k.otherKeepers, CopyClient: h.peers, Disk: o.Disk,
 	})
 	h.catalog = newCatalog(o, &follow.Source{
 		Relays: storeReaderRelays{k}, Peers: h.peers, Store: o.Source, Decode: o.Decode, Clock: o.Clock, StoreWithoutKeepers: true, MaxWait: relayedConfigWait,
@@ -166,12 +166,12 @@
 	return context.WithCancel(ctx)
 }
 
-// peerAddresses returns the peer addresses of the other members.
-func (k *keeper) peerAddresses() []string {
-	var list []string
+// otherKeepers returns the other members.
+func (k *keeper) otherKeepers() []turns.Keeper {
+	var list []turns.Keeper
 	for _, m := range k.fleet.View().Members {
 		if m.Host != k.options.Host {
-			list = append(list, m.PeerAddress)
+			list = append(list, turns.Keeper{Host: m.Host, Address: m.PeerAddress})
 		}
 	}
 	return list
@@ -200,6 +200,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), leaveReserve)
 	defer cancel()
 	k.markLeaving(ctx)
+	k.turnOwner.Retire(ctx)
 	if err := k.fleet.Leave(ctx); err != nil {
 		k.log.Warn("failed to leave the fleet, the lease will lapse", "error", err)
 	}
--- a/app/turns/copies.go
+++ b/app/turns/copies.go
@@ -53,10 +53,10 @@
 	o.mu.Lock()
 	pages := slices.Collect(maps.Values(o.copies))
 	o.mu.Unlock()
-	for _, address := range o.options.Keepers() {
-		res, err := o.options.CopyClient.FetchBudgets(ctx, address, &peerpb.FetchBudgetsRequest{})
+	for _, k := range o.options.Keepers() {
+		res, err := o.options.CopyClient.FetchBudgets(ctx, k.Address, &peerpb.FetchBudgetsRequest{})
 		if err != nil {
-			return nil, fmt.Errorf("fetch copies of budget records from peer %s: %w", address, err)
+			return nil, fmt.Errorf("fetch copies of budget records from peer %s: %w", k.Host, err)
 		}
 		pages = append(pages, res.GetPages()...)
 	}
@@ -82,9 +82,9 @@
 		o.options.Log.Error("failed to write the budget records to the disk", "error", err)
 		return
 	}
-	for _, address := range o.options.Keepers() {
-		if _, err := o.options.CopyClient.KeepBudgets(ctx, address, m); err != nil {
-			o.options.Log.Warn("failed to copy the budget records to a peer", "peer", address, "error", err)
+	for _, k := range o.options.Keepers() {
+		if _, err := o.options.CopyClient.KeepBudgets(ctx, k.Address, m); err != nil {
+			o.options.Log.Warn("failed to copy the budget records to a peer", "peer", k.Host, "error", err)
 			continue
 		}
 		o.mu.Lock()
@@ -92,7 +92,7 @@
 		o.ledger.MarkSaved(records)
 		o.notifyWaiters()
 		o.mu.Unlock()
-		o.options.Log.Info("copied the budget records to a peer", "peer", address, "sequence", sequence, "programs", len(records))
+		o.options.Log.Info("copied the budget records to a peer", "peer", k.Host, "sequence", sequence, "programs", len(records))
 		return
 	}
 }
--- a/app/turns/firstturns.go
+++ b/app/turns/firstturns.go
@@ -7,7 +7,10 @@
 	"fmt"
 	"time"
 
+	"github.com/google/uuid"
+
 	"mimosarelay/core/model"
+	"mimosarelay/core/program"
 	"mimosarelay/core/turn"
 	"mimosarelay/io/peer/peerpb"
 )
@@ -17,6 +20,7 @@
 // records. A note on the disk costs no store call and no message.
 // The fields are guarded by Owner.mu.
 type firstTurns struct {
+	id       turn.NotesID                     // of the notes on this disk
 	current  map[model.ProgramKey]turn.Record // of this process
 	restored map[model.ProgramKey]turn.Record // of earlier processes of this host
 	added    uint64                           // number of turns added to current so far
@@ -37,6 +41,8 @@
 func (o *Owner) restoreFirstTurns() {
 	f := &o.firstTurns
 	f.current, f.restored, f.updated = map[model.ProgramKey]turn.Record{}, map[model.ProgramKey]turn.Record{}, make(chan struct{})
+	f.id = turn.NotesID(uuid.NewString())
+	o.rule = turn.NewFirstTurnRule("")
 	m, ok := o.copies[o.firstTurnsName()]
 	if !ok {
 		return
@@ -51,6 +57,24 @@
 		f.restored[r.Program] = r
 	}
 	o.sequence = max(o.sequence, m.GetSequence())
+	if p.Notes != "" {
+		f.id = p.Notes
+		o.rule.NotesWritten(f.id)
+	}
+}
+
+// createNotes writes notes without a turn to a disk that has none, in the background.
+// The host announces them once they are on the disk.
+func (o *Owner) createNotes() {
+	f := &o.firstTurns
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.options.Disk == nil || o.rule.HasNotes() || f.writing {
+		return
+	}
+	f.added++
+	f.writing = true
+	go o.writeFirstTurns()
 }
 
 // noteFirstTurn returns once the disk, or a record that was written meanwhile, covers a
@@ -68,6 +92,11 @@
 		case !o.ledger.IsOpen(r.Program, r.Turn):
 			return ErrNotOwner // another attempt for the same turn has returned it
 		case !ok || n > 0 && f.written >= n:
+			if n > 0 && !o.options.ShardOwnership.ActsFor(program.ShardOf(r.Program)) {
+				// The next owner may have loaded its records before this turn was noted.
+				err = errOwnerChanged
+				break
+			}
 			return nil
 		case n > 0 && f.failed >= n:
 			err = errNotNoted
@@ -98,7 +127,10 @@
 	}
 }
 
-var errNotNoted = errors.New("the first turn of the program could not be noted on the disk")
+var (
+	errNotNoted     = errors.New("the first turn of the program could not be noted on the disk")
+	errOwnerChanged = errors.New("another host owns the program now")
+)
 
 // writeFirstTurns writes the notes until the disk covers all turns that were added, or
 // a write fails. Turns that are added during a write share the next one.
@@ -122,13 +154,17 @@
 		}
 		f.written = added
 		o.copies[o.firstTurnsName()] = m // for the next owner
+		o.rule.NotesWritten(f.id)
+	}
+	if o.rule.AnnouncementDue() {
+		notify(o.flushRequested)
 	}
 }
 
 // firstTurnsPage returns the notes as a page. The caller holds mu.
 func (o *Owner) firstTurnsPage() *peerpb.BudgetPage {
 	o.pruneFirstTurns()
-	p := page{Sequence: o.nextSequence()}
+	p := page{Sequence: o.nextSequence(), Notes: o.firstTurns.id}
 	for _, notes := range []map[model.ProgramKey]turn.Record{o.firstTurns.restored, o.firstTurns.current} {
 		for _, r := range notes {
 			p.Programs = append(p.Programs, newPageEntry(r))
--- a/app/turns/owner.go
+++ b/app/turns/owner.go
@@ -49,9 +49,9 @@
 	ShardOwnership ShardOwnership
 	// Store holds one page of records for each host, under the name of the host.
 	Store store.Store
-	// Keepers returns the peer addresses of the other hosts that may own
-	// programs. CopyClient sends requests to them.
-	Keepers    func() []string
+	// Keepers returns the other hosts that may own programs. CopyClient sends
+	// requests to their peer addresses.
+	Keepers    func() []Keeper
 	CopyClient CopyClient
 	// Disk keeps the copies that this host holds, and its notes of first turns; nil
 	// on machines without a disk, where first turns wait for a record.
@@ -68,17 +68,18 @@
 	// RecordTimeout is how long a reservation waits for its record; 0 means
 	// 800 ms.
 	RecordTimeout time.Duration
-	// InheritPeriod is the time after the takeover of a shard in which a program
-	// without a record may have started at a previous owner; 0 means 10 s, which
-	// covers the pauses between most turns.
-	InheritPeriod time.Duration
+}
+
+// Keeper is a host that may own programs.
+type Keeper struct {
+	Host    model.HostID
+	Address string // peer address
 }
 
 const (
 	defaultFlushInterval       = 500 * time.Millisecond
 	defaultUrgentFlushInterval = 50 * time.Millisecond
 	defaultRecordTimeout       = 800 * time.Millisecond
-	defaultInheritPeriod       = 10 * time.Second
 	// storeTimeout bounds the requests of one load and flush, to the store and to
 	// the peers that hold copies.
 	storeTimeout = time.Second
@@ -101,8 +102,7 @@
 	mu             sync.Mutex
 	ledger         *turn.Ledger
 	loaded         [model.ShardCount]bool
-	loadedAt       [model.ShardCount]time.Time // when the records of the shard were loaded
-	recordsUpdated chan struct{}               // closed and replaced when records were written or loaded
+	recordsUpdated chan struct{} // closed and replaced when records were written or loaded
 	// version is the store version of this host's page, valid if versionKnown is
 	// set. ownPageLoaded is set once this process has loaded the records of the
 	// previous process of this host.
@@ -115,6 +115,13 @@
 	copies     map[model.HostID]*peerpb.BudgetPage
 	ownCopy    *peerpb.BudgetPage
 	firstTurns firstTurns
+	rule       *turn.FirstTurnRule
+	absences   turn.Absences
+	// recheckRequested is set when the notes that were missing should be looked for
+	// again. Pages of absent hosts are checked again at nextRecheck.
+	recheckRequested bool
+	nextRecheck      time.Time
+	retired          bool // this host grants no more turns
 	// sequence is the sequence number of the newest page of this host. It never
 	// decreases, also across restarts.
 	sequence int64
@@ -132,9 +139,6 @@
 	if options.RecordTimeout == 0 {
 		options.RecordTimeout = defaultRecordTimeout
 	}
-	if options.InheritPeriod == 0 {
-		options.InheritPeriod = defaultInheritPeriod
-	}
 	owner := &Owner{options: options, ledger: turn.NewLedger(), flushRequested: make(chan struct{}, 1), urgentFlushRequested: make(chan struct{}, 1), recordsUpdated: make(chan struct{}), copies: map[model.HostID]*peerpb.BudgetPage{}}
 	owner.restoreCopies()
 	owner.restoreFirstTurns()
@@ -161,11 +165,20 @@
 type page struct {
 	// Sequence increases with each page of the host, also across restarts.
 	Sequence int64
-	Programs []pageEntry
+	// Notes and LostNotes are the turn.Announcement of the host. On the page of the
+	// notes themselves, Notes is their id.
+	Notes     turn.NotesID   `json:",omitempty"`
+	LostNotes []turn.NotesID `json:",omitempty"`
+	Programs  []pageEntry
+}
+
+func (p page) announcement() turn.Announcement {
+	return turn.Announcement{Notes: p.Notes, Lost: p.LostNotes}
 }
 
 // Run loads and writes records until ctx ends.
 func (o *Owner) Run(ctx context.Context) error {
+	o.createNotes()
 	for o.awaitFlush(ctx) {
 		if err := o.loadAndFlush(ctx); err != nil && ctx.Err() == nil {
 			o.options.Log.Warn("failed to load or write the budget records", "error", err)
@@ -188,6 +201,8 @@
 		return false
 	case <-o.urgentFlushRequested:
 		return true
+	case <-o.recheckTimer():
+		return true
 	case <-o.flushRequested:
 	}
 	select {
@@ -213,104 +228,14 @@
 		if err := o.loadRecords(ctx); err != nil {
 			return err
 		}
-	}
-	return o.flush(ctx)
-}
-
-// hasUnloadedShards reports whether this host acts for a shard whose records it has
-// not loaded.
-func (o *Owner) hasUnloadedShards() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for s := range o.loaded {
-		if !o.loaded[s] && o.options.ShardOwnership.ActsFor(model.Shard(s)) {
-			return true
-		}
-	}
-	return false
-}
-
-// loadRecords reads the records of all hosts and loads those of the shards that this
-// host has started to act for.
-func (o *Owner) loadRecords(ctx context.Context) error {
-	o.mu.Lock()
-	var newShards [model.ShardCount]bool
-	for s := range newShards {
-		newShards[s] = !o.loaded[s] && o.options.ShardOwnership.ActsFor(model.Shard(s))
-	}
-	o.mu.Unlock()
-	pages, err := o.newestPages(ctx)
-	if err != nil {
-		return err
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	n := 0
-	for host, hostPage := range pages {
-		own := host == o.options.Host && !o.ownPageLoaded
-		for _, entry := range hostPage.Programs {
-			r := entry.record()
-			// The first write of this process replaces the page of the previous
-			// one, so all records of that page are loaded.
-			if newShards[program.ShardOf(r.Program)] || own {
-				o.ledger.Load(r)
-				n++
-			}
-		}
-	}
-	if !o.ownPageLoaded {
-		// If the host has no page, its version is 0.
-		o.ownPageLoaded, o.versionKnown = true, true
-	}
-	now := o.options.Clock.Now()
-	for s := range newShards {
-		if newShards[s] && o.options.ShardOwnership.ActsFor(model.Shard(s)) {
-			o.loaded[s], o.loadedAt[s] = true, now
-		}
-	}
-	o.notifyWaiters()
-	o.options.Log.Info("loaded the budget records", "programs", n, "pages", len(pages))
-	return nil
-}
-
-// newestPages returns the newest page of each host among those in the store and the
-// copies at this host and the other keepers. All keepers must respond, because any
-// of them may hold the newest page.
-func (o *Owner) newestPages(ctx context.Context) (map[model.HostID]page, error) {
-	entries, _, err := o.options.Store.List(ctx, "")
-	if err != nil {
-		return nil, fmt.Errorf("read budget records from the store: %w", err)
-	}
-	newest := map[model.HostID]page{}
-	merge := func(host model.HostID, value []byte) error {
-		var p page
-		if err := json.Unmarshal(value, &p); err != nil {
-			return fmt.Errorf("parse budget records of host %q: %w", host, err)
-		}
-		if known, ok := newest[host]; !ok || p.Sequence > known.Sequence {
-			newest[host] = p
-		}
-		return nil
-	}
-	for _, e := range entries {
-		if err := merge(model.HostID(e.Key), e.Value); err != nil {
-			return nil, err
-		}
-		if e.Key == string(o.options.Host) {
-			o.setPageVersion(e.Version)
-			o.raiseSequence(newest[o.options.Host].Sequence)
-		}
-	}
-	copies, err := o.fetchCopies(ctx)
-	if err != nil {
-		return nil, err
-	}
-	for _, c := range copies {
-		if err := merge(model.HostID(c.GetHost()), c.GetValue()); err != nil {
-			return nil, err
+	} else if o.recheckDue() {
+		if err := o.loadRecords(ctx); err != nil {
+			// Records can be written all the same.
+			o.options.Log.Warn("failed to look for notes of first turns again", "error", err)
+			notify(o.flushRequested)
 		}
 	}
-	return newest, nil
+	return o.flush(ctx)
 }
 
 func (o *Owner) setPageVersion(v store.Version) {
@@ -358,15 +283,19 @@
 // flush writes the records of this host to the store, and copies them to a peer if
 // the store does not respond in time. Neither is done before the page of the previous
 // process has been loaded, or if no program needs a larger allowance than its record
-// has.
+// has and there is nothing to announce.
 func (o *Owner) flush(ctx context.Context) error {
 	o.mu.Lock()
-	if !o.ownPageLoaded || !o.ledger.Unsaved() {
+	if !o.ownPageLoaded || !o.ledger.Unsaved() && !o.rule.AnnouncementDue() {
 		o.mu.Unlock()
 		return nil
 	}
-	records := o.ledger.PrepareRecords(o.options.Clock.Now())
-	p := page{Sequence: o.nextSequence(), Programs: make([]pageEntry, 0, len(records))}
+	now := o.options.Clock.Now()
+	records, announcement := o.ledger.PrepareRecords(now), o.rule.Announcement(now)
+	p := page{
+		Sequence: o.nextSequence(), Notes: announcement.Notes, LostNotes: announcement.Lost,
+		Programs: make([]pageEntry, 0, len(records)),
+	}
 	o.mu.Unlock()
 	for _, r := range records {
 		p.Programs = append(p.Programs, newPageEntry(r))
@@ -397,10 +326,14 @@
 	if err != nil {
 		o.ledger.MarkUnsaved()
 		o.versionKnown = o.versionKnown && !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrUnknown)
+		if errors.Is(err, store.ErrConflict) {
+			o.rule.Withdraw() // another host may have deleted the page
+		}
 		return fmt.Errorf("write budget records of %d programs to the store: %w", len(records), err)
 	}
 	o.version = version
 	o.ledger.MarkSaved(records)
+	o.rule.Announced(announcement)
 	o.notifyWaiters()
 	return nil
 }
@@ -427,10 +360,41 @@
 	}
 	if !sameMember {
 		o.ownPageLoaded = false
+		o.rule.Withdraw()
 	}
+	o.recheckRequested = true      // a host that returns has its notes
 	notify(o.urgentFlushRequested) // load the records of newly owned shards
 }
 
+// retireTimeout bounds the last write of a host that leaves. If it fails, the next
+// owners treat the notes of this host as lost.
+const retireTimeout = 300 * time.Millisecond
+
+// Retire makes this host grant no more turns and returns when the store says that its
+// notes of first turns are not needed, or after retireTimeout.
+func (o *Owner) Retire(ctx context.Context) {
+	ctx, cancel := clockwork.WithTimeout(ctx, o.options.Clock, retireTimeout)
+	defer cancel()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.retired = true
+	o.rule.Retire()
+	for o.ownPageLoaded && o.rule.AnnouncementDue() {
+		written := o.recordsUpdated
+		notify(o.urgentFlushRequested)
+		o.mu.Unlock()
+		select {
+		case <-written:
+		case <-ctx.Done():
+		}
+		o.mu.Lock()
+		if ctx.Err() != nil {
+			o.options.Log.Warn("failed to write the budget records before leaving", "error", ctx.Err())
+			return
+		}
+	}
+}
+
 // ErrNotOwner reports that this host does not own a program or cannot decide on its
 // turns now.
 var ErrNotOwner = errors.New("host does not own the program")
@@ -470,14 +434,14 @@
 func (o *Owner) reserve(shard model.Shard, r turn.Reservation) (turn.Decision, <-chan struct{}) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.options.ShardOwnership.ActsFor(shard) {
+	if o.retired || !o.options.ShardOwnership.ActsFor(shard) {
 		return nil, nil
 	}
 	if !o.loaded[shard] {
 		return nil, o.recordsUpdated
 	}
 	now := o.options.Clock.Now()
-	r.Inherited = o.options.Disk == nil || now.Sub(o.loadedAt[shard]) < o.options.InheritPeriod
+	r.Inherited = !o.rule.Allows(now, shard)
 	d := o.ledger.Reserve(now, r)
 	if _, ok := d.(turn.Unrecorded); ok {
 		return nil, o.recordsUpdated
@@ -525,6 +489,9 @@
 	Programs int
 	Shards   int  // whose records are loaded
 	Unsaved  bool // a program needs a larger allowance than its record
+	// UncertainShards counts the shards whose first turns wait for a record, because
+	// notes of first turns are missing.
+	UncertainShards int
 }
 
 // Dump returns the state of the owner.
@@ -532,10 +499,14 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	d := Dump{Programs: len(o.ledger.Programs()), Unsaved: o.ledger.Unsaved()}
-	for _, loaded := range o.loaded {
+	now := o.options.Clock.Now()
+	for s, loaded := range o.loaded {
 		if loaded {
 			d.Shards++
 		}
+		if loaded && o.rule.Uncertain(now, model.Shard(s)) {
+			d.UncertainShards++
+		}
 	}
 	return d
 }
--- a/app/turns/owner_test.go
+++ b/app/turns/owner_test.go
@@ -22,15 +22,14 @@
 
 // ownerPair is two owners, of which one at a time acts for all shards.
 type ownerPair struct {
-	t             *testing.T
-	store         *memstore.Store
-	acting        atomic.Value // model.HostID
-	owners        map[model.HostID]*turns.Owner
-	storeDown     atomic.Bool // writes to the store do not return
-	peersDown     atomic.Bool // the owners cannot reach each other
-	inheritPeriod time.Duration
-	disks         map[model.HostID]*fakeDisk
-	stop          map[model.HostID]context.CancelFunc
+	t         *testing.T
+	store     *memstore.Store
+	acting    atomic.Value // model.HostID
+	owners    map[model.HostID]*turns.Owner
+	storeDown atomic.Bool // writes to the store do not return
+	peersDown atomic.Bool // the owners cannot reach each other
+	disks     map[model.HostID]*fakeDisk
+	stop      map[model.HostID]context.CancelFunc
 }
 
 // fakeDisk is an in-memory turns.Disk that survives restarts of its host's owner.
@@ -103,7 +102,7 @@
 	t.Helper()
 	p := &ownerPair{
 		t: t, store: memstore.New(clockwork.NewRealClock()), owners: map[model.HostID]*turns.Owner{},
-		disks: map[model.HostID]*fakeDisk{}, stop: map[model.HostID]context.CancelFunc{}, inheritPeriod: time.Nanosecond,
+		disks: map[model.HostID]*fakeDisk{}, stop: map[model.HostID]context.CancelFunc{},
 	}
 	for _, host := range []model.HostID{"a", "b"} {
 		p.disks[host] = &fakeDisk{pages: map[model.HostID][]byte{}}
@@ -122,15 +121,15 @@
 	ctx, stop := context.WithCancel(context.Background())
 	p.t.Cleanup(stop)
 	p.stop[host] = stop
-	peer := map[model.HostID]string{"a": "b", "b": "a"}[host]
+	peer := map[model.HostID]model.HostID{"a": "b", "b": "a"}[host]
 	var disk turns.Disk // nil without one
 	if d := p.disks[host]; d != nil {
 		disk = d
 	}
 	o := turns.NewOwner(turns.OwnerOptions{
 		Host: host, ShardOwnership: fakeOwnership{p, host}, Store: faultyStore{p.store.NewClient(string(host)), p}, Clock: clockwork.NewRealClock(),
-		Log: slog.New(slog.DiscardHandler), Keepers: func() []string { return []string{peer} }, CopyClient: p,
-		Disk: disk, FlushInterval: 10 * time.Millisecond, InheritPeriod: p.inheritPeriod,
+		Log: slog.New(slog.DiscardHandler), Keepers: func() []turns.Keeper { return []turns.Keeper{{Host: peer, Address: string(peer)}} }, CopyClient: p,
+		Disk: disk, FlushInterval: 10 * time.Millisecond,
 	})
 	p.owners[host] = o
 	go func() { _ = o.Run(ctx) }()
@@ -223,13 +222,12 @@
 	assert.ErrorIs(t, reserve("3"), model.ErrBudget)
 }
 
-// Guards against a program that runs a turn without a record at each of several
-// owners that are lost one after the other. The guarantee covers only one such turn.
+// Guards against an owner that takes a program for a new one although the disk of the
+// previous owner is lost, on which a turn of the program may have been noted.
 func TestNewOwnerRecordsFirstTurnBeforeGranting(t *testing.T) {
 	p := newOwnerPair(t)
 	assert.NilError(t, p.reserve("a", "0")) // loads the records
-	p.inheritPeriod = time.Minute
-	p.start("b")
+	p.loseDisk("a")
 	p.moveShards("b")
 	time.Sleep(200 * time.Millisecond) // until the records are loaded
 	p.storeDown.Store(true)
--- a/core/turn/ledger.go
+++ b/core/turn/ledger.go
@@ -11,9 +11,8 @@
 // The first turn of a program needs no record: the guarantee is the budget plus
 // one turn, and no other turn runs unrecorded. The process notes it on its own disk
 // instead (Uncovered), because a program that pauses can have a first turn at each of
-// several processes that are lost one after the other. The first turn after a change
-// of the owner does need a record, because the disk of the previous owner may not be
-// reachable yet.
+// several processes that are lost one after the other. FirstTurnRule says when a
+// program without an account may not be a new one, so that its turn does need a record.
 package turn
 
 import (
@@ -66,7 +65,8 @@
 	// Deadline is the time after which a turn without a reported end expires.
 	Deadline time.Time
 	// Inherited says that the program may have run a turn without a record at a
-	// previous owner, so that its first turn at this owner needs a record.
+	// previous owner, so that its first turn at this owner needs a record
+	// (FirstTurnRule).
 	Inherited bool
 }
 
