http1: the head of a response has 16 KiB at most

A faulty server that sends a head or trailers without an end made a process hold 64 KiB for each connection, twice: once as received and once as a line. The reader above takes heads of 16 KiB at most, so that larger ones were refused in any case, but later.

--- a/io/http1/head.go
+++ b/io/http1/head.go
@@ -22,8 +22,9 @@
 var ErrCut = fmt.Errorf("connection ended within a response: %w", io.ErrUnexpectedEOF)
 
 const (
-	// maxHead limits the bytes of a response head, and of the trailers of a response.
-	maxHead = 64 << 10
+	// maxHead limits the bytes of a response head, and of the trailers of a response. It
+	// is the largest head that the readers above a Conn accept.
+	maxHead = 16 << 10
 	// maxInterim limits the informational responses before a final one.
 	maxInterim = 8
 	// maxLengthDigits keeps a content length below 2^63.
