relay, target: what a stream holds is reserved before it is held

Callers: a faulty server that sends events without an end fills the memory of the machine that calls it, and the requests of all its callers end with the process.

Cause: the account covered bodies and answers that are read whole. The reader of events held up to 1 MiB a stream in no account, copied the last event with usage, and forwarded streams copied each event once more; the output of a turn that is kept and the answer of a call that is recorded grew without a bound.

Change: buffer.Appender reserves what it holds above 4 KiB before it grows. Events, usage, kept outputs and recorded answers use it. They are of a new kind, streams, which has half of the account, so that ordinary requests find room beside them. A stream without memory is broken off visibly, logged and counted (calls_broken_without_memory), and says nothing about its target. Large events are forwarded without a copy. Kept outputs and recorded answers have 8 MiB at most, like answers that are not streamed. An answer of a call that is recorded is not copied for its record. The conversation that a turn continues is reserved. A call that another host forwarded has a holder of its own; without memory it is refused before it runs.

Test: TestFaultyServer, TestFaultyServerOfKeptTurns and TestOwnInterfaceFaultyServer, 300 callers at a bound of 96 MiB, fixed before the change. Not shown by a run of processes: the holder of forwarded calls, the chain of kept turns (unit tests only for the first).

--- a/app/host/wire.go
+++ b/app/host/wire.go
@@ -216,7 +216,7 @@
 	h.relay = relay.New(relay.Options{
 		Contracts: h.contracts, Limiter: h.limits, Programs: h.programs, Owners: h.owners, Peers: h.peers,
 		Placer: placer{h}, Suspects: h.suspects, Targets: h.targets, Clock: h.clock, Log: h.log,
-		Scope: h.metrics.Scope, StreamIdle: h.settings.Limits.StreamIdle,
+		Scope: h.metrics.Scope, StreamIdle: h.settings.Limits.StreamIdle, Memory: h.memory,
 	})
 	tlsConfig, err := h.serverTLSConfig("Caller.TLS", h.settings.Caller.TLS)
 	if err != nil {
--- a/app/relay/chat_stream.go
+++ b/app/relay/chat_stream.go
@@ -13,6 +13,8 @@
 
 	"mimosarelay/app/programs"
 	"mimosarelay/core/model"
+	"mimosarelay/core/placement"
+	"mimosarelay/io/buffer"
 	"mimosarelay/io/target"
 )
 
@@ -24,6 +26,8 @@
 func (s *Service) streamAnswer(ctx context.Context, c *chatCall, resp *target.Response) *Answer {
 	c.ran = model.RanUnknown
 	b := &chatStreamBody{service: s, ctx: ctx, call: c, resp: resp, events: target.NewEventReader(resp)}
+	b.events.Reserve(ctx, c.request.Memory)
+	b.answer = buffer.NewAppender(ctx, c.request.Memory)
 	headers := []Header{{Name: "Content-Type", Value: resp.ContentType()}, {Name: "Cache-Control", Value: "no-store"}}
 	return &Answer{Status: resp.Status(), Headers: headers, Body: b, Length: -1}
 }
@@ -58,8 +62,8 @@
 	resp    *target.Response
 	events  *target.EventReader
 	pendingEvents
-	answer     []byte // complete answer, for the record of a call in a program
-	eventCount int    // number of forwarded events over all responses
+	answer     buffer.Appender // complete answer, for the record of a call in a program
+	eventCount int             // number of forwarded events over all responses
 	resumes    int
 	released   bool
 }
@@ -71,6 +75,8 @@
 func (b *chatStreamBody) advance() {
 	event, err := b.events.Next()
 	switch {
+	case lacksMemory(err):
+		b.failWithoutMemory(err)
 	case err != nil:
 		b.handleBreak(err)
 	case b.events.Done():
@@ -85,12 +91,44 @@
 		b.resp.MarkProgress()
 	}
 	b.eventCount++
-	if b.call.run != nil {
-		b.answer = append(b.answer, event...)
+	if err := b.recordEvent(event); err != nil {
+		b.failWithoutMemory(err)
+		return
 	}
 	b.pending = event
 }
 
+// errAnswerTooLarge reports a streamed answer that is too large for the record of its
+// call.
+var errAnswerTooLarge = errors.New("answer is too large to be recorded")
+
+// recordEvent adds an event to the answer of a call that is recorded.
+func (b *chatStreamBody) recordEvent(event []byte) error {
+	if b.call.run == nil {
+		return nil
+	}
+	if b.answer.Len()+len(event) > maxAnswer {
+		return fmt.Errorf("%w: more than %d bytes", errAnswerTooLarge, maxAnswer)
+	}
+	return b.answer.Append(event)
+}
+
+// failWithoutMemory ends the answer because this host cannot hold more of it. The target
+// is not at fault.
+func (b *chatStreamBody) failWithoutMemory(err error) {
+	s := b.service
+	s.metrics.broken.Inc(1)
+	s.metrics.withoutMemory.Inc(1)
+	s.Log.Warn("stream was broken off for want of memory", "request", b.call.request.ID, "target", b.call.place.Target().Name, "events", b.eventCount, "error", err)
+	s.cancelStream(b.ctx, b.call)
+	if !b.released {
+		b.released = true
+		b.call.endSuspectRun(false)
+		b.call.place.Release(placement.Usage{})
+	}
+	b.fail(model.NewRefusal(model.ErrUnavailable, model.RanUnknown, "this host cannot hold the answer: %v", err).Retry(noMemoryRetryAfter))
+}
+
 func (b *chatStreamBody) finish(event []byte) {
 	b.call.ran = model.RanYes
 	event = bytes.Clone(event) // the next read overwrites it
@@ -98,9 +136,12 @@
 	b.drainResponse()
 	b.released = true
 	b.service.releaseSucceeded(b.call, usage)
-	b.answer = append(b.answer, event...)
+	if err := b.recordEvent(event); err != nil {
+		b.failWithoutMemory(err)
+		return
+	}
 	err := b.service.finishChat(b.ctx, b.call, programs.Result{
-		Answer:      b.answer,
+		Answer:      b.answer.Bytes(),
 		ContentType: "text/event-stream",
 		Status:      fasthttp.StatusOK,
 		Used:        usedTokens(usage),
@@ -205,6 +246,7 @@
 	b.events.Release()
 	b.resp = resp
 	b.events = target.NewEventReader(resp)
+	b.events.Reserve(b.ctx, b.call.request.Memory)
 }
 
 // fail ends the answer with an error event instead of [DONE].
@@ -245,6 +287,7 @@
 		b.abort(model.RanUnknown)
 	}
 	b.events.Release()
+	b.answer.Release()
 	return b.resp.Close()
 }
 
--- a/app/relay/conversation.go
+++ b/app/relay/conversation.go
@@ -4,7 +4,9 @@
 	"context"
 
 	"mimosarelay/core/conversation"
+	"mimosarelay/core/memory"
 	"mimosarelay/core/model"
+	"mimosarelay/io/buffer"
 )
 
 // keeps reports whether the turn is kept, so that a later one can continue it.
@@ -31,12 +33,25 @@
 		return err
 	}
 	c.chain = found.Chain
-	if len(found.Text) > 0 {
-		c.targetBody = append(found.Text, c.Body...)
+	if len(found.Text) == 0 {
+		return nil
 	}
+	size := memory.Bytes(len(found.Text) + len(c.Body))
+	if err := buffer.Reserve(ctx, c.Memory, memory.Bodies, size, wholeAnswerMemoryWait); err != nil {
+		return model.NewRefusal(model.ErrUnavailable, model.RanNo, "this host has no memory for the conversation now: %v", err).Retry(noMemoryRetryAfter)
+	}
+	c.chainReserved = size
+	c.targetBody = make([]byte, 0, size)
+	c.targetBody = append(append(c.targetBody, found.Text...), c.Body...)
 	return nil
 }
 
+// releaseChain returns the memory of the conversation.
+func (c *forwardCall) releaseChain() {
+	c.Memory.Release(memory.Bodies, c.chainReserved)
+	c.chainReserved = 0
+}
+
 // saveTurn stores a turn whose stream is complete.
 func (s *Service) saveTurn(ctx context.Context, c *forwardCall, output []byte) error {
 	err := s.Conversations.Save(ctx, &conversation.Turn{
--- a/app/relay/forward.go
+++ b/app/relay/forward.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"slices"
 	"strings"
 	"time"
@@ -136,6 +137,8 @@
 	// targetBody is the body for targets. It differs from Body for a turn that
 	// continues a conversation.
 	targetBody []byte
+	// chainReserved is what targetBody holds beside Body, as reserved from Memory.
+	chainReserved memory.Bytes
 }
 
 // fingerprint identifies the content that a target gets. The same input is another
@@ -317,7 +320,7 @@
 	}
 	if reply.NotRun {
 		status := resp.Status()
-		_, _ = resp.ReadAll(maxNotRunAnswer)
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxNotRunAnswer))
 		_ = resp.Close()
 		return nil, fmt.Errorf("%w: target %q answered %d", errNotRun, t.Name, status)
 	}
@@ -386,7 +389,9 @@
 	return next
 }
 
+// endTurn ends what the call holds beside its place.
 func (c *forwardCall) endTurn(used model.Tokens) {
+	c.releaseChain()
 	if c.lease != nil {
 		c.lease.End(used)
 		c.lease = nil
--- a/app/relay/forward_stream.go
+++ b/app/relay/forward_stream.go
@@ -13,8 +13,10 @@
 
 	"mimosarelay/core/dispatch"
 	"mimosarelay/core/health"
+	"mimosarelay/core/memory"
 	"mimosarelay/core/model"
 	"mimosarelay/core/placement"
+	"mimosarelay/io/buffer"
 	"mimosarelay/io/target"
 )
 
@@ -28,10 +30,11 @@
 	resp    *target.Response
 	events  *target.EventReader
 	pendingEvents
-	lastEventID uint64 // id of the last forwarded event
-	eventCount  int    // number of forwarded events
-	output      []byte // data of the forwarded events, for a turn that is kept
-	finished    bool   // the target ended the stream regularly
+	lastEventID uint64          // id of the last forwarded event
+	eventCount  int             // number of forwarded events
+	batch       []byte          // holds small events that arrived together
+	output      buffer.Appender // data of the forwarded events, for a turn that is kept
+	finished    bool            // the target ended the stream regularly
 	pace        eventPace
 }
 
@@ -63,7 +66,7 @@
 
 // forwardStream returns an answer whose body forwards the events of resp.
 func (s *Service) forwardStream(ctx context.Context, c *forwardCall, resp *target.Response) *Answer {
-	b := &forwardStreamBody{service: s, ctx: ctx, call: c}
+	b := &forwardStreamBody{service: s, ctx: ctx, call: c, output: buffer.NewAppender(ctx, c.Memory)}
 	if id, err := strconv.ParseUint(c.LastEvent, 10, 64); err == nil {
 		b.lastEventID = id
 	}
@@ -77,14 +80,19 @@
 	b.resp = resp
 	b.pace = eventPace{}
 	b.events = target.NewEventReader(resp)
+	b.events.Reserve(b.ctx, b.call.Memory)
 }
 
+// maxBatchedEvent is the size up to which events that arrive together are copied for one
+// read, in bytes. Larger ones are forwarded from the buffer of the reader.
+const maxBatchedEvent = 4 << 10
+
 // Read implements io.Reader. It returns the events that have arrived, up to the
 // size of p.
 func (b *forwardStreamBody) Read(p []byte) (int, error) { return b.read(p, b.readEvents) }
 
 func (b *forwardStreamBody) readEvents() {
-	b.pending = b.pending[:0]
+	b.pending, b.batch = nil, b.batch[:0]
 	if b.finished {
 		b.finish()
 		return
@@ -107,17 +115,45 @@
 			b.lastEventID = id
 			b.eventCount++
 			b.pace.add(b.service.Clock.Now())
-			if b.call.keeps() {
-				b.output = target.AppendData(b.output, event)
+			if err := b.keepOutput(event); err != nil {
+				b.handleEnd(err)
+				return
 			}
 		}
-		b.pending = append(b.pending, event...)
-		if !b.events.Buffered() {
+		last := len(event) > maxBatchedEvent || !b.events.Buffered()
+		if last && len(b.batch) == 0 {
+			b.pending = event
+			return
+		}
+		b.batch = append(b.batch, event...)
+		b.pending = b.batch
+		if last {
 			return
 		}
 	}
 }
 
+// keepOutput adds the data of an event to the output of a turn that is kept.
+func (b *forwardStreamBody) keepOutput(event []byte) error {
+	if !b.call.keeps() {
+		return nil
+	}
+	for line := range target.DataLines(event) {
+		if err := errors.Join(b.output.Append(line), b.output.Append(lineFeed)); err != nil {
+			return err
+		}
+	}
+	if b.output.Len() > maxAnswer {
+		return fmt.Errorf("%w: more than %d bytes", errTurnTooLarge, maxAnswer)
+	}
+	return nil
+}
+
+var lineFeed = []byte("\n")
+
+// errTurnTooLarge reports an output that is too large for a turn that is kept.
+var errTurnTooLarge = errors.New("output of a turn that is kept is too large")
+
 // handleEnd handles the end of one response: the end of the stream, or an error
 // after which the stream is resumed if possible.
 func (b *forwardStreamBody) handleEnd(err error) {
@@ -132,6 +168,10 @@
 	}
 	s, c := b.service, b.call
 	b.closeResponse()
+	if lacksMemory(err) {
+		b.endWithoutMemory(err)
+		return
+	}
 	next := s.handleFailedAttempt(b.ctx, c, fmt.Errorf("%w: %w", errStreamBroken, err))
 	for c.Route.Repeatable() && b.resumable() && c.prepareNext(b.ctx, next) {
 		if next, err = b.resume(); err == nil {
@@ -142,11 +182,28 @@
 	s.metrics.broken.Inc(1)
 }
 
+// endWithoutMemory breaks the stream off because this host cannot hold more of it. Another
+// attempt would need the same memory, and the target is not at fault.
+func (b *forwardStreamBody) endWithoutMemory(err error) {
+	s := b.service
+	s.endRun(b.call, false)
+	b.call.place.Release(placement.Usage{Prompt: b.call.Prompt.Tokens, Completion: b.tokens()})
+	b.end = fmt.Errorf("%w: no memory for the rest of the stream: %w", io.ErrUnexpectedEOF, err)
+	s.metrics.broken.Inc(1)
+	s.metrics.withoutMemory.Inc(1)
+	s.Log.Warn("stream was broken off for want of memory", "request", b.call.ID, "target", b.call.place.Target().Name, "events", b.eventCount, "error", err)
+}
+
+// lacksMemory reports whether an answer failed because this host had no memory for it.
+func lacksMemory(err error) bool {
+	return errors.Is(err, memory.ErrFull) || errors.Is(err, memory.ErrEvicted)
+}
+
 // finish ends the stream for the caller. A turn that is kept is stored before, so that
 // no caller sees a complete answer that is lost.
 func (b *forwardStreamBody) finish() {
 	if b.call.keeps() {
-		if err := b.service.saveTurn(b.ctx, b.call, b.output); err != nil {
+		if err := b.service.saveTurn(b.ctx, b.call, b.output.Bytes()); err != nil {
 			b.end = fmt.Errorf("%w: turn cannot be kept: %w", io.ErrUnexpectedEOF, err)
 			b.service.metrics.broken.Inc(1)
 			return
@@ -225,6 +282,7 @@
 	if b.resp != nil {
 		b.release(false)
 	}
+	b.output.Release()
 	b.service.endRun(b.call, false)
 	b.call.endTurn(b.tokens())
 	b.service.logRequestEnded(b.call, fasthttp.StatusOK, b.complete(), b.eventCount)
--- a/app/relay/peer_call.go
+++ b/app/relay/peer_call.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"io"
+	"net/netip"
 	"strings"
 	"sync"
 	"time"
 
+	"mimosarelay/core/memory"
 	"mimosarelay/core/model"
 	"mimosarelay/io/peer/peerpb"
 	"mimosarelay/io/target"
@@ -125,6 +127,7 @@
 type answerSender struct {
 	mu     sync.Mutex // guards stream, which allows one sender at a time
 	stream peerpb.DRPCPeer_CallStream
+	holder *memory.Holder // of the answer; nil for no limit
 }
 
 func (a *answerSender) send(m *peerpb.CallResponse) error {
@@ -161,11 +164,21 @@
 	// stopped.
 	defer pings.Wait()
 	defer cancel()
-	answer, err := s.runOwned(ctx, decodeRequest(m))
+	holder, err := s.Memory.Open(netip.Addr{}, peerBodyBufferSize, func(memory.Phase) { cancel() })
+	if err != nil {
+		return a.send(encodeRefusal(model.NewRefusal(errOwnerUnavailable, model.RanNo, "the owner has no memory for the answer now")))
+	}
+	defer holder.Close()
+	holder.SetPhase(memory.Running)
+	a.holder = holder
+	r := decodeRequest(m)
+	r.Memory = holder
+	answer, err := s.runOwned(ctx, r)
 	if err != nil {
 		return a.send(encodeRefusal(asRefusal(err, model.RanUnknown)))
 	}
 	defer func() { _ = answer.Body.Close() }()
+	holder.SetPhase(memory.Answering)
 	if err := a.send(&peerpb.CallResponse{Status: int32(answer.Status), Headers: encodeHeaders(answer.Headers)}); err != nil {
 		return err
 	}
@@ -180,9 +193,11 @@
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
+			a.holder.BeginWrite()
 			if err := a.send(&peerpb.CallResponse{Body: buffer[:n]}); err != nil {
 				return err
 			}
+			a.holder.EndWrite(n)
 		}
 		if target.AtEnd(err) {
 			return a.send(&peerpb.CallResponse{End: true})
--- a/app/relay/service.go
+++ b/app/relay/service.go
@@ -13,6 +13,7 @@
 	"golang.org/x/crypto/blake2b"
 
 	"mimosarelay/core/config"
+	"mimosarelay/core/memory"
 	"mimosarelay/core/model"
 	"mimosarelay/io/target"
 )
@@ -50,6 +51,9 @@
 	// StreamIdle is the time without progress after which an exchange with a
 	// target is ended; 0 means 20 s.
 	StreamIdle time.Duration
+	// Memory reserves the answers of calls that other hosts forward; nil for no limit.
+	// Those of other calls are reserved from Request.Memory and Forward.Memory.
+	Memory *memory.Account
 	// ForwardWait limits how long a call waits for a reachable owner; 0 means
 	// 12 s, which is longer than the removal of a failed host takes.
 	ForwardWait time.Duration
@@ -81,6 +85,8 @@
 
 type metrics struct {
 	calls, refusals, forwards, retries, resumes, broken tally.Counter
+	// withoutMemory counts the streams that were broken off for want of memory.
+	withoutMemory tally.Counter
 	// header is the time until the header of an answer is known.
 	header tally.Histogram
 }
@@ -110,7 +116,9 @@
 		retries:  s.Counter("retried"),
 		resumes:  s.Counter("resumed"),
 		broken:   s.Counter("broken"),
-		header:   s.Histogram("header_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)),
+
+		withoutMemory: s.Counter("broken_without_memory"),
+		header:        s.Histogram("header_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)),
 	}
 }
 
--- a/app/relay/whole_answer.go
+++ b/app/relay/whole_answer.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -41,10 +40,10 @@
 }
 
 // recordedBytes returns the bytes of an answer for the record of a run, which keeps
-// them. Without a run they are not copied.
+// them.
 func recordedBytes(run *programs.Run, body *buffer.Buffer) []byte {
 	if run == nil {
 		return body.Bytes()
 	}
-	return bytes.Clone(body.Bytes())
+	return body.Keep()
 }
--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -24,14 +24,17 @@
 	Bodies                  // bodies of requests
 	Answers                 // answers of targets
 	Messages                // messages between hosts
+	Streams                 // events of streams, and outputs that are kept until they are recorded
 	kindCount
 )
 
 // String returns the name of the kind in metrics.
-func (k Kind) String() string { return [...]string{"connections", "bodies", "answers", "messages"}[k] }
+func (k Kind) String() string {
+	return [...]string{"connections", "bodies", "answers", "messages", "streams"}[k]
+}
 
 // Kinds lists all kinds.
-func Kinds() []Kind { return []Kind{Connections, Bodies, Answers, Messages} }
+func Kinds() []Kind { return []Kind{Connections, Bodies, Answers, Messages, Streams} }
 
 // Phase is what a holder's connection does.
 type Phase int
@@ -70,6 +73,9 @@
 	// stallTime is how long a connection is without progress before others may take
 	// its memory. It is above the time that a lost packet costs.
 	stallTime = time.Second
+	// streamsPart limits Streams to 1/n of the account. A stream holds its memory until
+	// its target goes on, so that ordinary requests need the rest.
+	streamsPart = 2
 )
 
 // Account is the memory of a process for its callers and targets. It is safe for
@@ -169,8 +175,11 @@
 
 // Open returns a holder for a connection from source that holds n bytes of
 // Connections. evict is called if the holder loses its memory; the connection must
-// then release it. Open fails with ErrFull like Reserve.
+// then release it. Open fails with ErrFull like Reserve. A nil Account has no limit.
 func (a *Account) Open(source netip.Addr, n Bytes, evict func(Phase)) (*Holder, error) {
+	if a == nil {
+		return nil, nil
+	}
 	now := a.clock.Now()
 	h := &Holder{account: a, source: source, evict: evict, progressAt: now, windowStart: now}
 	a.mu.Lock()
@@ -366,6 +375,8 @@
 	switch {
 	case h.lost || h.closed:
 		return nil, ErrEvicted
+	case k == Streams && a.byKind[k]+n > a.capacity/streamsPart:
+		return nil, ErrFull
 	case a.held+n <= a.capacity:
 		a.change(h, k, n)
 		return nil, nil
--- a/io/buffer/buffer.go
+++ b/io/buffer/buffer.go
@@ -42,6 +42,7 @@
 	data   []byte
 	holder *memory.Holder
 	kind   memory.Kind
+	kept   bool // the content is used after Release
 }
 
 var pool = sync.Pool{New: func() any { return new(Buffer) }}
@@ -154,6 +155,13 @@
 	return err
 }
 
+// Keep makes the content valid after Release, for a record that outlives the buffer, and
+// returns it.
+func (b *Buffer) Keep() []byte {
+	b.kept = true
+	return b.data
+}
+
 // Bytes returns the content. It is valid until Release. A nil Buffer has none.
 func (b *Buffer) Bytes() []byte {
 	if b == nil {
@@ -169,8 +177,8 @@
 	}
 	b.holder.Release(b.kind, memory.Bytes(cap(b.data)))
 	b.holder = nil
-	if cap(b.data) > smallSize {
-		b.data = nil
+	if b.kept || cap(b.data) > smallSize {
+		b.data, b.kept = nil, false
 	}
 	b.data = b.data[:0]
 	pool.Put(b)
--- a/io/target/events.go
+++ b/io/target/events.go
@@ -3,10 +3,15 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
+	"iter"
 	"sync"
+
+	"mimosarelay/core/memory"
+	"mimosarelay/io/buffer"
 )
 
 // ErrEventTooLarge reports a server-sent event larger than 1 MiB.
@@ -30,8 +35,8 @@
 // to the size of the events, it does not allocate per event.
 type EventReader struct {
 	reader *bufio.Reader
-	event  []byte
-	usage  []byte // the last event with token usage
+	event  buffer.Appender
+	usage  buffer.Appender // the last event with token usage
 	count  int
 	done   bool
 }
@@ -43,32 +48,40 @@
 	return &EventReader{reader: br}
 }
 
+// Reserve makes the reader reserve what it holds of events from h. It is called before
+// the first event is read. Next then also fails with memory.ErrFull and
+// memory.ErrEvicted.
+func (e *EventReader) Reserve(ctx context.Context, h *memory.Holder) {
+	e.event, e.usage = buffer.NewAppender(ctx, h), buffer.NewAppender(ctx, h)
+}
+
 // Next returns the next event including the blank line that ends it. The slice
 // is valid until the next call. Next returns io.EOF at the end of the body.
 func (e *EventReader) Next() ([]byte, error) {
-	e.event = e.event[:0]
+	e.event.Reset()
 	for {
 		line, err := e.reader.ReadSlice('\n')
-		e.event = append(e.event, line...)
+		if memoryErr := e.event.Append(line); memoryErr != nil {
+			return nil, memoryErr
+		}
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
 			return nil, e.endError(err)
 		}
-		if len(e.event) > maxEvent {
+		if e.event.Len() > maxEvent {
 			return nil, fmt.Errorf("%w: more than %d bytes", ErrEventTooLarge, maxEvent)
 		}
-		if err == nil && isBlank(line) && len(e.event) > len(line) {
+		if err == nil && isBlank(line) && e.event.Len() > len(line) {
 			break
 		}
 	}
 	e.count++
-	e.recordDoneAndUsage()
-	return e.event, nil
+	return e.event.Bytes(), e.recordDoneAndUsage()
 }
 
 // endError returns the error for the end of the body: a truncated event is not a
 // regular end.
 func (e *EventReader) endError(err error) error {
-	if errors.Is(err, io.EOF) && len(bytes.Trim(e.event, "\r\n")) > 0 {
+	if errors.Is(err, io.EOF) && len(bytes.Trim(e.event.Bytes(), "\r\n")) > 0 {
 		return fmt.Errorf("%w: the body ends within an event: %w", ErrBroken, io.ErrUnexpectedEOF)
 	}
 	return err
@@ -80,14 +93,17 @@
 
 // recordDoneAndUsage records whether the current event is [DONE] or reports
 // usage.
-func (e *EventReader) recordDoneAndUsage() {
-	if bytes.HasPrefix(e.event, doneEvent) {
+func (e *EventReader) recordDoneAndUsage() error {
+	event := e.event.Bytes()
+	if bytes.HasPrefix(event, doneEvent) {
 		e.done = true
-		return
+		return nil
 	}
-	if bytes.Contains(e.event, usageField) {
-		e.usage = append(e.usage[:0], e.event...)
+	if !bytes.Contains(event, usageField) {
+		return nil
 	}
+	e.usage.Reset()
+	return e.usage.Append(event)
 }
 
 // Buffered reports whether the buffer holds another complete event, so that Next
@@ -104,31 +120,32 @@
 func (e *EventReader) Count() int { return e.count }
 
 // Usage returns the payload of the last event that reports token usage, or nil.
-func (e *EventReader) Usage() []byte { return Payload(e.usage) }
+func (e *EventReader) Usage() []byte { return Payload(e.usage.Bytes()) }
 
-// Release returns the read buffer to the pool. The reader must not be used
-// afterwards.
+// Release returns the read buffer to the pool, and the memory of events. The reader and
+// the last event must not be used afterwards.
 func (e *EventReader) Release() {
 	if e.reader == nil {
 		return
 	}
+	e.event.Release()
+	e.usage.Release()
 	e.reader.Reset(nil)
 	eventReaderPool.Put(e.reader)
 	e.reader = nil
 }
 
-// AppendData appends the data of an event, followed by a line feed. The lines of data
-// that spans several fields are joined by line feeds.
-func AppendData(out, event []byte) []byte {
-	for line := range bytes.Lines(event) {
-		data, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), dataField)
-		if !ok {
-			continue
+// DataLines iterates over the lines of the data of an event, without their line ends.
+// The data of an event are its lines joined by line feeds.
+func DataLines(event []byte) iter.Seq[[]byte] {
+	return func(yield func([]byte) bool) {
+		for line := range bytes.Lines(event) {
+			data, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), dataField)
+			if ok && !yield(bytes.TrimPrefix(data, []byte(" "))) {
+				return
+			}
 		}
-		out = append(out, bytes.TrimPrefix(data, []byte(" "))...)
-		out = append(out, '\n')
 	}
-	return out
 }
 
 // HasData reports whether an event has data, which comments that keep a connection
--- a/test/e2e/memory/deployment_test.go
+++ b/test/e2e/memory/deployment_test.go
@@ -96,7 +96,7 @@
 	t.Cleanup(target.Close)
 	ip, _ := freeAddress(peerPort)
 	d.keeperPeers, d.keeperMetrics = fmt.Sprintf("%s:%d", ip, peerPort), fmt.Sprintf("%s:%d", ip, metricsPort)
-	d.keeper = d.startProcess(standin.Machine{Name: "keeper-0", IP: ip})
+	d.keeper = d.startProcess(standin.Machine{Name: "keeper-0", IP: ip, DataDir: t.TempDir()})
 	ip, d.callers = freeAddress(callerPort)
 	d.ready, d.directory = fmt.Sprintf("%s:%d", ip, readyPort), fmt.Sprintf("%s:%d", ip, listPort)
 	d.peers, d.metrics = fmt.Sprintf("%s:%d", ip, peerPort), fmt.Sprintf("%s:%d", ip, metricsPort)
--- a/test/e2e/memory/site_test.go
+++ b/test/e2e/memory/site_test.go
@@ -49,8 +49,9 @@
 	tls        *tls.Config // nil for plain TCP
 }
 
-// newSite starts a host that is ready to serve.
-func newSite(t *testing.T, withTLS bool) *site {
+// newSite starts a host that is ready to serve the routes "stock" and "large" and other
+// targets.
+func newSite(t *testing.T, withTLS bool, others ...config.Target) *site {
 	t.Helper()
 	knownred.Skip(t)
 	if os.Getenv(overloadVariable) != "run" {
@@ -72,7 +73,7 @@
 	file := s.writeFile("settings.yaml", fmt.Sprintf(siteSettings, callers, section, s.operators, s.credential, s.peers, store.Address(), memoryMB<<20))
 	s.host = &process{t: t, name: "host-1", cmd: exec.Command(binary, "serve", "--settings", file), ended: make(chan struct{})}
 	s.host.start()
-	s.configure()
+	s.configure(others)
 	s.checkServes()
 	return s
 }
@@ -100,15 +101,15 @@
 }
 
 // configure applies a configuration with the route "stock" and the route "large",
-// whose answers have fullBody bytes.
-func (s *site) configure() {
+// whose answers have fullBody bytes, and with other targets.
+func (s *site) configure(others []config.Target) {
 	s.t.Helper()
 	hash, err := config.HashKey(s.key)
 	assert.NilError(s.t, err)
 	d := &config.Document{Workspaces: []config.Workspace{{
 		Name: "main", Keys: []config.Key{{ID: "crowd", Hash: hash}}, Rate: 10000, Burst: 10000,
 		Budget: config.Budget{Tokens: 1000, Calls: 1000, Lifetime: time.Hour},
-	}}}
+	}}, Targets: others}
 	for name, size := range map[string]int{"stock": 0, "large": fullBody} {
 		target, err := service.Start(service.Options{Listen: "127.0.0.1:0", AnswerBytes: size})
 		assert.NilError(s.t, err)
