orders: large responses of engines are reserved

A faulty engine that sends a load report or the answer to an order without an end made the process read 8 MiB of it, in buffers that double, for each engine at once. Responses above 16 KiB are reserved from the account now; smaller ones are not, so that the load of targets is known although callers have filled it.

--- a/app/host/wire.go
+++ b/app/host/wire.go
@@ -189,7 +189,7 @@
 
 func (h *Host) wireTargets() error {
 	h.targets = target.NewClient(target.Options{})
-	engines := orders.Client{Targets: h.targets}
+	engines := orders.Client{Targets: h.targets, Memory: h.memory}
 	policies, err := h.settings.Placement.Policies(h.settings.Host.Zone)
 	if err != nil {
 		return fmt.Errorf("settings section Placement: %w", err)
--- a/app/orders/client.go
+++ b/app/orders/client.go
@@ -1,18 +1,23 @@
 package orders
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net/netip"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"mimosarelay/core/config"
+	"mimosarelay/core/memory"
 	"mimosarelay/core/model"
 	"mimosarelay/core/order"
 	"mimosarelay/core/placement"
 	"mimosarelay/core/release"
+	"mimosarelay/io/buffer"
 	"mimosarelay/io/target"
 )
 
@@ -24,12 +29,19 @@
 	// maxReportAge is the highest age that is assumed for a load report. It limits
 	// the error if the clocks of the engine and the host differ.
 	maxReportAge = 10 * time.Second
+	// smallResponse is the size up to which a response is not reserved, in bytes, so that
+	// the load of targets is known although callers have filled the account.
+	smallResponse = 16 << 10
+	// memoryWait is how long a larger response waits for memory.
+	memoryWait = 250 * time.Millisecond
 )
 
 // Client is a client of the control API of engines: load reports, release of
 // cache memory and orders. It never retries a request.
 type Client struct {
 	Targets *target.Client
+	// Memory reserves what a response above 16 KiB holds; nil for no limit.
+	Memory *memory.Account
 }
 
 // Send implements Engines.
@@ -118,10 +130,11 @@
 		return 0, err
 	}
 	defer func() { _ = resp.Close() }()
-	body, err := resp.ReadAll(maxResponseBytes)
+	body, release, err := c.read(ctx, resp)
 	if err != nil {
-		return 0, err
+		return 0, fmt.Errorf("%s %s at %q: read response: %w", r.method, r.path, t.Name, err)
 	}
+	defer release()
 	if resp.Status() != fasthttp.StatusOK {
 		return resp.Status(), fmt.Errorf("%s %s at %q: status %d: %.200s", r.method, r.path, t.Name, resp.Status(), body)
 	}
@@ -130,3 +143,28 @@
 	}
 	return resp.Status(), nil
 }
+
+// read reads a response to its end. release returns its memory.
+func (c Client) read(ctx context.Context, resp *target.Response) (body []byte, release func(), err error) {
+	body, err = io.ReadAll(io.LimitReader(resp, smallResponse+1))
+	if err != nil || len(body) <= smallResponse {
+		return body, func() {}, err
+	}
+	h, err := c.Memory.Open(netip.Addr{}, 0, func(memory.Phase) {})
+	if err != nil {
+		return nil, nil, err
+	}
+	h.SetPhase(memory.Running) // a request of this host is not evicted
+	whole, err := buffer.Read(ctx, h, io.MultiReader(bytes.NewReader(body), resp), buffer.Options{
+		Kind: memory.Answers, Length: resp.Length(), Limit: maxResponseBytes, MaxWait: memoryWait,
+	})
+	release = func() {
+		whole.Release()
+		h.Close()
+	}
+	if err != nil {
+		release()
+		return nil, nil, err
+	}
+	return whole.Bytes(), release, nil
+}
