storehttp: large responses of the store are reserved

A response of the store was held up to 64 MiB, and copied, on a machine of any size. It is read as a stream now, and what is above 256 KiB is reserved from the account. Without memory the request fails as one without a response.

Not played with separate processes.

--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -64,6 +64,9 @@
 	// Keyspace returns a view of the store that holds the keys under a prefix.
 	Keyspace func(prefix string) store.Store
 	Source   catalog.Source
+	// SetStoreMemory passes the account of memory to the client of the store, so that
+	// large responses are reserved while they arrive; nil if that has no limit.
+	SetStoreMemory func(*memory.Account)
 	// Decode parses a stored configuration.
 	Decode  func([]byte) (*coreingress.Document, error)
 	Dialect Dialect
@@ -229,6 +232,9 @@
 // New assembles a host. It starts nothing; Run does.
 func New(o Options) *Host {
 	h := &Host{options: o, log: o.Log, metrics: metrics.New(), memory: account.New(account.Options{Memory: o.Memory, Descriptors: o.Descriptors, Clock: o.Clock})}
+	if o.SetStoreMemory != nil {
+		o.SetStoreMemory(h.memory)
+	}
 	h.peers = peer.NewClient(peer.Options{DialTimeout: peerDialTimeout})
 	if o.Keeper {
 		h.keeper = newKeeper(h)
--- a/app/host/wire.go
+++ b/app/host/wire.go
@@ -63,7 +63,7 @@
 	open := func(suffix string) (*consul.Client, error) {
 		return consul.New(consul.Options{
 			Address: h.settings.Platform.Address, Prefix: h.settings.Platform.Prefix + suffix,
-			Timeout: h.settings.Platform.Timeout, Token: token, LocalIP: h.sourceIP(h.settings.Platform.Address),
+			Timeout: h.settings.Platform.Timeout, Token: token, LocalIP: h.sourceIP(h.settings.Platform.Address), Memory: h.memory,
 		})
 	}
 	if h.controlStore, err = open(controlPrefix); err != nil {
--- a/cmd/managed.go
+++ b/cmd/managed.go
@@ -60,6 +60,7 @@
 		},
 		Readiness:       func(ready func() (bool, string)) fasthttp.RequestHandler { return platform.Readiness(ready).Handle },
 		Memory:          memory.Bytes(boot.Memory),
+		SetStoreMemory:  client.SetMemory,
 		Descriptors:     boot.Descriptors,
 		Evacuations:     client,
 		Cold:            cold.Bound{Over: cmp.Or(boot.Bounds.ColdOver, 1), Slack: boot.Bounds.ColdSlack},
--- a/io/consul/consul.go
+++ b/io/consul/consul.go
@@ -16,6 +16,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"mimosarelay/core/memory"
 	"mimosarelay/core/store"
 	"mimosarelay/io/storehttp"
 )
@@ -34,6 +35,8 @@
 	LocalIP net.IP
 	// Token is sent as X-Consul-Token; "" sends none.
 	Token string
+	// Memory reserves large responses while they arrive; nil means no limit.
+	Memory *memory.Account
 }
 
 // Client is a client of one Consul HTTP API. It is safe for concurrent use.
@@ -57,6 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
+	httpClient.SetMemory(o.Memory)
 	o.Timeout = httpClient.Timeout()
 	return &Client{options: o, http: httpClient}, nil
 }
--- a/io/storehttp/storehttp.go
+++ b/io/storehttp/storehttp.go
@@ -8,14 +8,19 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/netip"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
+	"mimosarelay/core/memory"
 	"mimosarelay/core/store"
+	"mimosarelay/io/buffer"
 	"mimosarelay/io/http1"
 )
 
@@ -29,6 +34,11 @@
 	// maxResponseBody is the size limit of one response, in bytes. A recursive
 	// read returns many values.
 	maxResponseBody = 64 << 20
+	// smallResponse is the size up to which a response is not reserved, in bytes, so that
+	// hosts whose callers have filled the account go on with the store.
+	smallResponse = 256 << 10
+	// memoryWait is how long a larger response waits for memory.
+	memoryWait = 250 * time.Millisecond
 )
 
 // Options configures a Client.
@@ -50,6 +60,7 @@
 type Client struct {
 	options Options
 	http    *fasthttp.HostClient
+	memory  atomic.Pointer[memory.Account]
 }
 
 // New returns a client. It connects with the first request.
@@ -89,7 +100,7 @@
 		},
 		MaxConns:                  maxConns,
 		MaxIdleConnDuration:       maxIdleConnTime,
-		MaxResponseBodySize:       maxResponseBody,
+		StreamResponseBody:        true,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		DisablePathNormalizing:    true, // the server decodes escaped keys
@@ -208,7 +219,10 @@
 	if err != nil {
 		return Response{}, fmt.Errorf("%s %s: %w: %w", r.Method, r.Path, r.classify(err), err)
 	}
-	out := Response{Status: res.StatusCode(), Body: append([]byte(nil), res.Body()...)}
+	out := Response{Status: res.StatusCode()}
+	if out.Body, err = c.readBody(res); err != nil {
+		return Response{}, fmt.Errorf("%s %s: %w: read response: %w", r.Method, r.Path, r.noResponseError(), err)
+	}
 	if c.options.ResponseHeader != "" {
 		out.Header = string(res.Header.Peek(c.options.ResponseHeader))
 	}
@@ -218,6 +232,45 @@
 	return out, fmt.Errorf("%s %s: %w", r.Method, r.Path, r.statusError(out))
 }
 
+// readBody reads the body of a response. What is above smallResponse is reserved while
+// it arrives. The connection is closed unless the body was read to its end.
+func (c *Client) readBody(res *fasthttp.Response) ([]byte, error) {
+	stream := res.BodyStream()
+	if stream == nil {
+		return bytes.Clone(res.Body()), nil
+	}
+	body, err := c.readStream(stream)
+	if closeErr := res.CloseBodyStream(); err == nil {
+		err = closeErr
+	}
+	return body, err
+}
+
+func (c *Client) readStream(stream io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(stream, smallResponse+1))
+	if err != nil || len(body) <= smallResponse {
+		return body, err
+	}
+	h, err := c.memory.Load().Open(netip.Addr{}, 0, func(memory.Phase) {})
+	if err != nil {
+		return nil, err
+	}
+	defer h.Close()
+	h.SetPhase(memory.Running) // a request of this host is not evicted
+	whole, err := buffer.Read(context.Background(), h, io.MultiReader(bytes.NewReader(body), stream), buffer.Options{
+		Kind: memory.Messages, Length: -1, Limit: maxResponseBody, MaxWait: memoryWait,
+	})
+	defer whole.Release()
+	if err != nil {
+		return nil, err
+	}
+	return whole.Keep(), nil
+}
+
+// SetMemory sets the account from which responses above 256 KiB are reserved while they
+// arrive; nil means no limit.
+func (c *Client) SetMemory(a *memory.Account) { c.memory.Store(a) }
+
 func (r Request) accepts(status int) bool {
 	if status == fasthttp.StatusOK {
 		return true
