peer: large responses of other hosts are reserved

Only the port for other hosts reserved large messages. A host now reserves those that it receives as a client, too, in the same way: twice the size of the largest message above 64 KiB, because drpc keeps the buffers of a connection.

No test of its own; the reservation is that of the port (held_test.go).

--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -235,7 +235,7 @@
 	if o.SetStoreMemory != nil {
 		o.SetStoreMemory(h.memory)
 	}
-	h.peers = peer.NewClient(peer.Options{DialTimeout: peerDialTimeout})
+	h.peers = peer.NewClient(peer.Options{DialTimeout: peerDialTimeout, Memory: h.memory})
 	if o.Keeper {
 		h.keeper = newKeeper(h)
 	} else {
--- a/app/host/wire.go
+++ b/app/host/wire.go
@@ -124,6 +124,7 @@
 		refused.Inc(1)
 		h.refusedPeers.Add(1)
 	})
+	o.Memory = h.memory
 	h.peers = peer.NewClient(o)
 	return nil
 }
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -19,6 +19,7 @@
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcwire"
 
+	"mimosarelay/core/memory"
 	"mimosarelay/io/peer/peerpb"
 )
 
@@ -67,6 +68,9 @@
 	StreamIdleTimeout time.Duration
 	// IdleTimeout closes an idle connection after this long; 0 means 30 s.
 	IdleTimeout time.Duration
+	// Memory reserves responses above 64 KiB while they arrive. A connection without
+	// memory is closed. nil means no limit.
+	Memory *memory.Account
 	// IdlePerPeer is the number of idle connections kept per peer and class; 0
 	// means 32.
 	IdlePerPeer int
@@ -136,6 +140,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if c.options.Memory != nil {
+		transport = &heldConn{Conn: transport, account: c.options.Memory, established: true}
+	}
 	conn := &deadlineConn{Conn: transport, timeout: c.options.WriteTimeout}
 	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
 }
