relay: a target that sends what is no answer is paused

Cause: without that contract a target is out of use only while it refuses connections.

Change: core/health.MalformedRuns. After three malformed answers in a row a target is paused for 1 s, then twice as long, 8 s at most, while another one of its service answers soundly, and never more than half of those that answer. io/target says which failures are malformed answers. Off where outcomes judge targets.

--- a/app/entry/entryhost.go
+++ b/app/entry/entryhost.go
@@ -107,7 +107,7 @@
 		Conversations: conversations.NewClient(conversations.ClientOptions{
 			Zone: o.Zone, Keepers: e.follow.TurnKeepers, Copies: max(1, o.TurnCopies), Peers: h.peers, Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
 		}),
-		Turns: turnClient, Departures: h.catalog, Pacer: pacer, Pauser: e.placement, Zones: h.catalog,
+		Turns: turnClient, Departures: h.catalog, Pacer: pacer, Pauser: e.placement, PauseMalformed: health == nil, Zones: h.catalog,
 		Limiter: limiter{e}, Rights: e.follow, Placer: placer{e.placement}, Suspects: e.suspects, Targets: e.targets,
 		Dialect: o.Dialect, Loads: e.placement, Clock: o.Clock, Log: o.Log, Scope: h.metrics.Scope,
 	})
--- a/app/relay/forward.go
+++ b/app/relay/forward.go
@@ -360,6 +360,7 @@
 func (s *Service) handleFailedAttempt(ctx context.Context, c *forwardCall, cause error) dispatch.Next {
 	t := c.place.Target()
 	recordOutcome(c.place, failureOutcome(ctx, cause))
+	s.recordMalformed(c, cause)
 	defer s.endRun(c, false) // after the crash was recorded
 	var outcome dispatch.Outcome
 	failed := false
--- a/app/relay/forward_answer.go
+++ b/app/relay/forward_answer.go
@@ -55,6 +55,7 @@
 	s.endRun(c, survived && whole)
 	usage := placement.Usage{Prompt: c.Prompt.Tokens}
 	if whole {
+		s.recordSound(c)
 		recordOutcome(c.place, answerOutcome(status))
 	}
 	if whole && status < fasthttp.StatusBadRequest { // an error takes another time than an answer
--- a/app/relay/forward_stream.go
+++ b/app/relay/forward_stream.go
@@ -158,6 +158,7 @@
 // after which the stream is resumed if possible.
 func (b *forwardStreamBody) handleEnd(err error) {
 	if target.AtEnd(err) {
+		b.service.recordSound(b.call)
 		b.service.endRun(b.call, b.resp != nil && showsSurvival(b.resp))
 		b.release(false)
 		b.finished = true
--- a/app/relay/service.go
+++ b/app/relay/service.go
@@ -13,6 +13,7 @@
 	"golang.org/x/crypto/blake2b"
 
 	"mimosarelay/core/config"
+	"mimosarelay/core/health"
 	"mimosarelay/core/memory"
 	"mimosarelay/core/model"
 	"mimosarelay/io/target"
@@ -43,6 +44,9 @@
 	// Conversations is used by Forward on routes that keep turns; nil if none does.
 	Conversations Conversations
 	Pauser        Pauser
+	// PauseMalformed makes Forward pause targets that send malformed answers. It needs
+	// Pauser, and is not set if targets are judged by the outcomes of requests.
+	PauseMalformed bool
 	// Zones is nil if no zone is ever evacuated.
 	Zones Zones
 	Clock clockwork.Clock
@@ -81,12 +85,15 @@
 	metrics          metrics
 	recordedPrefixes *recordedPrefixes
 	peerCalls        atomic.Int64 // running calls that other hosts forwarded
+	malformed        malformedAnswers
 }
 
 type metrics struct {
 	calls, refusals, forwards, retries, resumes, broken tally.Counter
 	// withoutMemory counts the streams that were broken off for want of memory.
 	withoutMemory tally.Counter
+	// pausedMalformed counts the pauses of targets that sent malformed answers.
+	pausedMalformed tally.Counter
 	// header is the time until the header of an answer is known.
 	header tally.Histogram
 }
@@ -105,7 +112,7 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
-	return &Service{Options: o, metrics: newMetrics(o.Scope.SubScope("calls")), recordedPrefixes: newRecordedPrefixes()}
+	return &Service{Options: o, metrics: newMetrics(o.Scope.SubScope("calls")), recordedPrefixes: newRecordedPrefixes(), malformed: malformedAnswers{runs: health.NewMalformedRuns()}}
 }
 
 func newMetrics(s tally.Scope) metrics {
@@ -117,8 +124,9 @@
 		resumes:  s.Counter("resumed"),
 		broken:   s.Counter("broken"),
 
-		withoutMemory: s.Counter("broken_without_memory"),
-		header:        s.Histogram("header_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)),
+		withoutMemory:   s.Counter("broken_without_memory"),
+		pausedMalformed: s.Counter("targets_paused_malformed"),
+		header:          s.Histogram("header_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)),
 	}
 }
 
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -38,6 +38,9 @@
 	return c.err == nil && len(c.held) == 0 && c.checker.between()
 }
 
+// Malformed reports whether a malformed byte was received.
+func (c *Conn) Malformed() bool { return errors.Is(c.err, ErrMalformed) }
+
 // Reusable reports whether the connection is clean, and the server has neither closed
 // it nor sent anything that was not received yet.
 func (c *Conn) Reusable() bool {
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -32,6 +32,11 @@
 	ErrBroken = errors.New("target: exchange failed, the request may have been sent")
 	// ErrIdle reports that the target made no progress within the idle timeout.
 	ErrIdle = errors.New("target: no progress within the idle timeout")
+	// ErrStale reports that the target sent only responses to other requests. It comes
+	// with ErrBroken.
+	ErrStale = errors.New("target: responses to other requests")
+	// ErrMalformed reports bytes that are no response. It comes with ErrBroken.
+	ErrMalformed = errors.New("target: malformed response")
 )
 
 const (
@@ -323,14 +328,11 @@
 			return resp, nil
 		}
 		if err := resp.discard(); err != nil || stale == maxStaleResponses {
-			return nil, errors.Join(errStaleResponse, err)
+			return nil, errors.Join(ErrStale, err)
 		}
 	}
 }
 
-// errStaleResponse reports a response that belongs to an earlier request.
-var errStaleResponse = errors.New("target sent a response to an earlier request")
-
 // receive reads a response header. The body is read by Response.
 func (cn *conn) receive(head bool) (*Response, error) {
 	resp := &Response{conn: cn, message: fasthttp.AcquireResponse()}
@@ -359,6 +361,9 @@
 	if cn.timedOut {
 		return fmt.Errorf("%w: %w: %w", ErrBroken, ErrIdle, err)
 	}
+	if cn.checked.Malformed() {
+		return fmt.Errorf("%w: %w: %w", ErrBroken, ErrMalformed, err)
+	}
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
 	}
