--- a/app/turns/firstturns.go
+++ b/app/turns/firstturns.go
@@ -27,6 +27,7 @@
 	written  uint64                           // value of added that the disk covers
 	failed   uint64                           // value of added at the last write that failed
 	writing  bool                             // writeFirstTurns runs
+	createAt time.Time                        // when notes may be created again after a failure
 	updated  chan struct{}                    // closed and replaced when a write has ended
 }
 
@@ -63,15 +64,21 @@
 	}
 }
 
+// createInterval is the time between two attempts to create the notes on a disk that
+// cannot be written.
+const createInterval = 5 * time.Second
+
 // createNotes writes notes without a turn to a disk that has none, in the background.
 // The host announces them once they are on the disk.
 func (o *Owner) createNotes() {
 	f := &o.firstTurns
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.options.Disk == nil || o.rule.HasNotes() || f.writing {
+	now := o.options.Clock.Now()
+	if o.options.Disk == nil || o.rule.HasNotes() || f.writing || now.Before(f.createAt) {
 		return
 	}
+	f.createAt = now.Add(createInterval)
 	f.added++
 	f.writing = true
 	go o.writeFirstTurns()
--- a/app/turns/owner.go
+++ b/app/turns/owner.go
@@ -224,6 +224,7 @@
 func (o *Owner) loadAndFlush(ctx context.Context) error {
 	ctx, cancel := clockwork.WithTimeout(ctx, o.options.Clock, storeTimeout)
 	defer cancel()
+	o.createNotes()
 	if o.hasUnloadedShards() {
 		if err := o.loadRecords(ctx); err != nil {
 			return err
--- a/io/storehttp/storehttp.go
+++ b/io/storehttp/storehttp.go
@@ -233,7 +233,7 @@
 }
 
 // readBody reads the body of a response. What is above smallResponse is reserved while
-// it arrives. The connection is closed unless the body was read to its end.
+// it arrives. A connection on which a body was not read to its end is not used again.
 func (c *Client) readBody(res *fasthttp.Response) ([]byte, error) {
 	stream := res.BodyStream()
 	if stream == nil {
