e2e/memory: a store and forwarded calls whose answers do not end

Two places where an answer is read were not played with separate processes: responses of the store, and calls that another host forwarded.

TestLargeResponseNeedsMemory covers the responses of other hosts.

--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -11,10 +11,12 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"mimosarelay/core/memory"
 	"mimosarelay/io/peer/peerpb"
 )
 
@@ -42,6 +44,11 @@
 	return &peerpb.MoveShareResponse{TransferId: r.GetTransferId()}, nil
 }
 
+// FetchBudgets returns a page of responseSize bytes.
+func (h *handler) FetchBudgets(context.Context, *peerpb.FetchBudgetsRequest) (*peerpb.FetchBudgetsResponse, error) {
+	return &peerpb.FetchBudgetsResponse{Pages: []*peerpb.BudgetPage{{Value: make([]byte, responseSize)}}}, nil
+}
+
 func (h *handler) Call(r *peerpb.CallRequest, s peerpb.DRPCPeer_CallStream) error {
 	for range r.GetCall() {
 		if err := s.Send(&peerpb.CallResponse{Body: r.GetBody()}); err != nil {
@@ -307,3 +314,40 @@
 	}
 	wg.Wait()
 }
+
+// responseSize is the size of a large response, in bytes.
+const responseSize = 1 << 20
+
+// Guards against a large response that is held without a reservation, and against a
+// reservation that is kept after the connection was closed.
+func TestLargeResponseNeedsMemory(t *testing.T) {
+	for name, c := range map[string]struct {
+		capacity memory.Bytes
+		fits     bool
+	}{
+		"fits":          {4 * responseSize, true},
+		"does not fit":  {responseSize, false},
+		"without limit": {0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var a *memory.Account
+			if c.capacity > 0 {
+				a = memory.New(memory.Options{Capacity: c.capacity, MaxHolders: 4, Clock: clockwork.NewRealClock()})
+			}
+			client, _, _, address := start(t, Options{Memory: a})
+			res, err := client.FetchBudgets(t.Context(), address, &peerpb.FetchBudgetsRequest{})
+			if c.fits {
+				assert.NilError(t, err)
+				assert.Equal(t, len(res.GetPages()[0].GetValue()), responseSize)
+			} else {
+				assert.Assert(t, err != nil)
+			}
+			if a == nil {
+				return
+			}
+			assert.Assert(t, !c.fits || a.Stats().Held > responseSize, "%d bytes", a.Stats().Held)
+			assert.NilError(t, client.Close())
+			assert.Equal(t, a.Stats().Held, memory.Bytes(0))
+		})
+	}
+}
--- a/test/e2e/memory/faulty_server_test.go
+++ b/test/e2e/memory/faulty_server_test.go
@@ -108,7 +108,7 @@
 }
 
 // Guards against a host that holds what a faulty server sends without an end: a process
-// on a machine of 96 MB held up to 173 MiB of events.
+// on a machine of 96 MB held up to 1,017 MiB of events.
 func TestFaultyServer(t *testing.T) {
 	for name, server := range faultyServers() {
 		for pace, reader := range readers() {
@@ -138,6 +138,16 @@
 	}
 }
 
+// Guards against processes that hold what the store sends without an end. Each of their
+// requests gets such a response for some time.
+func TestFaultyStore(t *testing.T) {
+	d := newDeployment(t)
+	d.store.SetFault(func(*http.Request) standin.Fault { return standin.ResponseEndless })
+	time.Sleep(2 * endlessTime)
+	d.store.SetFault(func(*http.Request) standin.Fault { return standin.NoFault })
+	d.checkHeld()
+}
+
 func (d *deployment) addFaultyServer(f faultyServer) {
 	d.t.Helper()
 	server, err := standin.NewRawBackend(d.store, "gen-0", standin.StreamService, f.serve)
@@ -167,6 +177,23 @@
 	}
 }
 
+// Guards against a host that holds the answers of calls that other hosts forwarded to it.
+// All callers use one of two hosts, which owns about half of the programs.
+func TestFaultyServerOfForwardedCalls(t *testing.T) {
+	for _, name := range []string{"endless events", "endless large events", "endless body"} {
+		t.Run(name, func(t *testing.T) {
+			address := startRawServer(t, faultyServers()[name])
+			s := newSite(t, false, config.Target{
+				Name: "faulty", Kind: config.Engine, Address: address, Zone: "zone-1", Models: []model.ModelID{modelName}, MaxInFlight: 2 * streamCrowd,
+			})
+			other := s.addHost("host-2")
+			sendCrowd(t, s.callers, streamCrowd, readers()["at once"](s.sendChat(true)))
+			s.checkHeld()
+			other.checkHeld()
+		})
+	}
+}
+
 // sendChat returns a caller that sends a streamed chat request, in a program of its own if
 // program is set.
 func (s *site) sendChat(program bool) caller {
--- a/test/e2e/memory/site_test.go
+++ b/test/e2e/memory/site_test.go
@@ -31,7 +31,7 @@
 	siteOperatorPort = 17401
 	sitePeerPort     = 17402
 	// siteSettings are those of a small machine.
-	siteSettings = "Host: {Name: host-1, Zone: zone-1}\n" +
+	siteSettings = "Host: {Name: %s, Zone: zone-1}\n" +
 		"Caller: {Address: %q, MaxBody: 4194304%s}\nOperator: {Address: %q, CredentialFile: %q}\n" +
 		"Peer: {Address: %q}\nPlatform: {Address: %q}\nLog: {Level: warn}\nMemory: {Limit: %d}\n"
 )
@@ -46,6 +46,7 @@
 	operators  string
 	peers      string
 	key        string
+	store      string
 	tls        *tls.Config // nil for plain TCP
 }
 
@@ -63,21 +64,37 @@
 	ip, callers := freeAddress(sitePort)
 	s := &site{
 		t: t, folder: t.TempDir(), callers: callers, operators: fmt.Sprintf("%s:%d", ip, siteOperatorPort),
-		peers: fmt.Sprintf("%s:%d", ip, sitePeerPort), key: config.NewKey("crowd"),
+		peers: fmt.Sprintf("%s:%d", ip, sitePeerPort), key: config.NewKey("crowd"), store: store.Address(),
 	}
 	s.credential = s.writeFile("operator.credential", config.NewKey("operator")+"\n")
 	section := ""
 	if withTLS {
 		section = s.useTLS()
 	}
-	file := s.writeFile("settings.yaml", fmt.Sprintf(siteSettings, callers, section, s.operators, s.credential, s.peers, store.Address(), memoryMB<<20))
-	s.host = &process{t: t, name: "host-1", cmd: exec.Command(binary, "serve", "--settings", file), ended: make(chan struct{})}
-	s.host.start()
+	s.host = s.startHost("host-1", callers, section, s.operators, s.peers)
 	s.configure(others)
 	s.checkServes()
 	return s
 }
 
+// startHost starts a host. section has further settings for callers.
+func (s *site) startHost(name, callers, section, operators, peers string) *process {
+	s.t.Helper()
+	file := s.writeFile(name+".yaml", fmt.Sprintf(siteSettings, name, callers, section, operators, s.credential, peers, s.store, memoryMB<<20))
+	p := &process{t: s.t, name: name, cmd: exec.Command(binary, "serve", "--settings", file), ended: make(chan struct{})}
+	p.start()
+	return p
+}
+
+// addHost starts a host that is ready to serve beside the first one.
+func (s *site) addHost(name string) *process {
+	s.t.Helper()
+	ip, callers := freeAddress(sitePort)
+	p := s.startHost(name, callers, "", fmt.Sprintf("%s:%d", ip, siteOperatorPort), fmt.Sprintf("%s:%d", ip, sitePeerPort))
+	waitServed(s.t, func() (int, error) { return exchangeOrdinary(callers, nil, s.post("stock", s.key)) })
+	return p
+}
+
 func (s *site) writeFile(name, text string) string {
 	s.t.Helper()
 	file := filepath.Join(s.folder, name)
