--- a/test/e2e/memory/faulty_server_test.go
+++ b/test/e2e/memory/faulty_server_test.go
@@ -170,7 +170,29 @@
 				s := newSite(t, false, config.Target{
 					Name: "faulty", Kind: config.Engine, Address: address, Zone: "zone-1", Models: []model.ModelID{modelName}, MaxInFlight: 2 * streamCrowd,
 				})
-				sendCrowd(t, s.callers, streamCrowd, readers()["at once"](s.sendChat(program)))
+				sendCrowd(t, s.callers, streamCrowd, readers()["at once"](s.sendChat(true, program)))
+				s.checkHeld()
+			})
+		}
+	}
+}
+
+// Guards against the same with answers that are read whole before the caller gets any of
+// them: chat completions that are not streamed, and calls of services.
+func TestOwnInterfaceFaultyWholeAnswers(t *testing.T) {
+	for _, name := range []string{"endless body", "head without an end", "head of endless fields", "endless trailers"} {
+		for _, kind := range []config.TargetKind{config.Engine, config.Service} {
+			t.Run(fmt.Sprintf("%s, %s", name, kind), func(t *testing.T) {
+				faulty := config.Target{Name: "faulty", Kind: kind, Address: startRawServer(t, faultyServers()[name]), Zone: "zone-1", MaxInFlight: 2 * streamCrowd}
+				if kind == config.Engine {
+					faulty.Models = []model.ModelID{modelName}
+				}
+				s := newSite(t, false, faulty)
+				send := s.sendChat(false, false)
+				if kind == config.Service {
+					send = sendRequests(s.post("faulty", s.key), 1)
+				}
+				sendCrowd(t, s.callers, streamCrowd, readers()["at once"](send))
 				s.checkHeld()
 			})
 		}
@@ -187,17 +209,17 @@
 				Name: "faulty", Kind: config.Engine, Address: address, Zone: "zone-1", Models: []model.ModelID{modelName}, MaxInFlight: 2 * streamCrowd,
 			})
 			other := s.addHost("host-2")
-			sendCrowd(t, s.callers, streamCrowd, readers()["at once"](s.sendChat(true)))
+			sendCrowd(t, s.callers, streamCrowd, readers()["at once"](s.sendChat(true, true)))
 			s.checkHeld()
 			other.checkHeld()
 		})
 	}
 }
 
-// sendChat returns a caller that sends a streamed chat request, in a program of its own if
-// program is set.
-func (s *site) sendChat(program bool) caller {
-	const body = `{"model":"` + modelName + `","stream":true,"max_tokens":10,"messages":[{"role":"user","content":"x"}]}`
+// sendChat returns a caller that sends a chat request, in a program of its own if program
+// is set.
+func (s *site) sendChat(streamed, program bool) caller {
+	body := fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":10,"messages":[{"role":"user","content":"x"}]}`, modelName, streamed)
 	return func(c net.Conn, n int) error {
 		fields := ""
 		if program {
--- a/test/e2e/memory/site_test.go
+++ b/test/e2e/memory/site_test.go
@@ -51,7 +51,7 @@
 }
 
 // newSite starts a host that is ready to serve the routes "stock" and "large" and other
-// targets.
+// targets. Those of kind Service get a route of their name.
 func newSite(t *testing.T, withTLS bool, others ...config.Target) *site {
 	t.Helper()
 	knownred.Skip(t)
@@ -127,6 +127,11 @@
 		Name: "main", Keys: []config.Key{{ID: "crowd", Hash: hash}}, Rate: 10000, Burst: 10000,
 		Budget: config.Budget{Tokens: 1000, Calls: 1000, Lifetime: time.Hour},
 	}}, Targets: others}
+	for _, o := range others {
+		if o.Kind == config.Service {
+			d.Routes = append(d.Routes, config.Route{Name: model.RouteID(o.Name), Targets: []model.TargetID{o.Name}, Repeatable: true})
+		}
+	}
 	for name, size := range map[string]int{"stock": 0, "large": fullBody} {
 		target, err := service.Start(service.Options{Listen: "127.0.0.1:0", AnswerBytes: size})
 		assert.NilError(s.t, err)
