peer: wait until drpc has freed a connection before it is pooled

Cause: drpc frees a connection shortly after it has returned the end of an RPC. pooledStream.finished looked only once, saw a connection in use and closed it, so the next RPC to that host opened a new one.

Fix: release waits for the connection, 100 ms at most, for both kinds of RPC.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -41,6 +41,9 @@
 	defaultIdlePerPeer  = 32 // connections
 )
 
+// freeTimeout limits the wait for a connection whose RPC has ended.
+const freeTimeout = 100 * time.Millisecond
+
 // maxMessageSize is the largest message accepted from a peer, in bytes. Batches
 // of records exceed the 4 MiB that drpc allows by default.
 const maxMessageSize = 16 << 20
@@ -176,8 +179,13 @@
 	return c.dial(ctx, k.address)
 }
 
-// release returns the connection to the pool.
+// release returns the connection to the pool, or closes it if it cannot be used for
+// another RPC.
 func (c *Client) release(k poolKey, conn *drpcconn.Conn) {
+	if !waitUntilFree(conn) {
+		_ = conn.Close()
+		return
+	}
 	c.pool.Put(k, conn)
 	if c.closed.Load() {
 		// Close may have emptied the pool before the Put above, so the pool is
@@ -186,6 +194,26 @@
 	}
 }
 
+// waitUntilFree reports whether both sides ended the last RPC of the connection. drpc
+// frees a connection shortly after it has returned the end of an RPC.
+func waitUntilFree(conn *drpcconn.Conn) bool {
+	timeout := time.NewTimer(freeTimeout)
+	defer timeout.Stop()
+	select {
+	case <-conn.Unblocked():
+	case <-conn.Closed():
+		return false
+	case <-timeout.C:
+		return false
+	}
+	select {
+	case <-conn.Closed():
+		return false
+	default:
+		return true
+	}
+}
+
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageSize}}
 }
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -132,6 +132,16 @@
 	assert.Equal(t, l.accepted(), 2)
 }
 
+// Guards against a new connection after a stream that ended cleanly, because drpc had
+// not freed the old one yet when the end was read.
+func TestConnectionOfEndedStreamIsReused(t *testing.T) {
+	c, _, l, address := start(t, Options{})
+	for range 1000 {
+		readAll(t, c, address, 1)
+	}
+	assert.Equal(t, l.accepted(), 1)
+}
+
 // readAll reads a stream with the number of messages to its end.
 func readAll(t *testing.T, c *Client, address string, messages uint32) {
 	t.Helper()
--- a/io/peer/stream.go
+++ b/io/peer/stream.go
@@ -118,29 +118,13 @@
 		return nil
 	}
 	if errors.Is(err, io.EOF) {
-		s.releaseConn(s.finished())
+		s.releaseConn(true)
 		return err
 	}
 	s.releaseConn(false)
 	return explainError(s.contextErr(), err)
 }
 
-// finished reports whether both sides ended the stream, so that the connection
-// can be used for the next RPC.
-func (s *pooledStream) finished() bool {
-	select {
-	case <-s.conn.Unblocked():
-	default:
-		return false
-	}
-	select {
-	case <-s.conn.Closed():
-		return false
-	default:
-		return true
-	}
-}
-
 // Close implements drpc.Stream. If the stream has not ended, it closes the
 // connection.
 func (s *pooledStream) Close() error {
