--- a/test/e2e/memory/faulty_server_test.go
+++ b/test/e2e/memory/faulty_server_test.go
@@ -3,12 +3,14 @@
 package memory
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,7 +32,15 @@
 
 	streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + standin.IDField + ": %s\r\n\r\n"
 	plainHead  = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + standin.IDField + ": %s\r\n\r\n"
-	modelName  = "faulty"
+	// cutStream is the beginning of a stream, with one event of 15 bytes.
+	cutStream = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" + standin.IDField + ": %s\r\n\r\n" +
+		"f\r\nid: 1\ndata: x\n\n\r\n"
+	// longEvents events just below their limit are an output that fits a conversation.
+	longEvents = 6
+
+	modelName = "faulty"
+	// loadEngines is the number of engines with faulty load reports.
+	loadEngines = 100
 )
 
 // faultyServer sends head, with the id of the request in it, then begin, and then piece
@@ -38,6 +48,7 @@
 // more.
 type faultyServer struct {
 	head, begin, piece string
+	first              int // id of the first event of an endless stream; 0 for 1
 }
 
 // faultyServers are the ways in which an answer does not end.
@@ -45,16 +56,16 @@
 	text := strings.Repeat("x", 4<<10)
 	number := "id: 1\ndata: "
 	return map[string]faultyServer{
-		"event without a line end":   {streamHead, number, text},
-		"event of endless lines":     {streamHead, "id: 1\n", "data: " + text[:100] + "\n"},
-		"event just below its limit": {streamHead, number + strings.Repeat("x", nearEventLimit), ""},
-		"event with usage":           {streamHead, number + `"usage":{` + strings.Repeat("x", nearEventLimit) + "\n\n", ""},
-		"endless large events":       {streamHead, "", "data: " + strings.Repeat("x", nearEventLimit) + "\n\n"},
-		"endless events":             {streamHead, "", "data: " + text + "\n\n"},
-		"endless body":               {plainHead, "", text},
-		"head without an end":        {"HTTP/1.1 200 OK\r\nX-Long: ", "", text},
-		"head of endless fields":     {"HTTP/1.1 200 OK\r\n", "", "X-Field: " + text[:100] + "\r\n"},
-		"endless trailers":           {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + standin.IDField + ": %s\r\n\r\n0\r\n", "", "X-Field: " + text[:100] + "\r\n"},
+		"event without a line end":   {head: streamHead, begin: number, piece: text},
+		"event of endless lines":     {head: streamHead, begin: "id: 1\n", piece: "data: " + text[:100] + "\n"},
+		"event just below its limit": {head: streamHead, begin: number + strings.Repeat("x", nearEventLimit)},
+		"event with usage":           {head: streamHead, begin: number + `"usage":{` + strings.Repeat("x", nearEventLimit) + "\n\n"},
+		"endless large events":       {head: streamHead, piece: "data: " + strings.Repeat("x", nearEventLimit) + "\n\n"},
+		"endless events":             {head: streamHead, piece: "data: " + text + "\n\n"},
+		"endless body":               {head: plainHead, piece: text},
+		"head without an end":        {head: "HTTP/1.1 200 OK\r\nX-Long: ", piece: text},
+		"head of endless fields":     {head: "HTTP/1.1 200 OK\r\n", piece: "X-Field: " + text[:100] + "\r\n"},
+		"endless trailers":           {head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + standin.IDField + ": %s\r\n\r\n0\r\n", piece: "X-Field: " + text[:100] + "\r\n"},
 	}
 }
 
@@ -64,7 +75,7 @@
 	if _, err := io.WriteString(c, head+f.begin); err != nil {
 		return
 	}
-	number := 1 // events need ascending ids on the platform
+	number := max(f.first, 1) // events need ascending ids on the platform
 	for piece := []byte(f.piece); len(piece) > 0; number++ {
 		data := piece
 		if bytes.HasPrefix(piece, []byte("data: ")) && bytes.HasSuffix(piece, []byte("\n\n")) {
@@ -138,6 +149,71 @@
 	}
 }
 
+// Guards against processes that hold a long output once for each turn that continues it:
+// the keeper that has it, and the host that sends it to a server.
+func TestTurnsThatContinueLongOutput(t *testing.T) {
+	d := newDeployment(t)
+	var continued atomic.Int64
+	d.addServer(func(c net.Conn, r *http.Request) {
+		id := r.Header.Get(standin.IDField)
+		answer := strings.ReplaceAll(cutStream, "%s", id)
+		if id == "long" {
+			for i := range longEvents {
+				event := fmt.Sprintf("id: %d\ndata: %s\n\n", i+2, strings.Repeat("x", nearEventLimit))
+				answer += fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+			}
+		} else {
+			continued.Add(1)
+		}
+		_, _ = io.WriteString(c, answer+"0\r\n\r\n")
+	})
+	turn := func(id string, fields ...string) []byte {
+		return standin.RequestHead("POST", "/talk/x", "key-1", id, append(fields, "Content-Length: 0")...)
+	}
+	c, err := net.DialTimeout("tcp", d.callers, ordinaryLimit)
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = c.Write(turn("long"))
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	size, err := io.Copy(io.Discard, resp.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, size >= longEvents*nearEventLimit, "%d bytes", size)
+	sendCrowd(t, d.callers, streamCrowd, readers()["at once"](func(c net.Conn, n int) error {
+		_, err := c.Write(turn(fmt.Sprint("next-", n), "Previous-Turn: long"))
+		return err
+	}))
+	assert.Assert(t, continued.Load() > 0, "no turn was continued")
+	d.checkHeld()
+}
+
+// Guards against a host that holds what a server sends without an end when it resumes a
+// stream that broke off after one event.
+func TestFaultyServerOfResumedStreams(t *testing.T) {
+	for _, name := range []string{"event without a line end", "event just below its limit", "endless large events", "endless events"} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			server := faultyServers()[name]
+			server.begin, server.first = strings.Replace(server.begin, "id: 1", "id: 2", 1), 2
+			var resumed atomic.Int64
+			d.addServer(func(c net.Conn, r *http.Request) {
+				if r.Header.Get("Last-Event-Id") != "" {
+					resumed.Add(1)
+					server.serve(c, r)
+					return
+				}
+				_, _ = io.WriteString(c, strings.ReplaceAll(cutStream, "%s", r.Header.Get(standin.IDField)))
+				_ = c.Close()
+			})
+			sendCrowd(t, d.callers, streamCrowd, readers()["at once"](sendRequests(post("/flow/x", "key-1"), 1)))
+			assert.Assert(t, resumed.Load() >= streamCrowd/2, "%d streams were resumed", resumed.Load())
+			d.checkHeld()
+		})
+	}
+}
+
 // Guards against processes that hold what the store sends without an end. Each of their
 // requests gets such a response for some time.
 func TestFaultyStore(t *testing.T) {
@@ -148,9 +224,11 @@
 	d.checkHeld()
 }
 
-func (d *deployment) addFaultyServer(f faultyServer) {
+func (d *deployment) addFaultyServer(f faultyServer) { d.addServer(f.serve) }
+
+func (d *deployment) addServer(serve func(c net.Conn, r *http.Request)) {
 	d.t.Helper()
-	server, err := standin.NewRawBackend(d.store, "gen-0", standin.StreamService, f.serve)
+	server, err := standin.NewRawBackend(d.store, "gen-0", standin.StreamService, serve)
 	assert.NilError(d.t, err)
 	d.t.Cleanup(server.Close)
 	server.SetSlots(streamCrowd)
@@ -216,6 +294,27 @@
 	}
 }
 
+// Guards against a host that holds what engines send without an end when it asks for
+// their load. The same client reads the responses to orders.
+func TestFaultyLoadReports(t *testing.T) {
+	var asked atomic.Int64
+	endless := faultyServers()["endless body"]
+	var engines []config.Target
+	for i := range loadEngines {
+		address := startServer(t, func(c net.Conn, r *http.Request) {
+			asked.Add(1)
+			endless.serve(c, r)
+		})
+		engines = append(engines, config.Target{
+			Name: model.TargetID(fmt.Sprint("faulty-", i)), Kind: config.Engine, Address: address, Zone: "zone-1", Models: []model.ModelID{modelName}, MaxInFlight: 4,
+		})
+	}
+	s := newSite(t, false, engines...)
+	time.Sleep(2 * endlessTime)
+	assert.Assert(t, asked.Load() >= loadEngines, "%d requests", asked.Load())
+	s.checkHeld()
+}
+
 // sendChat returns a caller that sends a chat request, in a program of its own if program
 // is set.
 func (s *site) sendChat(streamed, program bool) caller {
@@ -233,11 +332,16 @@
 
 // startRawServer starts a faulty server and returns its address.
 func startRawServer(t *testing.T, f faultyServer) string {
+	t.Helper()
+	return startServer(t, f.serve)
+}
+
+func startServer(t *testing.T, serve func(c net.Conn, r *http.Request)) string {
 	t.Helper()
 	store, err := standin.NewStore()
 	assert.NilError(t, err)
 	t.Cleanup(store.Close)
-	server, err := standin.NewRawBackend(store, "gen-0", standin.StreamService, f.serve)
+	server, err := standin.NewRawBackend(store, "gen-0", standin.StreamService, serve)
 	assert.NilError(t, err)
 	t.Cleanup(server.Close)
 	return server.Address()
